--- /dev/null
+++ b/cmd/basaltwall/main.go
@@ -0,0 +1,83 @@
+// Command basaltwall runs a controller of the scheduler, or checks its
+// settings file. Everything else is in the packages.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"basaltwall/config"
+	"basaltwall/node"
+)
+
+type serveCmd struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file."`
+}
+
+func (c *serveCmd) Run() error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// The collector is told of the limit, so that it works harder rather than
+	// let the process be killed.
+	if mb := cfg.Deployment.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * 0.7 * (1 << 20)))
+	}
+	return node.New(cfg).Run(ctx)
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"The settings file to check."`
+}
+
+func (c *checkCmd) Run() error {
+	cfg, err := config.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: settings of %s, one of %d controllers, are valid\n", c.File, cfg.Label, len(cfg.Peers)+1)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version + " " + info.GoVersion
+	}
+	fmt.Println("basaltwall", version)
+	return nil
+}
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	level := slog.LevelInfo
+	switch os.Getenv("LOG_LEVEL") {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	ctx := kong.Parse(&cli{}, kong.Name("basaltwall"), kong.Description("A cluster scheduler."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "basaltwall:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,145 @@
+// Package config owns the settings file that the platform hands to each
+// controller: its form, its checks and nothing else.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"basaltwall/api"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Label api.Label `json:"label"`
+	Zone  api.Zone  `json:"domain"`
+	Addr  string    `json:"peer_addr"`
+}
+
+// Team has a guarantee and a limit; a limit of 0 means none.
+type Team struct {
+	Name    api.Team `json:"name"`
+	CPUs    float64  `json:"cpus"`
+	CPUsMax float64  `json:"cpus_max"`
+	GPUs    float64  `json:"gpus"`
+	GPUsMax float64  `json:"gpus_max"`
+}
+
+// Objective is one of the users' aims for a class of jobs.
+type Objective struct {
+	Kind   string    `json:"kind"`
+	Class  api.Class `json:"class"`
+	Within float64   `json:"within_s"`
+	Share  float64   `json:"share"`
+	Times  float64   `json:"times"`
+}
+
+// Config is the whole file.
+type Config struct {
+	Label      api.Label `json:"label"`
+	Zone       api.Zone  `json:"domain"`
+	APIAddr    string    `json:"api_addr"`
+	PeerListen string    `json:"peer_listen"`
+	Peers      []Peer    `json:"peers"`
+	External   struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"external"`
+	Deployment struct {
+		Size       int         `json:"initial_size"`
+		Zones      []api.Zone  `json:"zones"`
+		Teams      []Team      `json:"teams"`
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
+			Report   float64 `json:"report_s"`
+			Lease    float64 `json:"lease_s"`
+			GangWait float64 `json:"gang_wait_s"`
+			GangPeer float64 `json:"gang_peer_s"`
+			Cancel   float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS     float64 `json:"rps"`
+			ListLag float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Limits struct {
+			CPUShare float64 `json:"cpu_share"`
+			MemoryMB float64 `json:"memory_mb"`
+			FDLimit  int     `json:"fd_limit"`
+		} `json:"limits"`
+		ClockErrorMS float64 `json:"clock_error_ms"`
+	} `json:"deployment"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(data)
+}
+
+// Parse checks settings; the error names the field at fault.
+func Parse(data []byte) (*Config, error) {
+	c := &Config{}
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Label == "" {
+		return nil, fmt.Errorf("settings: label: missing")
+	}
+	addrs := map[string]string{"api_addr": c.APIAddr, "peer_listen": c.PeerListen,
+		"external.cloud": c.External.Cloud, "external.state": c.External.State}
+	for _, p := range c.Peers {
+		if p.Label == "" || p.Label == c.Label {
+			return nil, fmt.Errorf("settings: peers: label %q is missing or our own", p.Label)
+		}
+		addrs["peers."+string(p.Label)] = p.Addr
+	}
+	for field, a := range addrs {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return nil, fmt.Errorf("settings: %s: %w", field, err)
+		}
+	}
+	d := &c.Deployment
+	if d.Size == 0 {
+		d.Size = len(c.Peers) + 1
+	}
+	positive := []struct {
+		v    float64
+		name string
+	}{
+		{float64(d.Size), "initial_size"}, {d.Workers.Report, "workers.report_s"}, {d.Workers.Lease, "workers.lease_s"},
+		{d.Workers.Cancel, "workers.cancel_s"}, {d.State.RPS, "state.rps"}, {d.State.WriteRPS, "state.write_rps"},
+		{d.State.ValueKB, "state.value_kb"}, {float64(d.State.TxnOps), "state.txn_ops"}, {d.Cloud.RPS, "cloud.rps"},
+	}
+	for _, p := range positive {
+		if !(p.v > 0) {
+			return nil, fmt.Errorf("settings: deployment.%s: must be above 0", p.name)
+		}
+	}
+	if len(d.Teams) == 0 {
+		return nil, fmt.Errorf("settings: deployment.teams: missing")
+	}
+	for _, t := range d.Teams {
+		if t.Name == "" || t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return nil, fmt.Errorf("settings: deployment.teams: %q has an invalid amount or no name", t.Name)
+		}
+	}
+	return c, nil
+}
+
+// ReportEvery is the workers' reporting interval.
+func (c *Config) ReportEvery() time.Duration { return api.Seconds(c.Deployment.Workers.Report) }
+
+// WorkerLease is the workers' lease.
+func (c *Config) WorkerLease() time.Duration { return api.Seconds(c.Deployment.Workers.Lease) }
--- /dev/null
+++ b/control/fleet.go
@@ -0,0 +1,353 @@
+package control
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/sched"
+)
+
+// fleet is what a node knows from the cloud. Every owner reads the list and
+// deletes its own machines; only the owner of part 0 rents.
+type fleet struct {
+	gone     map[api.MachineID]api.Time // deleted, by the cloud's word
+	hosts    map[api.MachineID]api.Host
+	reading  map[api.MachineID]api.Host
+	busy     bool
+	listed   api.Time // when the last whole list was had
+	listNext api.Time
+
+	typesBusy bool
+	typesNext api.Time
+
+	renting  bool
+	rentNext api.Time
+	count    int
+	refused  map[offer]api.Time // until when not to ask again
+	rented   map[api.MachineID]rental
+	short    api.Time // since when tasks have lacked room
+}
+
+// offer is something the cloud may rent.
+type offer struct {
+	typ  api.TypeName
+	zone api.Zone
+	spot bool
+}
+
+type rental struct {
+	offer
+	at api.Time
+}
+
+func (f *fleet) init() {
+	f.gone, f.hosts = map[api.MachineID]api.Time{}, map[api.MachineID]api.Host{}
+	f.refused, f.rented = map[offer]api.Time{}, map[api.MachineID]rental{}
+}
+
+const (
+	listEvery  = 4 * time.Second
+	typesEvery = time.Minute
+)
+
+func (n *Node) runFleet() {
+	n.readTypes()
+	if len(n.turfs) == 0 || len(n.types) == 0 {
+		return
+	}
+	n.readList()
+	n.useList()
+	if t := n.turfs[0]; t != nil {
+		n.rent(t)
+	}
+}
+
+func (n *Node) readTypes() {
+	f := &n.fleet
+	if f.typesBusy || n.now < f.typesNext || len(n.types) > 0 && n.turfs[0] == nil {
+		return
+	}
+	f.typesBusy = true
+	n.cloud(CloudCall{Types: true}, func(a CloudAnswer) {
+		f.typesBusy = false
+		if a.Status != 200 || len(a.Types) == 0 {
+			f.typesNext = n.now.Add(time.Second)
+			return
+		}
+		f.typesNext = n.now.Add(typesEvery)
+		n.learnTypes(a.Types)
+		if t := n.turfs[0]; t != nil && len(n.book.types) != len(a.Types) {
+			// Kept so that a node that starts while the cloud is down knows them.
+			v, _ := json.Marshal(api.MachineTypes{Types: a.Types})
+			n.txn(api.Txn{If: []api.Condition{{Key: partKey(keyPart, 0), Version: t.term}},
+				Writes: []api.Write{{Put: keyTypes, Value: v}}}, func(StateAnswer) {})
+		}
+	})
+}
+
+func (n *Node) readList() {
+	f := &n.fleet
+	if f.busy || n.now < f.listNext {
+		return
+	}
+	f.busy = true
+	f.reading = map[api.MachineID]api.Host{}
+	n.listPage("")
+}
+
+func (n *Node) listPage(since api.MachineID) {
+	f := &n.fleet
+	n.cloud(CloudCall{List: &ListAsk{Since: since}}, func(a CloudAnswer) {
+		if a.Status != 200 {
+			f.busy, f.listNext = false, n.now.Add(listEvery/2)
+			return
+		}
+		for _, h := range a.Hosts.Machines {
+			f.reading[h.ID] = h
+		}
+		if k := len(a.Hosts.Machines); a.Hosts.More && k > 0 {
+			n.listPage(a.Hosts.Machines[k-1].ID)
+			return
+		}
+		f.hosts, f.busy, f.listed = f.reading, false, n.now
+		f.listNext = n.now.Add(listEvery)
+		for id, at := range f.gone {
+			if _, there := f.hosts[id]; !there && n.now.Sub(at) > 5*time.Minute {
+				delete(f.gone, id)
+			}
+		}
+		for id, r := range f.rented {
+			if _, there := f.hosts[id]; there || n.now.Sub(r.at) > time.Minute {
+				delete(f.rented, id)
+			}
+		}
+	})
+}
+
+func (n *Node) listedRunning(m *Machine) bool {
+	return n.fleet.hosts[m.ID].State == api.MachineRunning
+}
+
+// useList meets the machines that the list shows and deletes those that failed
+// or do not come up. A list may be old: it never proves a task over.
+func (n *Node) useList() {
+	f := &n.fleet
+	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
+		h := f.hosts[id]
+		t := n.turfs[n.partOf(id)]
+		if t == nil || f.gone[id] != 0 {
+			continue
+		}
+		m := n.machine(id)
+		if m.addr == "" {
+			m.addr, m.typ, m.zone, m.spot = h.Address, h.Type, h.Zone, h.Spot
+		}
+		if m.deleting || n.now < m.callNext && m.heard == 0 {
+			continue
+		}
+		switch h.State {
+		case api.MachineFailed:
+			n.remove(m, t, "failed")
+		case api.MachineBooting:
+			typ := n.types[h.Type]
+			if m.heard == 0 && typ != nil && h.Age > 3*typ.Boot+20 {
+				n.remove(m, t, "does not come up")
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
+		m := n.machines[id]
+		t := n.turfs[n.partOf(id)]
+		_, listed := f.hosts[id]
+		busy := len(n.book.onHost[id]) > 0
+		if busy {
+			m.idle = n.now
+		}
+		if t == nil {
+			if n.now.Sub(max(m.heard, m.found)) > time.Minute {
+				delete(n.machines, id)
+			}
+			continue
+		}
+		if m.deleting || busy {
+			continue
+		}
+		if !listed && m.heard == 0 && n.now.Sub(m.found) > time.Minute {
+			delete(n.machines, id)
+			continue
+		}
+		if m.sickTill > n.now && m.heard != 0 {
+			n.remove(m, t, "sick")
+			continue
+		}
+		if t.writing == nil && m.heard != 0 && n.now.Sub(m.idle) > n.hold(m) && n.now.Sub(t.since) > n.hold(m) {
+			n.remove(m, t, "idle")
+		}
+	}
+}
+
+// hold is how long a machine may stand idle: several times what fetching it
+// back would take.
+func (n *Node) hold(m *Machine) time.Duration {
+	typ := n.types[m.typ]
+	if typ == nil {
+		return 5 * time.Minute
+	}
+	return max(time.Minute, api.Seconds(2*typ.Boot))
+}
+
+// rent finds the waiting tasks that fit nowhere, neither on what is up nor on
+// what is coming, and rents the cheapest machines for them.
+func (n *Node) rent(t *turf) {
+	f := &n.fleet
+	if f.renting || n.now < f.rentNext || f.listed == 0 || n.now.Sub(t.since) < 3*time.Second {
+		return
+	}
+	f.rentNext = n.now.Add(time.Second)
+	type space struct {
+		offer
+		free api.Resources
+	}
+	var spaces []space
+	seen := map[api.MachineID]bool{}
+	n.eachMachine(func(_ api.PartID, m *MachineNews) {
+		seen[m.ID] = true
+		if m.Usable {
+			spaces = append(spaces, space{offer{m.Type, m.Zone, m.Spot}, m.Free})
+		}
+	})
+	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
+		h := f.hosts[id]
+		if typ := n.types[h.Type]; typ != nil && !seen[id] && h.State == api.MachineBooting && f.gone[id] == 0 {
+			spaces = append(spaces, space{offer{h.Type, h.Zone, h.Spot}, typ.Capacity()})
+			seen[id] = true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.rented)) {
+		r := f.rented[id]
+		if typ := n.types[r.typ]; typ != nil && !seen[id] && f.gone[id] == 0 {
+			spaces = append(spaces, space{r.offer, typ.Capacity()})
+		}
+	}
+	left := map[api.Team]api.Resources{}
+	use := n.totalUsage()
+	for name, team := range n.teams {
+		left[name] = limitOf(team).Minus(use[name])
+	}
+	jobs := slices.SortedFunc(maps.Values(n.book.jobs), func(a, b *Job) int {
+		if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.ref, b.ref)
+	})
+	need := map[offer]int{}
+	budget := 5000 // tasks looked at
+	for _, j := range jobs {
+		if j.final() || j.hold > n.now {
+			continue
+		}
+		waiting := 0
+		for p := range n.book.parts {
+			waiting += j.waiting(api.PartID(p))
+		}
+		waiting = min(waiting, j.demand.Slots(left[j.Spec.Team]), budget)
+		budget -= waiting
+		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(waiting))
+		for i := range spaces {
+			s := &spaces[i]
+			if waiting == 0 {
+				break
+			}
+			if sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
+				k := min(waiting, j.demand.Slots(s.free))
+				s.free = s.free.Minus(j.demand.Times(k))
+				waiting -= k
+			}
+		}
+		for waiting > 0 {
+			o, ok := n.cheapest(j.Spec, need)
+			if !ok {
+				break
+			}
+			need[o]++
+			free := n.types[o.typ].Capacity()
+			k := min(waiting, j.demand.Slots(free))
+			waiting -= k
+			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k))})
+		}
+	}
+	if len(need) == 0 {
+		f.short = 0
+		return
+	}
+	if f.short == 0 {
+		f.short = n.now
+	}
+	if n.now.Sub(f.short) < 2*time.Second {
+		return // what is about to be placed should be placed first
+	}
+	offers := slices.SortedFunc(maps.Keys(need), func(a, b offer) int {
+		return cmp.Or(need[b]-need[a], cmp.Compare(a.typ, b.typ), cmp.Compare(a.zone, b.zone))
+	})
+	o := offers[0]
+	f.count++
+	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(need[o], 8)}
+	f.renting = true
+	n.cloud(CloudCall{Rent: r}, func(a CloudAnswer) {
+		f.renting = false
+		if a.Status != 200 {
+			// The name is not used again: should the request be carried out
+			// late, its machines show up by themselves.
+			f.refused[o] = n.now.Add(20 * time.Second)
+			return
+		}
+		slog.Info("rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", r.Count, "got", len(a.Machines))
+		if len(a.Machines) < r.Count {
+			f.refused[o] = n.now.Add(20 * time.Second)
+		}
+		for _, id := range a.Machines {
+			f.rented[id] = rental{o, n.now}
+		}
+	})
+}
+
+// cheapest finds the offer with the lowest price for one task of the job.
+func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int) (offer, bool) {
+	demand := s.Demand()
+	var best offer
+	bestPrice := 0.0
+	for _, name := range slices.Sorted(maps.Keys(n.types)) {
+		typ := n.types[name]
+		slots := demand.Slots(typ.Capacity())
+		if slots == 0 {
+			continue
+		}
+		zones := typ.Zones
+		if len(zones) == 0 {
+			zones = n.cfg.Deployment.Zones
+		}
+		for _, z := range zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{name, z, spot}
+				if !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now {
+					continue
+				}
+				price := typ.Price
+				if spot {
+					price = typ.SpotPrice
+				}
+				price = price/float64(slots) + 1e-6*float64(taken[o])
+				if bestPrice == 0 || price < bestPrice {
+					best, bestPrice = o, price
+				}
+			}
+		}
+	}
+	return best, bestPrice > 0
+}
--- /dev/null
+++ b/control/gossip.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+)
+
+// news describes one of our parts to the others.
+func (n *Node) news(t *turf) PartNews {
+	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting}
+	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
+		m := n.machines[id]
+		if n.partOf(id) != t.part || m.heard == 0 || m.deleting {
+			continue
+		}
+		mn := MachineNews{ID: id, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session,
+			Usable: n.usable(m, t), Images: slices.Sorted(maps.Keys(m.images))}
+		if mn.Usable {
+			mn.Free = n.freeOn(m, t)
+		}
+		pn.Machines = append(pn.Machines, mn)
+	}
+	return pn
+}
+
+// gossip tells every peer about our parts.
+func (n *Node) gossip() {
+	if n.now < n.gossipAt {
+		return
+	}
+	n.gossipAt = n.now.Add(gossipEvery)
+	g := &Gossip{From: n.cfg.Label, StateOK: n.stateOK}
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		g.Parts = append(g.Parts, n.news(n.turfs[p]))
+	}
+	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[l]
+		if p.sending {
+			continue
+		}
+		p.sending = true
+		n.peer(l, PeerMessage{Gossip: g}, func(PeerAnswer) { p.sending = false })
+	}
+}
+
+func (n *Node) hear(c Hear) {
+	if p := n.peers[c.Gossip.From]; p != nil {
+		p.gossip, p.heard = *c.Gossip, n.now
+	}
+	n.reply(c.Req, 200, struct{}{}, 0)
+}
+
+// eachMachine visits the machines of all parts, others' as their owners tell.
+func (n *Node) eachMachine(visit func(api.PartID, *MachineNews)) {
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		pn := n.news(n.turfs[p])
+		for i := range pn.Machines {
+			visit(p, &pn.Machines[i])
+		}
+	}
+	for _, pn := range n.othersNews() {
+		for i := range pn.Machines {
+			visit(pn.Part, &pn.Machines[i])
+		}
+	}
+}
+
+// othersNews is what the owners of parts that are not ours have lately told.
+func (n *Node) othersNews() []PartNews {
+	var out []PartNews
+	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[l]
+		if p.heard == 0 || n.now.Sub(p.heard) > 5*time.Second {
+			continue
+		}
+		for _, pn := range p.gossip.Parts {
+			if int(pn.Part) < len(n.book.parts) && pn.Part >= 0 && n.book.parts[pn.Part].owner == l {
+				out = append(out, pn)
+			}
+		}
+	}
+	return out
+}
+
+// gifts gives shares of teams' limits that this part does not use to parts
+// that could use them.
+func (n *Node) gifts(t *turf) []gift {
+	left := n.leftOf(t.part)
+	if t.writing != nil {
+		return nil
+	}
+	var out []gift
+	others := n.othersNews()
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		if o := n.turfs[p]; o != t {
+			others = append(others, PartNews{Part: p, Want: o.want})
+		}
+	}
+	for _, pn := range others {
+		if n.now < t.gaveAt[pn.Part] {
+			continue
+		}
+		for _, team := range slices.Sorted(maps.Keys(pn.Want)) {
+			// What a round has just planned to use is not in left yet; a team
+			// that wants here gives nothing, so only idle shares move.
+			want, spare := pn.Want[team], left[team]
+			if _, needed := t.want[team]; needed {
+				continue
+			}
+			if t.planned[team] {
+				continue
+			}
+			g := gift{To: pn.Part, Team: team, Amount: api.Resources{
+				CPU: max(0, min(want.CPU, spare.CPU)), GPU: max(0, min(want.GPU, spare.GPU))}}
+			limit := limitOf(n.teams[team])
+			if n.teams[team].CPUsMax <= 0 {
+				g.Amount.CPU = 0
+			}
+			if n.teams[team].GPUsMax <= 0 {
+				g.Amount.GPU = 0
+			}
+			if g.Amount.CPU > limit.CPU || g.Amount.CPU == 0 && g.Amount.GPU == 0 {
+				continue
+			}
+			left[team] = left[team].Minus(g.Amount)
+			out = append(out, g)
+			t.gaveAt[pn.Part] = n.now.Add(2 * gossipEvery)
+		}
+	}
+	return out
+}
+
+// rebalance moves waiting tasks to a part that has room for them.
+func (n *Node) rebalance(t *turf) {
+	if t.moving || t.leaving || t.writing != nil || n.now < t.moveAt || t.waiting == 0 {
+		return
+	}
+	t.moveAt = n.now.Add(gossipEvery)
+	for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
+		j := n.book.jobs[ref]
+		if j.final() || j.hold > n.now || n.now.Sub(j.moved) < 3*gossipEvery && j.moved != 0 {
+			continue
+		}
+		waiting := j.waiting(t.part)
+		if waiting == 0 {
+			continue
+		}
+		room := n.roomByPart(j.Spec)
+		if room[t.part] > 0 && j.Spec.Kind == api.Array {
+			continue // it will be placed here
+		}
+		best, most := api.PartID(0), 0
+		for q := range room {
+			if api.PartID(q) == t.part {
+				continue
+			}
+			if r := room[q] - n.waitingIn(api.PartID(q), j.demand); r > most {
+				best, most = api.PartID(q), r
+			}
+		}
+		if most == 0 {
+			continue
+		}
+		split, ok := moved(j, t.part, best, most)
+		if !ok {
+			continue
+		}
+		v := j.jobValue
+		v.Split = split
+		data, err := json.Marshal(v)
+		if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+			continue
+		}
+		j.moved = n.now
+		t.moving = true
+		key := keyJob + string(ref)
+		tx := api.Txn{If: []api.Condition{{Key: key, Version: j.ver}, {Key: partKey(keyPart, t.part), Version: t.term}},
+			Writes: []api.Write{{Put: key, Value: data}}}
+		n.txn(tx, func(a StateAnswer) {
+			slog.Info("waiting tasks moved", "job", ref, "from", t.part, "to", best, "most", most, "status", a.Status)
+			n.current(func() { t.moving = false }, func() { t.moving = false })
+		})
+		return
+	}
+}
+
+// maxRanges bounds how finely a job may be split.
+const maxRanges = 64
+
+// moved returns the job's split with up to most of the waiting tasks of one
+// part given to another; jobs whose tasks belong together move whole or not.
+func moved(j *Job, from, to api.PartID, most int) ([]Range, bool) {
+	if j.Spec.Whole() {
+		if len(j.places) > 0 || j.Spec.Kind == api.Gang && most < j.Spec.Tasks {
+			return nil, false
+		}
+		return []Range{{0, j.Spec.Tasks, to}}, true
+	}
+	if len(j.Split) >= maxRanges {
+		return nil, false
+	}
+	for k := len(j.Split) - 1; k >= 0; k-- {
+		r := j.Split[k]
+		if r.Part != from {
+			continue
+		}
+		end := r.To
+		for end > r.From && (j.done.has(end-1) || j.places[end-1] != nil) {
+			end--
+		}
+		begin := end
+		for begin > r.From && end-begin < most && !j.done.has(begin-1) && j.places[begin-1] == nil {
+			begin--
+		}
+		if begin == end {
+			continue
+		}
+		var out []Range
+		for _, p := range []Range{{r.From, begin, from}, {begin, end, to}, {end, r.To, from}} {
+			if p.To > p.From {
+				out = append(out, p)
+			}
+		}
+		return slices.Concat(j.Split[:k], out, j.Split[k+1:]), true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/control/messages.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"time"
+
+	"basaltwall/api"
+)
+
+// ReqID names a request from outside that waits for a Reply.
+type ReqID uint64
+
+// CallID names a call to outside that will be answered by a command.
+type CallID uint64
+
+// Command is something the owner is told. Each call is answered exactly once,
+// with status 0 when no answer came in time.
+type Command any
+
+// Commands from users, workers and peers.
+type (
+	// Submit is a user's submission.
+	Submit struct {
+		Req       ReqID
+		Body      []byte
+		Forwarded bool
+	}
+	// Poll asks for a job's state.
+	Poll struct {
+		Req       ReqID
+		Ref       string
+		Forwarded bool
+	}
+	// Cancel asks for a job's end.
+	Cancel struct {
+		Req       ReqID
+		Ref       string
+		Forwarded bool
+	}
+	// Ready is the balancer's probe.
+	Ready struct{ Req ReqID }
+	// Checkin is a worker's report.
+	Checkin struct {
+		Req       ReqID
+		Report    *api.Report
+		Body      []byte // as it came, for passing on
+		Forwarded bool
+	}
+	// Hear is another controller's news.
+	Hear struct {
+		Req    ReqID
+		Gossip *Gossip
+	}
+)
+
+// Answers to calls.
+type (
+	// StateAnswer answers a StateCall.
+	StateAnswer struct {
+		ID      CallID
+		Status  int
+		Txn     api.TxnAnswer
+		Changes api.Changes
+		Page    api.KeyPage
+		Pair    api.Pair
+		Lease   api.LeaseID
+	}
+	// WorkerAnswer answers a WorkerCall.
+	WorkerAnswer struct {
+		ID     CallID
+		Status int
+		Report *api.Report
+	}
+	// CloudAnswer answers a CloudCall.
+	CloudAnswer struct {
+		ID       CallID
+		Status   int
+		Types    []api.MachineType
+		Hosts    api.HostList
+		Machines []api.MachineID
+	}
+	// PeerAnswer answers a PeerCall.
+	PeerAnswer struct {
+		ID    CallID
+		OK    bool
+		Reply PeerReply
+	}
+)
+
+// Effect is something the owner wants done.
+type Effect any
+
+// Effects.
+type (
+	// Reply answers a request.
+	Reply struct {
+		Req        ReqID
+		Status     int
+		Body       []byte
+		RetryAfter int
+	}
+	// StateCall is a request to the state service; one of its fields is set.
+	StateCall struct {
+		ID      CallID
+		Txn     *api.Txn
+		Changes *ChangesAsk
+		Page    *PageAsk
+		Get     string
+		Lease   time.Duration
+		Renew   api.LeaseID
+		Timeout time.Duration
+	}
+	// ChangesAsk asks for the changes under root.
+	ChangesAsk struct {
+		Since api.Revision
+		Wait  time.Duration
+	}
+	// PageAsk asks for keys under root.
+	PageAsk struct{ After string }
+	// WorkerCall sends commands straight to a worker.
+	WorkerCall struct {
+		ID      CallID
+		Addr    string
+		Orders  api.Orders
+		Timeout time.Duration
+	}
+	// CloudCall is a request to the cloud; one of its fields is set.
+	CloudCall struct {
+		ID      CallID
+		Types   bool
+		List    *ListAsk
+		Rent    *api.RentRequest
+		Delete  []api.MachineID
+		Timeout time.Duration
+	}
+	// ListAsk asks for a page of machines.
+	ListAsk struct{ Since api.MachineID }
+	// PeerCall is a message to another controller.
+	PeerCall struct {
+		ID      CallID
+		To      api.Label
+		Message PeerMessage
+		Timeout time.Duration
+	}
+)
+
+// PeerMessage is what controllers send each other; one field is set.
+type PeerMessage struct {
+	Gossip  *Gossip
+	Forward *Forward
+}
+
+// Forward passes on a request that another node can answer better.
+type Forward struct {
+	Kind string // submit, poll, cancel or checkin
+	Ref  string
+	Body []byte
+}
+
+// PeerReply answers a PeerMessage.
+type PeerReply struct {
+	Status     int
+	Body       []byte
+	RetryAfter int
+}
+
+// Gossip is what a controller tells the others of itself. It is advice only:
+// nothing that safety needs rests on it.
+type Gossip struct {
+	From    api.Label
+	StateOK bool
+	Parts   []PartNews
+}
+
+// PartNews describes a part to the nodes that do not own it.
+type PartNews struct {
+	Part     api.PartID
+	Machines []MachineNews
+	Want     map[api.Team]api.Resources // share it could use
+	Spare    map[api.Team]api.Resources // share it does not use
+	Waiting  int                        // tasks that found no room
+}
+
+// MachineNews describes a machine.
+type MachineNews struct {
+	ID      api.MachineID
+	Addr    string
+	Type    api.TypeName
+	Zone    api.Zone
+	Spot    bool
+	Session api.Session
+	Usable  bool
+	Free    api.Resources
+	Images  []api.Image
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,577 @@
+// Package control owns all of a controller's state and every decision. It does
+// no input or output, reads no clock and starts no goroutine: Step takes what
+// happened and returns what is to be done, and the same inputs give the same
+// outputs.
+package control
+
+import (
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/config"
+)
+
+// Timing of our own dealings. None is needed for safety.
+const (
+	memberTTL     = 3 * time.Second
+	renewEvery    = 900 * time.Millisecond
+	stateTimeout  = 1500 * time.Millisecond
+	watchWait     = 10 * time.Second
+	workerTimeout = 1500 * time.Millisecond
+	cloudTimeout  = 6 * time.Second
+	peerTimeout   = 2 * time.Second
+	gossipEvery   = 500 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
+	settleTime    = 5 * time.Second // a returned node's parts go home after this
+)
+
+// Node is one controller.
+type Node struct {
+	cfg  *config.Config
+	born int64
+	now  api.Time
+	wall api.Wall
+
+	effects []Effect
+	calls   map[CallID]func(any)
+	last    CallID
+
+	book      *book
+	loaded    bool
+	loading   bool
+	loadAt    api.Time
+	watching  bool
+	watchNext api.Time
+	syncing   bool
+	waiters   []syncWaiter
+	stateOK   bool
+	stateBad  api.Time // since when the state service has not answered us
+
+	lease      api.LeaseID
+	leaseBusy  bool
+	leaseNext  api.Time
+	member     bool
+	memberAt   api.Time
+	liveSince  map[api.Label]api.Time
+	claiming   map[api.PartID]bool
+	claimAfter map[api.PartID]api.Time
+
+	machines map[api.MachineID]*Machine
+	turfs    map[api.PartID]*turf
+	peers    map[api.Label]*peerNews
+	gossipAt api.Time
+	teams    map[api.Team]config.Team
+	largest  api.Resources
+	types    map[api.TypeName]*api.MachineType
+
+	fleet     fleet
+	sentTo    map[api.MachineID]redirected
+	roundGap  time.Duration
+	syncGap   time.Duration
+	startedAt api.Time
+	started   bool
+}
+
+type syncWaiter struct{ ok, fail func() }
+
+type redirected struct {
+	to api.Label
+	at api.Time
+}
+
+type peerNews struct {
+	gossip  Gossip
+	heard   api.Time
+	sending bool
+}
+
+// New returns a controller; born tells this run of the process from others.
+func New(cfg *config.Config, born int64) *Node {
+	d := cfg.Deployment
+	n := &Node{
+		cfg: cfg, born: born, calls: map[CallID]func(any){}, book: newBook(d.Size),
+		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
+		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
+		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
+		sentTo: map[api.MachineID]redirected{},
+	}
+	for _, t := range d.Teams {
+		n.teams[t.Name] = t
+	}
+	for _, p := range cfg.Peers {
+		n.peers[p.Label] = &peerNews{}
+	}
+	// Half of the write limit is for rounds, the rest for jobs, checkpoints
+	// and members; likewise for watches among the requests.
+	nodes := float64(len(cfg.Peers) + 1)
+	n.roundGap = max(50*time.Millisecond, api.Seconds(float64(d.Size)/(d.State.WriteRPS*0.5)))
+	n.syncGap = max(40*time.Millisecond, api.Seconds(nodes*4/d.State.RPS))
+	n.fleet.init()
+	return n
+}
+
+// Step tells the controller what happened and returns what it wants done. It
+// is also to be called with no commands at least every Tick.
+func (n *Node) Step(now api.Time, wall api.Wall, cmds []Command) []Effect {
+	n.now, n.wall = now, wall
+	if !n.started {
+		n.started, n.startedAt = true, now
+	}
+	for _, c := range cmds {
+		n.handle(c)
+	}
+	n.tick()
+	out := n.effects
+	n.effects = nil
+	return out
+}
+
+// Tick is how often Step wants to be called when nothing happens.
+const Tick = 50 * time.Millisecond
+
+func (n *Node) handle(c Command) {
+	answer := func(id CallID) {
+		if f := n.calls[id]; f != nil {
+			delete(n.calls, id)
+			f(c)
+		}
+	}
+	switch c := c.(type) {
+	case Submit:
+		n.submit(c)
+	case Poll:
+		n.poll(c)
+	case Cancel:
+		n.cancel(c)
+	case Ready:
+		n.ready(c)
+	case Checkin:
+		n.checkin(c)
+	case Hear:
+		n.hear(c)
+	case StateAnswer:
+		answer(c.ID)
+	case WorkerAnswer:
+		answer(c.ID)
+	case CloudAnswer:
+		answer(c.ID)
+	case PeerAnswer:
+		answer(c.ID)
+	}
+}
+
+func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+
+func (n *Node) reply(req ReqID, status int, body any, retryAfter int) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = 500, []byte(`{"error":"internal"}`)
+	}
+	n.emit(Reply{req, status, data, retryAfter})
+}
+
+func (n *Node) refuse(req ReqID, status int, why string) {
+	retry := 0
+	if status == 503 {
+		retry = 1
+	}
+	n.reply(req, status, api.ErrorBody{Error: why}, retry)
+}
+
+func (n *Node) callID(f func(any)) CallID {
+	n.last++
+	n.calls[n.last] = f
+	return n.last
+}
+
+func (n *Node) state(c StateCall, f func(StateAnswer)) {
+	if c.Timeout == 0 {
+		c.Timeout = stateTimeout
+	}
+	c.ID = n.callID(func(a any) {
+		ans := a.(StateAnswer)
+		switch {
+		case ans.Status == 0 || ans.Status == 503:
+			if n.stateOK || n.stateBad == 0 {
+				n.stateBad = n.now
+			}
+			n.stateOK = false
+		case ans.Status != 429:
+			n.stateOK = true
+		}
+		f(ans)
+	})
+	n.emit(c)
+}
+
+func (n *Node) txn(t api.Txn, f func(StateAnswer)) {
+	n.state(StateCall{Txn: &t}, f)
+}
+
+func (n *Node) worker(addr string, o api.Orders, f func(WorkerAnswer)) {
+	n.emit(WorkerCall{n.callID(func(a any) { f(a.(WorkerAnswer)) }), addr, o, workerTimeout})
+}
+
+func (n *Node) cloud(c CloudCall, f func(CloudAnswer)) {
+	c.ID, c.Timeout = n.callID(func(a any) { f(a.(CloudAnswer)) }), cloudTimeout
+	n.emit(c)
+}
+
+func (n *Node) peer(to api.Label, m PeerMessage, f func(PeerAnswer)) {
+	n.emit(PeerCall{n.callID(func(a any) { f(a.(PeerAnswer)) }), to, m, peerTimeout})
+}
+
+// tick does whatever is due.
+func (n *Node) tick() {
+	n.membership()
+	if !n.loaded {
+		n.load()
+		return
+	}
+	n.follow()
+	n.takeParts()
+	n.runFleet()
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		if t := n.turfs[p]; t != nil {
+			n.runPart(t)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
+		n.tend(n.machines[id])
+	}
+	n.gossip()
+}
+
+// membership keeps our leased key alive.
+func (n *Node) membership() {
+	if n.member && n.loaded && !n.live(n.cfg.Label) && n.now.Sub(n.memberAt) > time.Second {
+		n.member = false // our former life's lease may have taken the key along
+	}
+	if n.leaseBusy || n.now < n.leaseNext {
+		return
+	}
+	n.leaseBusy = true
+	done := func(pause time.Duration) {
+		n.leaseBusy = false
+		n.leaseNext = n.now.Add(pause)
+	}
+	switch {
+	case n.lease == 0:
+		n.state(StateCall{Lease: memberTTL}, func(a StateAnswer) {
+			if a.Status == 200 {
+				n.lease, n.member = a.Lease, false
+				done(0)
+				return
+			}
+			done(retryPause)
+		})
+	case !n.member:
+		v, _ := json.Marshal(memberValue{Born: n.born})
+		n.txn(api.Txn{Writes: []api.Write{{Put: keyMember + string(n.cfg.Label), Value: v, Lease: n.lease}}}, func(a StateAnswer) {
+			switch a.Status {
+			case 200:
+				n.member, n.memberAt = true, n.now
+				done(renewEvery)
+			case 400:
+				n.lease = 0
+				done(0)
+			default:
+				done(retryPause)
+			}
+		})
+	default:
+		n.state(StateCall{Renew: n.lease, Timeout: time.Second}, func(a StateAnswer) {
+			switch a.Status {
+			case 200:
+				done(renewEvery)
+			case 404:
+				n.lease, n.member = 0, false
+				done(0)
+			default:
+				done(retryPause)
+			}
+		})
+	}
+}
+
+// load reads everything under root, page by page, then the changes since the
+// first page, and folds the result.
+func (n *Node) load() {
+	if n.loading || n.now < n.loadAt {
+		return
+	}
+	n.loading = true
+	n.book = newBook(n.cfg.Deployment.Size)
+	n.book.raw = map[string]json.RawMessage{}
+	n.loadPage("", 0)
+}
+
+func (n *Node) loadFailed() {
+	n.loading, n.loadAt = false, n.now.Add(retryPause)
+}
+
+func (n *Node) loadPage(after string, from api.Revision) {
+	n.state(StateCall{Page: &PageAsk{After: after}}, func(a StateAnswer) {
+		if a.Status != 200 {
+			n.loadFailed()
+			return
+		}
+		if from == 0 {
+			from = a.Page.Revision
+		}
+		for _, p := range a.Page.Pairs {
+			if err := n.book.put(p.Key, p.Value, p.Version); err != nil {
+				slog.Error("state not understood", "err", err)
+			}
+		}
+		if a.Page.More && len(a.Page.Pairs) > 0 {
+			n.loadPage(a.Page.Pairs[len(a.Page.Pairs)-1].Key, from)
+			return
+		}
+		n.state(StateCall{Changes: &ChangesAsk{Since: from}}, func(a StateAnswer) {
+			if a.Status != 200 {
+				n.loadFailed()
+				return
+			}
+			n.takeChanges(a.Changes)
+			if err := n.book.finishLoad(); err != nil {
+				slog.Error("state could not be read", "err", err)
+				n.loadFailed()
+				return
+			}
+			n.loading, n.loaded = false, true
+			n.learnTypes(n.book.types)
+			slog.Info("state read", "revision", n.book.rev, "jobs", len(n.book.jobs))
+		})
+	})
+}
+
+// takeChanges folds a log; changes that were folded before are skipped.
+func (n *Node) takeChanges(c api.Changes) {
+	for _, ch := range c.Log {
+		if ch.Version <= n.book.rev {
+			continue
+		}
+		if ch.Drop != "" {
+			n.book.drop(ch.Drop, ch.Version)
+		} else if err := n.book.put(ch.Put, ch.Value, ch.Version); err != nil {
+			slog.Error("change not understood", "err", err)
+		}
+	}
+	n.book.rev = max(n.book.rev, c.Revision)
+	if !n.loaded {
+		return
+	}
+	if len(c.Log) > 0 {
+		if len(n.book.types) > 0 && len(n.types) == 0 {
+			n.learnTypes(n.book.types)
+		}
+		for _, t := range n.turfs {
+			t.dirty = true
+		}
+		n.checkDeposed()
+	}
+}
+
+// reload starts from nothing: the log no longer reaches back to where we are.
+func (n *Node) reload() {
+	slog.Info("reading the state anew")
+	n.loaded = false
+	n.turfs = map[api.PartID]*turf{}
+	for _, w := range n.waiters {
+		w.fail()
+	}
+	n.waiters = nil
+}
+
+// follow keeps a watch open and serves those who wait for a current read.
+func (n *Node) follow() {
+	if !n.watching && n.now >= n.watchNext {
+		n.watching = true
+		since := n.book.rev
+		n.state(StateCall{Changes: &ChangesAsk{Since: since, Wait: watchWait}, Timeout: watchWait + 2*time.Second}, func(a StateAnswer) {
+			n.watching = false
+			n.watchNext = n.now.Add(n.syncGap)
+			n.changesAnswer(a, since)
+		})
+	}
+	if len(n.waiters) > 0 && !n.syncing {
+		n.syncing = true
+		now := n.waiters
+		n.waiters = nil
+		since := n.book.rev
+		n.state(StateCall{Changes: &ChangesAsk{Since: since}}, func(a StateAnswer) {
+			n.syncing = false
+			ok := n.changesAnswer(a, since)
+			for _, w := range now {
+				if ok {
+					w.ok()
+				} else {
+					w.fail()
+				}
+			}
+		})
+	}
+}
+
+func (n *Node) changesAnswer(a StateAnswer, since api.Revision) bool {
+	switch {
+	case !n.loaded || since > n.book.rev:
+		return false // asked before a reload
+	case a.Status == 200:
+		n.takeChanges(a.Changes)
+		return true
+	case a.Status == 410:
+		n.reload()
+	default:
+		n.watchNext = n.now.Add(retryPause)
+	}
+	return false
+}
+
+// current calls ok once everything that was durable when it was called is
+// folded, or fail when that can't be had.
+func (n *Node) current(ok, fail func()) {
+	if !n.loaded {
+		fail()
+		return
+	}
+	n.waiters = append(n.waiters, syncWaiter{ok, fail})
+}
+
+func (n *Node) learnTypes(types []api.MachineType) {
+	for i := range types {
+		t := types[i]
+		n.types[t.Name] = &t
+		c := t.Capacity()
+		n.largest = api.Resources{CPU: max(n.largest.CPU, c.CPU), GPU: max(n.largest.GPU, c.GPU), Mem: max(n.largest.Mem, c.Mem)}
+	}
+}
+
+// labels of all controllers, in order: a part's home is the one at its number.
+func (n *Node) labels() []api.Label {
+	l := []api.Label{n.cfg.Label}
+	for p := range n.peers {
+		l = append(l, p)
+	}
+	slices.Sort(l)
+	return l
+}
+
+func (n *Node) home(p api.PartID) api.Label {
+	l := n.labels()
+	return l[int(p)%len(l)]
+}
+
+func (n *Node) live(l api.Label) bool {
+	_, ok := n.book.members[l]
+	return ok
+}
+
+// heir is who takes a part that has no living owner.
+func (n *Node) heir(p api.PartID) api.Label {
+	if h := n.home(p); n.live(h) {
+		return h
+	}
+	l := slices.Sorted(maps.Keys(n.book.members))
+	if len(l) == 0 {
+		return ""
+	}
+	return l[int(p)%len(l)]
+}
+
+// takeParts claims the parts that are ours to take and hands home those that
+// are another's.
+func (n *Node) takeParts() {
+	for l := range n.liveSince {
+		if !n.live(l) {
+			delete(n.liveSince, l)
+		}
+	}
+	for l := range n.book.members {
+		if _, ok := n.liveSince[l]; !ok {
+			n.liveSince[l] = n.now
+		}
+	}
+	if !n.member {
+		return
+	}
+	for i := range n.book.parts {
+		p := api.PartID(i)
+		owner := n.book.parts[i].owner
+		t := n.turfs[p]
+		switch {
+		case t != nil:
+			home := n.home(p)
+			t.leaving = home != n.cfg.Label && n.live(home) && n.now.Sub(n.liveSince[home]) > settleTime
+			if t.leaving {
+				n.handOver(t, home)
+			}
+		case n.claiming[p] || n.now < n.claimAfter[p]:
+		case owner == n.cfg.Label:
+			n.claim(p, nil)
+		case owner == "" && (n.home(p) == n.cfg.Label || n.now.Sub(n.startedAt) > settleTime) && n.heir(p) == n.cfg.Label:
+			n.claim(p, nil)
+		case owner != "" && !n.live(owner) && n.heir(p) == n.cfg.Label:
+			n.claim(p, []api.Condition{{Key: keyMember + string(owner)}})
+		}
+	}
+}
+
+// claim takes a part under a new term: conditional on the part's key and, for
+// another's part, on its owner's absence.
+func (n *Node) claim(p api.PartID, extra []api.Condition) {
+	n.claiming[p] = true
+	key := partKey(keyPart, p)
+	v, _ := json.Marshal(partValue{Owner: n.cfg.Label})
+	cond := append([]api.Condition{{Key: key, Version: n.book.parts[p].term}}, extra...)
+	n.txn(api.Txn{If: cond, Writes: []api.Write{{Put: key, Value: v}}}, func(a StateAnswer) {
+		if a.Status != 200 {
+			n.claimAfter[p] = n.now.Add(retryPause)
+			n.current(func() { delete(n.claiming, p) }, func() { delete(n.claiming, p) })
+			return
+		}
+		term := a.Txn.Revision
+		// Everything of the former owner's is durable before this revision;
+		// nothing of it can follow.
+		n.current(func() {
+			delete(n.claiming, p)
+			if n.book.parts[p].term != term || n.book.parts[p].owner != n.cfg.Label {
+				return
+			}
+			n.beginPart(p, term)
+		}, func() { delete(n.claiming, p); n.claimAfter[p] = n.now.Add(retryPause) })
+	})
+}
+
+// handOver gives a part to its home. The round in flight is finished first.
+func (n *Node) handOver(t *turf, home api.Label) {
+	if t.writing != nil || t.handing || t.saving {
+		return
+	}
+	t.handing = true
+	key := partKey(keyPart, t.part)
+	v, _ := json.Marshal(partValue{Owner: home})
+	n.txn(api.Txn{If: []api.Condition{{Key: key, Version: t.term}}, Writes: []api.Write{{Put: key, Value: v}}}, func(a StateAnswer) {
+		t.handing = false
+		if a.Status == 200 && n.turfs[t.part] == t {
+			slog.Info("part handed over", "part", t.part, "to", home)
+			delete(n.turfs, t.part)
+			n.current(func() {}, func() {})
+		}
+	})
+}
+
+// checkDeposed drops the parts that the book says are no longer ours.
+func (n *Node) checkDeposed() {
+	for p, t := range n.turfs {
+		if ps := n.book.parts[p]; ps.owner != n.cfg.Label || ps.term != t.term {
+			slog.Info("part lost", "part", p, "to", ps.owner)
+			delete(n.turfs, p)
+		}
+	}
+}
--- /dev/null
+++ b/control/part.go
@@ -0,0 +1,750 @@
+package control
+
+import (
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/sched"
+)
+
+// turf is a part that this node owns, under one term.
+type turf struct {
+	part    api.PartID
+	term    api.Revision
+	since   api.Time
+	lastRev api.Revision // of our latest durable record
+	next    api.Time     // no round before
+	dirty   bool         // something changed since the last round
+	wantRev bool         // a newer token is wanted
+	ends    map[*Place]bool
+	writing *writing
+	saving  bool // a checkpoint is being written
+	leaving bool
+	handing bool
+	putting bool // final states are being put away
+	putNext api.Time
+
+	want    map[api.Team]api.Resources // share that waiting tasks lack
+	planned map[api.Team]bool          // teams the last round placed tasks of
+	gaveAt  map[api.PartID]api.Time    // no further gift to a part before
+	waiting int
+	moving  bool
+	moveAt  api.Time
+}
+
+// writing is a round's record on its way to the state service.
+type writing struct {
+	rec    record
+	txn    api.Txn
+	starts []*Place // as they will be once durable
+	ends   map[*Place]bool
+}
+
+func (n *Node) beginPart(p api.PartID, term api.Revision) {
+	t := &turf{part: p, term: term, since: n.now, lastRev: term, ends: map[*Place]bool{}, dirty: true,
+		gaveAt: map[api.PartID]api.Time{}}
+	n.turfs[p] = t
+	for pl := range n.book.onPart[p] {
+		pl.over, pl.stop, pl.sent, pl.reported = false, false, 0, false
+		if pl.since == 0 {
+			pl.since = n.now
+		}
+		if n.fleet.gone[pl.Machine] == 0 {
+			n.machine(pl.Machine)
+		} else {
+			n.end(t, pl, false, "machine deleted")
+		}
+	}
+	// What others told of the machines spares waiting for their reports.
+	for _, peer := range n.peers {
+		for _, news := range peer.gossip.Parts {
+			if news.Part != p {
+				continue
+			}
+			for _, mn := range news.Machines {
+				if n.fleet.gone[mn.ID] != 0 {
+					continue
+				}
+				if m := n.machine(mn.ID); m.addr == "" {
+					m.addr, m.typ, m.zone, m.spot, m.session = mn.Addr, mn.Type, mn.Zone, mn.Spot, mn.Session
+					for _, img := range mn.Images {
+						m.images[img] = cached{0, n.now}
+					}
+				}
+			}
+		}
+	}
+	for _, m := range n.machines {
+		if n.partOf(m.ID) == p {
+			m.cmd, m.doubt, m.missed, m.found = api.Token(term), 0, 0, n.now
+		}
+	}
+	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.onPart[p]))
+}
+
+// end notes evidence that a place is over; the next round records it.
+func (n *Node) end(t *turf, p *Place, done bool, why string) {
+	if p.over {
+		return
+	}
+	p.over = true
+	if p.job.Cancelled {
+		done = false
+	}
+	t.ends[p] = done
+	t.dirty = true
+	if !done {
+		slog.Info("task over", "task", p.Task, "machine", p.Machine, "why", why)
+	}
+}
+
+// fail drops a part whose record can't be written any more.
+func (n *Node) deposed(t *turf) {
+	if n.turfs[t.part] == t {
+		delete(n.turfs, t.part)
+		slog.Info("part lost", "part", t.part)
+	}
+	n.current(func() {}, func() {})
+}
+
+// runPart runs a part's round when one is due.
+func (n *Node) runPart(t *turf) {
+	n.checkpoint(t)
+	n.putAway(t)
+	n.rebalance(t)
+	if t.writing != nil || t.leaving || n.now < t.next || !t.dirty && !t.wantRev {
+		return
+	}
+	if n.book.parts[t.part].seq+1 >= n.book.parts[t.part].head.Seq+ringSize {
+		return // the record would overwrite one that no checkpoint covers
+	}
+	t.dirty = false
+	w := n.plan(t)
+	if len(w.rec.Jobs) == 0 && len(w.rec.Gifts) == 0 && !t.wantRev {
+		t.next = n.now.Add(n.roundGap)
+		return
+	}
+	t.wantRev = false
+	body, err := json.Marshal(w.rec)
+	if err != nil {
+		slog.Error("round not written", "err", err)
+		return
+	}
+	slot := roundKey(t.part, w.rec.Seq)
+	w.txn.If = append(w.txn.If, api.Condition{Key: slot, Version: n.book.vers[slot]},
+		api.Condition{Key: partKey(keyPart, t.part), Version: t.term})
+	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
+	t.writing = w
+	n.write(t)
+}
+
+// write sends the round's record. Until the outcome is known the very same
+// transaction is sent again: it can take effect once at most, since its slot
+// must still have the version it had before.
+func (n *Node) write(t *turf) {
+	w := t.writing
+	slot := w.txn.Writes[0].Put
+	n.txn(w.txn, func(a StateAnswer) {
+		if n.turfs[t.part] != t || t.writing != w {
+			return
+		}
+		switch {
+		case a.Status == 200:
+			n.durable(t, a.Txn.Revision)
+		case a.Status == 409 && slices.Contains(a.Txn.Failed, partKey(keyPart, t.part)):
+			n.deposed(t)
+		case a.Status == 409 && slices.Contains(a.Txn.Failed, slot):
+			// An earlier sending may have got through: the book tells.
+			n.reread(t, w)
+		case a.Status == 409:
+			// A job has changed, so this record can never be written.
+			n.current(func() { n.abandon(t, w) }, func() { n.rewrite(t, w) })
+		default:
+			n.rewrite(t, w)
+		}
+	})
+}
+
+func (n *Node) rewrite(t *turf, w *writing) {
+	// Only state answers and time move this on; a tick later is soon enough.
+	t.next = n.now.Add(retryPause)
+	n.after(t, w)
+}
+
+// after sends the record again once the pause is over.
+func (n *Node) after(t *turf, w *writing) {
+	n.state(StateCall{Changes: &ChangesAsk{Since: n.book.rev, Wait: retryPause}, Timeout: retryPause + time.Second}, func(StateAnswer) {
+		if n.turfs[t.part] == t && t.writing == w {
+			n.write(t)
+		}
+	})
+}
+
+func (n *Node) reread(t *turf, w *writing) {
+	n.current(func() {
+		if n.turfs[t.part] != t || t.writing != w {
+			return
+		}
+		if n.book.parts[t.part].seq >= w.rec.Seq {
+			n.durable(t, n.book.vers[w.txn.Writes[0].Put])
+			return
+		}
+		n.abandon(t, w)
+	}, func() { n.rewrite(t, w) })
+}
+
+// abandon gives up a record that has not been and never can be written.
+func (n *Node) abandon(t *turf, w *writing) {
+	if n.turfs[t.part] != t || t.writing != w {
+		return
+	}
+	if n.book.parts[t.part].seq >= w.rec.Seq {
+		n.durable(t, n.book.vers[w.txn.Writes[0].Put])
+		return
+	}
+	t.writing = nil
+	for p, done := range w.ends {
+		if p.job.Cancelled {
+			done = false
+		}
+		t.ends[p] = done
+	}
+	t.dirty = true
+}
+
+// durable acts on a record that has been written: only now are starts sent.
+func (n *Node) durable(t *turf, rev api.Revision) {
+	w := t.writing
+	t.writing = nil
+	t.next = n.now.Add(n.roundGap)
+	t.lastRev = max(t.lastRev, rev)
+	slot := w.txn.Writes[0].Put
+	n.book.vers[slot] = max(n.book.vers[slot], rev)
+	n.book.foldRecord(t.part, &w.rec)
+	for _, s := range w.starts {
+		if p := s.job.places[s.Task.Index]; p != nil {
+			p.since = n.now
+		}
+		if m := n.machines[s.Machine]; m != nil {
+			m.kick, m.idle = true, n.now
+		}
+	}
+	t.dirty = true
+}
+
+// plan composes a round: the ends that evidence has shown, then new starts.
+func (n *Node) plan(t *turf) *writing {
+	w := &writing{rec: record{Seq: n.book.parts[t.part].seq + 1}, ends: map[*Place]bool{}}
+	deltas := map[api.JobRef]*jobDelta{}
+	cond := map[api.JobRef]bool{}
+	delta := func(j *Job) *jobDelta {
+		d := deltas[j.ref]
+		if d == nil {
+			d = &jobDelta{Job: j.ref}
+			deltas[j.ref] = d
+		}
+		return d
+	}
+	// A record must fit into a value; conditions are limited too.
+	room := int(n.cfg.Deployment.State.ValueKB*1024) - 512
+	maxCond := 4*n.cfg.Deployment.State.TxnOps - 4
+	ends := slices.SortedFunc(maps.Keys(t.ends), func(a, b *Place) int {
+		if a.Task.Job != b.Task.Job {
+			if a.Task.Job < b.Task.Job {
+				return -1
+			}
+			return 1
+		}
+		return a.Task.Index - b.Task.Index
+	})
+	for _, p := range ends {
+		if p.job.places[p.Task.Index] != p {
+			delete(t.ends, p) // put away with its job
+			continue
+		}
+		done := t.ends[p]
+		if p.job.Spec.Kind == api.Gang && !done && !p.job.Cancelled && n.gangDone(t, p.job) {
+			done = true // when one task of a gang is done, all are
+		}
+		if room < 64 || done && !cond[p.job.ref] && len(cond) >= maxCond {
+			t.dirty = true
+			continue
+		}
+		d := delta(p.job)
+		if done {
+			d.Done = append(d.Done, p.Task.Index)
+			cond[p.job.ref] = true
+		} else {
+			d.Lost = append(d.Lost, p.Task.Index)
+		}
+		room -= 8
+		if len(d.Done)+len(d.Lost) == 1 {
+			room -= 48
+		}
+		w.ends[p] = done
+		delete(t.ends, p)
+	}
+	t.planned = map[api.Team]bool{}
+	most := room / 64
+	for _, s := range n.schedule(t, w, most) {
+		if !cond[s.job.ref] && len(cond) >= maxCond {
+			t.dirty = true
+			continue
+		}
+		cond[s.job.ref] = true
+		t.planned[s.job.Spec.Team] = true
+		d := delta(s.job)
+		d.Starts = append(d.Starts, startEntry{Task: s.Task.Index, Machine: s.Machine, Session: s.Session})
+		w.starts = append(w.starts, s)
+	}
+	for _, ref := range slices.Sorted(maps.Keys(deltas)) {
+		w.rec.Jobs = append(w.rec.Jobs, *deltas[ref])
+		if cond[ref] {
+			w.txn.If = append(w.txn.If, api.Condition{Key: keyJob + string(ref), Version: n.book.jobs[ref].ver})
+		}
+	}
+	w.rec.Gifts = n.gifts(t)
+	return w
+}
+
+func (n *Node) gangDone(t *turf, j *Job) bool {
+	if j.doneN > 0 {
+		return true
+	}
+	for _, p := range j.places {
+		if t.ends[p] {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether a machine may get new tasks.
+func (n *Node) usable(m *Machine, t *turf) bool {
+	return m.heard != 0 && m.token >= api.Token(t.term) && !m.notice && !m.deleting && !m.drained && n.types[m.typ] != nil &&
+		m.sickTill < n.now && m.fullTill < n.now && n.now.Sub(m.heard) < 2*n.cfg.ReportEvery()+2*time.Second
+}
+
+// freeOn is the room on a machine: its capacity less all that is or may be on it.
+func (n *Node) freeOn(m *Machine, t *turf) api.Resources {
+	typ := n.types[m.typ]
+	if typ == nil {
+		return api.Resources{}
+	}
+	free := typ.Capacity()
+	known := map[taskKey]bool{}
+	for p := range n.book.onHost[m.ID] {
+		known[taskKey{p.Task, p.Attempt}] = true
+		if !p.over {
+			free = free.Minus(p.job.demand)
+		}
+	}
+	if t.writing != nil {
+		for _, s := range t.writing.starts {
+			if s.Machine == m.ID {
+				free = free.Minus(s.job.demand)
+			}
+		}
+	}
+	for k, tr := range m.tasks {
+		if tr.State == api.TaskExited || known[k] {
+			continue
+		}
+		j := n.book.jobs[k.id.Job]
+		if j == nil {
+			return api.Resources{} // something unknown runs there
+		}
+		free = free.Minus(j.demand)
+	}
+	return free
+}
+
+// usage is what a part's tasks take of each team's limit.
+func (n *Node) usage(p api.PartID) map[api.Team]api.Resources {
+	use := map[api.Team]api.Resources{}
+	for pl := range n.book.onPart[p] {
+		if !pl.over {
+			use[pl.job.Spec.Team] = use[pl.job.Spec.Team].Plus(pl.job.demand)
+		}
+	}
+	return use
+}
+
+// leftOf is what each team may still start in the part.
+func (n *Node) leftOf(p api.PartID) map[api.Team]api.Resources {
+	use := n.usage(p)
+	left := map[api.Team]api.Resources{}
+	for name, team := range n.teams {
+		limit := limitOf(team)
+		l := n.book.share(p, name, limit).Minus(use[name])
+		l.Mem = limit.Mem
+		left[name] = l
+	}
+	return left
+}
+
+// schedule runs a round over the part's pending tasks.
+func (n *Node) schedule(t *turf, w *writing, most int) []*Place {
+	in := &sched.Input{Largest: n.largest, Left: n.leftOf(t.part), Most: most}
+	var machines []*Machine
+	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
+		m := n.machines[id]
+		if n.partOf(id) != t.part || !n.usable(m, t) {
+			continue
+		}
+		typ := n.types[m.typ]
+		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0,
+			Fetch: typ.FetchRate, Images: map[api.Image]bool{}}
+		for img := range m.images {
+			sm.Images[img] = true
+		}
+		in.Machines = append(in.Machines, sm)
+		machines = append(machines, m)
+	}
+	total := n.totalUsage()
+	var jobs []*Job
+	t.waiting = 0
+	for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
+		j := n.book.jobs[ref]
+		if j.final() || j.hold > n.now {
+			if j.hold > n.now {
+				t.dirty = true
+			}
+			continue
+		}
+		pending := n.pending(t, j, w, max(len(machines), 1))
+		if len(pending) == 0 {
+			continue
+		}
+		zones, known := n.zonesOf(j)
+		if !known && (j.Spec.OneZone || j.Spec.Spread) {
+			continue // where its other tasks are is not known yet
+		}
+		t.waiting += j.waiting(t.part)
+		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j),
+			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn}
+		if len(j.failedOn)*2 > len(machines) {
+			sj.AvoidedBy = nil
+		}
+		in.Jobs = append(in.Jobs, sj)
+		jobs = append(jobs, j)
+	}
+	t.want = map[api.Team]api.Resources{}
+	if len(in.Jobs) == 0 {
+		return nil
+	}
+	var starts []*Place
+	placed := make([]int, len(jobs))
+	for _, pl := range sched.Round(in) {
+		m, j := machines[pl.Machine], jobs[pl.Job]
+		placed[pl.Job]++
+		starts = append(starts, &Place{Task: api.TaskID{Job: j.ref, Index: pl.Task}, Part: t.part, Machine: m.ID, Session: m.session, job: j})
+	}
+	n.unplaced(t, in, jobs, placed)
+	if len(starts) > 0 {
+		t.dirty = true // more may follow next round
+	}
+	return starts
+}
+
+// pending lists up to most of the job's tasks that wait in this part; a gang's
+// only when all of it can start.
+func (n *Node) pending(t *turf, j *Job, w *writing, most int) []int {
+	if j.Spec.Kind == api.Gang {
+		if len(j.Split) == 0 || j.Split[0].Part != t.part {
+			return nil
+		}
+		for _, p := range j.places {
+			if _, ending := w.ends[p]; !ending {
+				return nil
+			}
+		}
+		most = j.Spec.Tasks
+	}
+	var out []int
+	for _, r := range j.Split {
+		if r.Part != t.part {
+			continue
+		}
+		for i := r.From; i < r.To && len(out) < most; i++ {
+			if j.done.has(i) {
+				continue
+			}
+			if p := j.places[i]; p != nil {
+				if done, ending := w.ends[p]; !ending || done || p.Part != t.part {
+					continue
+				}
+			}
+			out = append(out, i)
+		}
+	}
+	if j.Spec.Kind == api.Gang && len(out) != j.Spec.Tasks {
+		return nil
+	}
+	return out
+}
+
+// zonesOf counts a job's tasks by zone, those that may still be there
+// included; known is false when a machine's zone is not known.
+func (n *Node) zonesOf(j *Job) (zones map[api.Zone]int, known bool) {
+	zones, known = map[api.Zone]int{}, true
+	for _, p := range j.places {
+		if p.over {
+			continue
+		}
+		m := n.machines[p.Machine]
+		if m == nil || m.zone == "" {
+			known = false
+			continue
+		}
+		zones[m.zone]++
+	}
+	return zones, known
+}
+
+func (n *Node) startAim(c api.Class) float64 {
+	for _, o := range n.cfg.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == c {
+			return o.Within
+		}
+	}
+	return 0
+}
+
+// urgency grows from 0 to 1 as a job nears the time it should be complete.
+func (n *Node) urgency(j *Job) float64 {
+	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
+	limit := 0.0
+	if j.Spec.Deadline != nil {
+		limit = *j.Spec.Deadline
+	}
+	for _, o := range n.cfg.Deployment.Objectives {
+		if o.Class == j.Spec.Class && o.Kind == "finished" {
+			limit = max(limit, o.Within)
+		}
+	}
+	if limit <= 0 {
+		limit = 600
+	}
+	return min(1, elapsed/limit)
+}
+
+func (n *Node) totalUsage() map[api.Team]api.Resources {
+	total := map[api.Team]api.Resources{}
+	for p := range n.book.parts {
+		for team, u := range n.usage(api.PartID(p)) {
+			total[team] = total[team].Plus(u)
+		}
+	}
+	return total
+}
+
+// entitled reports whether one more task keeps the team within its guarantee.
+func (n *Node) entitled(j *Job, total map[api.Team]api.Resources) bool {
+	team := n.teams[j.Spec.Team]
+	use := total[j.Spec.Team].Plus(j.demand)
+	if j.demand.GPU > 0 {
+		return use.GPU <= api.ToAmount(team.GPUs)
+	}
+	return use.CPU <= api.ToAmount(team.CPUs)
+}
+
+// unplaced notes what found no room: what share is wanted, and which tasks of
+// lower priority must make way.
+func (n *Node) unplaced(t *turf, in *sched.Input, jobs []*Job, placed []int) {
+	left := n.leftOf(t.part)
+	for i, j := range jobs {
+		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(placed[i]))
+	}
+	for i, j := range jobs {
+		missing := len(in.Jobs[i].Pending) - placed[i]
+		if missing <= 0 {
+			continue
+		}
+		if can := j.demand.Slots(left[j.Spec.Team]); can < missing {
+			need := j.demand.Times(missing)
+			need.Mem = 0
+			t.want[j.Spec.Team] = t.want[j.Spec.Team].Plus(need)
+			if can == 0 || j.Spec.Kind == api.Gang {
+				continue
+			}
+			missing = can
+		}
+		if placed[i] == 0 {
+			n.preempt(t, in, &in.Jobs[i], j, missing)
+		}
+	}
+}
+
+// preempt makes room for a job of higher priority by stopping lower work, the
+// machine where that costs least first. One machine a round is enough: the
+// room is taken as soon as evidence shows it free.
+func (n *Node) preempt(t *turf, in *sched.Input, sj *sched.Job, j *Job, missing int) {
+	rank := j.Spec.Priority.Rank()
+	type choice struct {
+		victims []*Place
+		loss    float64
+		makes   int
+	}
+	var choices []choice
+	for _, sm := range in.Machines {
+		if !sched.Allowed(j.Spec, sm.Type, sm.Zone, sm.Spot) || sj.AvoidedBy[sm.ID] {
+			continue
+		}
+		if j.Spec.Spread && sj.Zones[sm.Zone] >= (j.Spec.Tasks+1)/2 {
+			continue
+		}
+		m := n.machines[sm.ID]
+		free := n.freeOn(m, t)
+		coming := free
+		var lower []*Place
+		for _, p := range n.placesOn(sm.ID) {
+			if p.over {
+				continue
+			}
+			if p.stop || p.job.final() {
+				coming = coming.Plus(p.job.demand)
+			} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang {
+				lower = append(lower, p)
+			}
+		}
+		if j.demand.Fits(coming) {
+			return // room is on its way already
+		}
+		slices.SortStableFunc(lower, func(a, b *Place) int { return int(b.since - a.since) })
+		var c choice
+		for _, p := range lower {
+			c.victims = append(c.victims, p)
+			c.loss += n.now.Sub(p.since).Seconds()*p.job.demand.CPU.Float() + 1
+			coming = coming.Plus(p.job.demand)
+			if j.demand.Fits(coming) {
+				choices = append(choices, c)
+				break
+			}
+		}
+	}
+	if len(choices) == 0 {
+		return
+	}
+	best := slices.MinFunc(choices, func(a, b choice) int {
+		if a.loss < b.loss {
+			return -1
+		}
+		return 1
+	})
+	for _, p := range best.victims {
+		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", j.ref)
+		n.stop(p)
+	}
+}
+
+// stop has a task stopped with the grace its checkpoint needs.
+func (n *Node) stop(p *Place) {
+	if p.stop {
+		return
+	}
+	p.stop, p.stopAt = true, n.now
+	if p.job.Spec.Checkpoint > 0 {
+		p.grace = p.job.Spec.Save + 1
+	}
+	if m := n.machines[p.Machine]; m != nil {
+		m.kick = true
+	}
+}
+
+// checkpoint writes the part's state when enough rounds have passed, so that
+// recovery reads a bounded amount and the ring of records can go round.
+func (n *Node) checkpoint(t *turf) {
+	ps := &n.book.parts[t.part]
+	if t.saving || t.handing || ps.seq < ps.head.Seq+ringSize/2 || n.now < t.putNext {
+		return
+	}
+	c := n.book.checkpointOf(t.part)
+	blob, err := json.Marshal(c)
+	if err != nil {
+		slog.Error("checkpoint not written", "err", err)
+		return
+	}
+	// Base64 makes four bytes of three.
+	size := int(n.cfg.Deployment.State.ValueKB*1024-64) / 4 * 3
+	head := headValue{Seq: c.Seq, Gen: ps.head.Gen + 1}
+	var writes []api.Write
+	for len(blob) > 0 {
+		k := min(size, len(blob))
+		v, _ := json.Marshal(blob[:k])
+		writes = append(writes, api.Write{Put: snapKey(t.part, head.Gen, head.Chunks), Value: v})
+		blob = blob[k:]
+		head.Chunks++
+	}
+	v, _ := json.Marshal(head)
+	writes = append(writes, api.Write{Put: partKey(keyHead, t.part), Value: v})
+	t.saving = true
+	n.saveNext(t, writes)
+}
+
+// saveNext writes the next few pieces; the head, which makes them count, is in
+// the last transaction. Each is conditional on the versions it replaces.
+func (n *Node) saveNext(t *turf, writes []api.Write) {
+	k := min(len(writes), n.cfg.Deployment.State.TxnOps, max(1, int(56/n.cfg.Deployment.State.ValueKB)))
+	tx := api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}}, Writes: writes[:k]}
+	for _, w := range writes[:k] {
+		tx.If = append(tx.If, api.Condition{Key: w.Put, Version: n.book.vers[w.Put]})
+	}
+	n.txn(tx, func(a StateAnswer) {
+		if n.turfs[t.part] != t {
+			return
+		}
+		if a.Status == 200 {
+			for _, w := range writes[:k] {
+				n.book.vers[w.Put] = max(n.book.vers[w.Put], a.Txn.Revision)
+			}
+			if k < len(writes) {
+				n.saveNext(t, writes[k:])
+				return
+			}
+			var head headValue
+			if json.Unmarshal(writes[k-1].Value, &head) == nil {
+				n.book.parts[t.part].head = head
+			}
+			t.saving, t.dirty = false, true
+			return
+		}
+		// Try afresh, with the versions as they are by then.
+		t.putNext = n.now.Add(retryPause)
+		n.current(func() { t.saving = false }, func() { t.saving = false })
+	})
+}
+
+// putAway replaces the keys of jobs that are over by their final states. Only
+// the owner of a job's first task does so, and only when no place of the job
+// is left: every start is conditional on the job's key, so none can follow.
+func (n *Node) putAway(t *turf) {
+	if t.putting || t.handing || n.now < t.putNext {
+		return
+	}
+	var tx api.Txn
+	for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
+		j := n.book.jobs[ref]
+		if !j.final() || len(j.places) > 0 || len(j.Split) == 0 || j.Split[0].Part != t.part {
+			continue
+		}
+		if len(tx.Writes)+2 > n.cfg.Deployment.State.TxnOps {
+			break
+		}
+		v, _ := json.Marshal(j.state())
+		job, final := keyJob+string(ref), keyFinal+string(ref)
+		tx.If = append(tx.If, api.Condition{Key: job, Version: j.ver}, api.Condition{Key: final})
+		tx.Writes = append(tx.Writes, api.Write{Drop: job}, api.Write{Put: final, Value: v})
+	}
+	t.putNext = n.now.Add(2 * time.Second)
+	if len(tx.Writes) == 0 {
+		return
+	}
+	tx.If = append(tx.If, api.Condition{Key: partKey(keyPart, t.part), Version: t.term})
+	t.putting = true
+	n.txn(tx, func(StateAnswer) { t.putting = false })
+}
--- /dev/null
+++ b/control/user.go
@@ -0,0 +1,351 @@
+package control
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/config"
+	"basaltwall/sched"
+)
+
+func (n *Node) ready(c Ready) {
+	// Once the state has been read this node can serve, if need be through a
+	// peer; turning away the balancer in an outage would help nobody.
+	if n.loaded && len(n.types) > 0 {
+		n.reply(c.Req, 200, struct{}{}, 0)
+		return
+	}
+	n.refuse(c.Req, 503, "starting")
+}
+
+// status describes a job that the book holds.
+func (n *Node) status(ref api.JobRef) (api.JobStatus, bool) {
+	if j := n.book.jobs[ref]; j != nil {
+		s := api.JobStatus{Ref: ref, State: j.state()}
+		done, running := j.doneN, len(j.places)
+		if j.final() {
+			running = 0
+		}
+		s.Done, s.Running = &done, &running
+		return s, true
+	}
+	if f, ok := n.book.finals[ref]; ok {
+		return api.JobStatus{Ref: ref, State: f}, true
+	}
+	return api.JobStatus{}, false
+}
+
+// finalKnown reports a state that no later read can change.
+func (n *Node) finalKnown(ref api.JobRef) (api.JobStatus, bool) {
+	s, ok := n.status(ref)
+	return s, ok && (s.State == api.JobDone || s.State == api.JobCancelled)
+}
+
+// lookup finds a job by a read that is current as of the call.
+func (n *Node) lookup(ref api.JobRef, found func(api.JobStatus), absent, fail func()) {
+	n.current(func() {
+		if s, ok := n.status(ref); ok {
+			found(s)
+			return
+		}
+		n.state(StateCall{Get: keyFinal + string(ref)}, func(a StateAnswer) {
+			var s api.JobState
+			switch {
+			case a.Status == 200 && json.Unmarshal(a.Pair.Value, &s) == nil:
+				n.book.setFinal(ref, s)
+				found(api.JobStatus{Ref: ref, State: s})
+			case a.Status == 404:
+				absent()
+			default:
+				fail()
+			}
+		})
+	}, fail)
+}
+
+// forward passes a request to a peer that reaches the state service, or
+// refuses it at once.
+func (n *Node) forward(req ReqID, f Forward, already bool) {
+	if !already {
+		for _, l := range slices.Sorted(maps.Keys(n.peers)) {
+			if p := n.peers[l]; p.gossip.StateOK && p.heard != 0 && n.now.Sub(p.heard) < 3*gossipEvery {
+				n.peer(l, PeerMessage{Forward: &f}, func(a PeerAnswer) {
+					if !a.OK || a.Reply.Status == 0 {
+						n.refuse(req, 503, "no peer answers")
+						return
+					}
+					n.emit(Reply{req, a.Reply.Status, a.Reply.Body, a.Reply.RetryAfter})
+				})
+				return
+			}
+		}
+	}
+	n.refuse(req, 503, "state service not reachable")
+}
+
+func (n *Node) unreachable() bool {
+	return !n.loaded || (!n.stateOK && n.stateBad != 0 && n.now.Sub(n.stateBad) > 500*time.Millisecond)
+}
+
+func (n *Node) poll(c Poll) {
+	ref := api.JobRef(c.Ref)
+	if !api.ValidRef(c.Ref) {
+		n.refuse(c.Req, 404, "no such job")
+		return
+	}
+	if s, ok := n.finalKnown(ref); ok {
+		n.reply(c.Req, 200, s, 0)
+		return
+	}
+	elsewhere := func() { n.forward(c.Req, Forward{Kind: "poll", Ref: c.Ref}, c.Forwarded) }
+	if n.unreachable() {
+		elsewhere()
+		return
+	}
+	n.lookup(ref, func(s api.JobStatus) { n.reply(c.Req, 200, s, 0) },
+		func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
+}
+
+// limitOf is a team's limit; none is expressed by an amount nothing reaches.
+func limitOf(t config.Team) api.Resources {
+	const none = api.Amount(1) << 52
+	l := api.Resources{CPU: none, GPU: none, Mem: none}
+	if t.CPUsMax > 0 {
+		l.CPU = api.ToAmount(t.CPUsMax)
+	}
+	if t.GPUsMax > 0 {
+		l.GPU = api.ToAmount(t.GPUsMax)
+	}
+	return l
+}
+
+// runnable says why a job can never run, or nothing.
+func (n *Node) runnable(s *api.JobSpec) string {
+	team, ok := n.teams[s.Team]
+	if !ok {
+		return "bottega: unknown team"
+	}
+	demand := s.Demand()
+	fits := false
+	for _, t := range n.types {
+		if !demand.Fits(t.Capacity()) {
+			continue
+		}
+		zones := t.Zones
+		if len(zones) == 0 {
+			zones = n.cfg.Deployment.Zones
+		}
+		for _, z := range zones {
+			fits = fits || sched.Allowed(s, t.Name, z, false)
+		}
+	}
+	if !fits {
+		return "cores: a task fits no allowed machine type"
+	}
+	all := demand
+	if s.Kind != api.Array {
+		all = demand.Times(s.Tasks)
+	}
+	all.Mem = 0
+	if !all.Fits(limitOf(team)) {
+		return "bottega: more than the team's limit"
+	}
+	return ""
+}
+
+func (n *Node) submit(c Submit) {
+	spec, err := api.ParseJob(c.Body)
+	if err != nil {
+		n.refuse(c.Req, 400, err.Error())
+		return
+	}
+	elsewhere := func() { n.forward(c.Req, Forward{Kind: "submit", Body: c.Body}, c.Forwarded) }
+	known := func(s api.JobStatus) {
+		n.reply(c.Req, 200, api.JobStatus{Ref: s.Ref, State: s.State}, 0)
+	}
+	if s, ok := n.finalKnown(spec.Ref); ok {
+		known(s)
+		return
+	}
+	if n.unreachable() || len(n.types) == 0 {
+		elsewhere()
+		return
+	}
+	if _, ok := n.book.jobs[spec.Ref]; ok {
+		n.lookup(spec.Ref, known, elsewhere, elsewhere)
+		return
+	}
+	if why := n.runnable(spec); why != "" {
+		// A job accepted earlier must not be refused now.
+		n.lookup(spec.Ref, known, func() { n.refuse(c.Req, 422, why) }, elsewhere)
+		return
+	}
+	v, err := json.Marshal(jobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
+	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
+		n.refuse(c.Req, 400, "banchi: too long")
+		return
+	}
+	job, final := keyJob+string(spec.Ref), keyFinal+string(spec.Ref)
+	n.txn(api.Txn{If: []api.Condition{{Key: job}, {Key: final}}, Writes: []api.Write{{Put: job, Value: v}}}, func(a StateAnswer) {
+		switch a.Status {
+		case 200:
+			n.reply(c.Req, 201, api.JobStatus{Ref: spec.Ref, State: api.JobPending}, 0)
+			n.current(func() {}, func() {}) // so that its first round comes soon
+		case 409:
+			n.lookup(spec.Ref, known, elsewhere, elsewhere)
+		default:
+			elsewhere()
+		}
+	})
+}
+
+// split gives a new job's tasks to parts by their free room.
+func (n *Node) split(s *api.JobSpec) []Range {
+	parts := len(n.book.parts)
+	weight := make([]float64, parts)
+	demand := s.Demand()
+	room := n.roomByPart(s)
+	for i := range weight {
+		weight[i] = float64(room[i]) - float64(n.waitingIn(api.PartID(i), demand))
+	}
+	best := 0
+	for i := range weight {
+		if weight[i] > weight[best] {
+			best = i
+		}
+	}
+	if s.Whole() || s.Tasks == 1 {
+		return []Range{{0, s.Tasks, api.PartID(best)}}
+	}
+	total := 0.0
+	for i := range weight {
+		weight[i] = max(weight[i], 0.01)
+		total += weight[i]
+	}
+	var out []Range
+	at, sum := 0, 0.0
+	for i := range weight {
+		sum += weight[i]
+		to := int(float64(s.Tasks)*sum/total + 0.5)
+		if i == parts-1 {
+			to = s.Tasks
+		}
+		if to > at {
+			out = append(out, Range{at, to, api.PartID(i)})
+			at = to
+		}
+	}
+	return out
+}
+
+// roomByPart counts how many tasks of a job each part could start now.
+func (n *Node) roomByPart(s *api.JobSpec) []int {
+	room := make([]int, len(n.book.parts))
+	demand := s.Demand()
+	n.eachMachine(func(p api.PartID, m *MachineNews) {
+		if m.Usable && sched.Allowed(s, m.Type, m.Zone, m.Spot) {
+			room[p] += demand.Slots(m.Free)
+		}
+	})
+	return room
+}
+
+// waitingIn counts tasks of a part that wait, in units of a demand.
+func (n *Node) waitingIn(p api.PartID, demand api.Resources) int {
+	count := 0
+	for _, j := range n.book.jobs {
+		if j.final() || demand.GPU > 0 && j.demand.GPU == 0 {
+			continue
+		}
+		if w := j.waiting(p); w > 0 {
+			if demand.CPU > 0 && j.demand.CPU > 0 {
+				w = int(float64(w) * float64(j.demand.CPU) / float64(demand.CPU))
+			}
+			count += w
+		}
+	}
+	return count
+}
+
+// waiting counts the job's tasks in a part that are neither done nor placed.
+func (j *Job) waiting(p api.PartID) int {
+	c := 0
+	for _, r := range j.Split {
+		if r.Part != p {
+			continue
+		}
+		c += r.To - r.From
+		if j.doneN == 0 && len(j.places) == 0 {
+			continue
+		}
+		for i := r.From; i < r.To; i++ {
+			if j.done.has(i) || j.places[i] != nil {
+				c--
+			}
+		}
+	}
+	return c
+}
+
+func (n *Node) cancel(c Cancel) {
+	ref := api.JobRef(c.Ref)
+	if !api.ValidRef(c.Ref) {
+		n.refuse(c.Req, 404, "no such job")
+		return
+	}
+	answer := func(s api.JobStatus) { n.reply(c.Req, 200, api.JobStatus{Ref: ref, State: s.State}, 0) }
+	if s, ok := n.finalKnown(ref); ok {
+		answer(s)
+		return
+	}
+	elsewhere := func() { n.forward(c.Req, Forward{Kind: "cancel", Ref: c.Ref}, c.Forwarded) }
+	if n.unreachable() {
+		elsewhere()
+		return
+	}
+	n.tryCancel(ref, 5, answer, func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
+}
+
+// tryCancel records the cancellation in the job's key and then reads back what
+// became of the job: a completion recorded before counts.
+func (n *Node) tryCancel(ref api.JobRef, tries int, answer func(api.JobStatus), absent, fail func()) {
+	if tries == 0 {
+		fail()
+		return
+	}
+	j := n.book.jobs[ref]
+	if j == nil || j.final() {
+		n.lookup(ref, func(s api.JobStatus) {
+			if j := n.book.jobs[ref]; j != nil && !j.final() {
+				n.tryCancel(ref, tries-1, answer, absent, fail)
+				return
+			}
+			answer(s)
+		}, absent, fail)
+		return
+	}
+	v := j.jobValue
+	v.Cancelled = true
+	data, err := json.Marshal(v)
+	if err != nil {
+		fail()
+		return
+	}
+	key := keyJob + string(ref)
+	n.txn(api.Txn{If: []api.Condition{{Key: key, Version: j.ver}}, Writes: []api.Write{{Put: key, Value: data}}}, func(a StateAnswer) {
+		if a.Status != 200 && a.Status != 409 {
+			fail()
+			return
+		}
+		n.lookup(ref, func(s api.JobStatus) {
+			if s.State == api.JobDone || s.State == api.JobCancelled {
+				answer(s)
+				return
+			}
+			n.tryCancel(ref, tries-1, answer, absent, fail)
+		}, absent, fail)
+	})
+}
--- /dev/null
+++ b/httpx/parse.go
@@ -0,0 +1,287 @@
+// Package httpx owns HTTP/1.1: an incremental parser for requests and
+// responses, the evio server and the client pool. It decides nothing about
+// what the messages mean.
+package httpx
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Limits on what is accepted from the other side.
+const (
+	maxHead = 16 << 10
+)
+
+// Errors of the parser. ErrTooLarge is answered with 413, the others with 400.
+var (
+	ErrMalformed = errors.New("malformed HTTP message")
+	ErrTooLarge  = errors.New("HTTP message too large")
+)
+
+// Request is a parsed request. Body is a copy of its own.
+type Request struct {
+	Method, Path, Query string
+	Body                []byte
+	Close               bool
+	Expect              bool // the client waits for 100 Continue
+}
+
+// Response is a parsed response. Body is a copy of its own.
+type Response struct {
+	Status int
+	Body   []byte
+	Close  bool
+}
+
+type head struct {
+	line    string
+	length  int
+	chunked bool
+	close   bool
+	keep    bool
+	expect  bool
+	size    int
+}
+
+// parseHead reads the start line and the headers; size 0 means more is needed.
+func parseHead(buf []byte, maxBody int) (head, error) {
+	end := bytes.Index(buf, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(buf) > maxHead {
+			return head{}, ErrTooLarge
+		}
+		return head{}, nil
+	}
+	if end > maxHead {
+		return head{}, ErrTooLarge
+	}
+	h := head{size: end + 4, length: -1}
+	lines := string(buf[:end])
+	h.line, lines, _ = strings.Cut(lines, "\r\n")
+	for lines != "" {
+		var l string
+		l, lines, _ = strings.Cut(lines, "\r\n")
+		name, value, ok := strings.Cut(l, ":")
+		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+			return head{}, ErrMalformed
+		}
+		value = strings.Trim(value, " \t")
+		switch {
+		case strings.EqualFold(name, "Content-Length"):
+			n, err := strconv.ParseUint(value, 10, 62)
+			if err != nil || (h.length >= 0 && h.length != int(n)) {
+				return head{}, ErrMalformed
+			}
+			h.length = int(n)
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			if !strings.EqualFold(value, "chunked") {
+				return head{}, ErrMalformed
+			}
+			h.chunked = true
+		case strings.EqualFold(name, "Connection"):
+			for tok := range strings.SplitSeq(value, ",") {
+				tok = strings.TrimSpace(tok)
+				h.close = h.close || strings.EqualFold(tok, "close")
+				h.keep = h.keep || strings.EqualFold(tok, "keep-alive")
+			}
+		case strings.EqualFold(name, "Expect"):
+			h.expect = strings.EqualFold(value, "100-continue")
+		}
+	}
+	if h.chunked && h.length >= 0 {
+		return head{}, ErrMalformed
+	}
+	if h.length > maxBody {
+		return head{}, ErrTooLarge
+	}
+	return h, nil
+}
+
+// parseBody reads what follows the head; n 0 means more is needed.
+func parseBody(buf []byte, h head, maxBody int) (body []byte, n int, err error) {
+	if !h.chunked {
+		need := h.size + max(h.length, 0)
+		if len(buf) < need {
+			return nil, 0, nil
+		}
+		return bytes.Clone(buf[h.size:need]), need, nil
+	}
+	at := h.size
+	for {
+		eol := bytes.Index(buf[at:], []byte("\r\n"))
+		if eol < 0 {
+			if len(buf)-at > 1024 {
+				return nil, 0, ErrMalformed
+			}
+			return nil, 0, nil
+		}
+		digits, _, _ := strings.Cut(string(buf[at:at+eol]), ";")
+		size, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+		if err != nil {
+			return nil, 0, ErrMalformed
+		}
+		at += eol + 2
+		if size == 0 {
+			return trailer(buf, at, body)
+		}
+		if len(body)+int(size) > maxBody {
+			return nil, 0, ErrTooLarge
+		}
+		if len(buf) < at+int(size)+2 {
+			return nil, 0, nil
+		}
+		body = append(body, buf[at:at+int(size)]...)
+		at += int(size)
+		if buf[at] != '\r' || buf[at+1] != '\n' {
+			return nil, 0, ErrMalformed
+		}
+		at += 2
+	}
+}
+
+// trailer skips the lines that may follow the last chunk.
+func trailer(buf []byte, at int, body []byte) ([]byte, int, error) {
+	start := at
+	for {
+		eol := bytes.Index(buf[at:], []byte("\r\n"))
+		switch {
+		case len(buf)-start > maxHead:
+			return nil, 0, ErrTooLarge
+		case eol < 0:
+			return nil, 0, nil
+		case eol == 0:
+			return body, at + 2, nil
+		}
+		at += eol + 2
+	}
+}
+
+func wellFormedTarget(s string) bool {
+	if s == "" || s[0] != '/' {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// ParseRequest reads one request from the start of buf. It returns the bytes
+// it used, or 0 when more are needed. With more needed and Expect set, the
+// client waits for an interim answer before sending its body.
+func ParseRequest(buf []byte, maxBody int) (Request, int, error) {
+	h, err := parseHead(buf, maxBody)
+	if err != nil || h.size == 0 {
+		return Request{}, 0, err
+	}
+	parts := strings.Split(h.line, " ")
+	if len(parts) != 3 || parts[0] == "" || !wellFormedTarget(parts[1]) {
+		return Request{}, 0, ErrMalformed
+	}
+	r := Request{Method: parts[0], Close: h.close, Expect: h.expect}
+	r.Path, r.Query, _ = strings.Cut(parts[1], "?")
+	switch parts[2] {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		r.Close = !h.keep
+	default:
+		return Request{}, 0, ErrMalformed
+	}
+	body, n, err := parseBody(buf, h, maxBody)
+	if err != nil {
+		return Request{}, 0, err
+	}
+	r.Body = body
+	return r, n, nil
+}
+
+// ParseResponse reads one response from the start of buf; eof says that the
+// other side has closed, which ends a body of unstated length.
+func ParseResponse(buf []byte, maxBody int, eof bool) (Response, int, error) {
+	h, err := parseHead(buf, maxBody)
+	if err != nil || h.size == 0 {
+		return Response{}, 0, err
+	}
+	version, rest, ok := strings.Cut(h.line, " ")
+	if !ok || (version != "HTTP/1.1" && version != "HTTP/1.0") || len(rest) < 3 {
+		return Response{}, 0, ErrMalformed
+	}
+	status, err := strconv.Atoi(rest[:3])
+	if err != nil || status < 100 || status > 599 || (len(rest) > 3 && rest[3] != ' ') {
+		return Response{}, 0, ErrMalformed
+	}
+	r := Response{Status: status, Close: h.close || (version == "HTTP/1.0" && !h.keep)}
+	if status < 200 || status == 204 || status == 304 {
+		if status < 200 { // an interim answer: the real one follows
+			next, n, err := ParseResponse(buf[h.size:], maxBody, eof)
+			if err != nil || n == 0 {
+				return Response{}, 0, err
+			}
+			return next, n + h.size, nil
+		}
+		return r, h.size, nil
+	}
+	if h.length < 0 && !h.chunked {
+		if len(buf)-h.size > maxBody {
+			return Response{}, 0, ErrTooLarge
+		}
+		if !eof {
+			return Response{}, 0, nil
+		}
+		h.length, r.Close = len(buf)-h.size, true
+	}
+	body, n, err := parseBody(buf, h, maxBody)
+	if err != nil {
+		return Response{}, 0, err
+	}
+	r.Body = body
+	return r, n, nil
+}
+
+var statusText = map[int]string{
+	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request", 422: "Unprocessable Content",
+	429: "Too Many Requests", 500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
+}
+
+// AppendResponse writes a response with a JSON body. A retryAfter above 0
+// adds the header of that name, in seconds.
+func AppendResponse(out []byte, status int, body []byte, retryAfter int, closing bool) []byte {
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(status), 10)
+	out = append(out, ' ')
+	out = append(out, statusText[status]...)
+	out = append(out, "\r\nContent-Type: application/json\r\n"...)
+	if retryAfter > 0 {
+		out = append(out, "Retry-After: "...)
+		out = strconv.AppendInt(out, int64(retryAfter), 10)
+		out = append(out, "\r\n"...)
+	}
+	return appendTail(out, body, closing)
+}
+
+// AppendRequest writes a request.
+func AppendRequest(out []byte, method, host, target string, body []byte) []byte {
+	out = append(out, method...)
+	out = append(out, ' ')
+	out = append(out, target...)
+	out = append(out, " HTTP/1.1\r\nHost: "...)
+	out = append(out, host...)
+	out = append(out, "\r\nContent-Type: application/json\r\n"...)
+	return appendTail(out, body, false)
+}
+
+func appendTail(out, body []byte, closing bool) []byte {
+	if closing {
+		out = append(out, "Connection: close\r\n"...)
+	}
+	out = append(out, "Content-Length: "...)
+	out = strconv.AppendInt(out, int64(len(body)), 10)
+	out = append(out, "\r\n\r\n"...)
+	return append(out, body...)
+}
--- /dev/null
+++ b/httpx/server.go
@@ -0,0 +1,160 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"github.com/tidwall/evio"
+)
+
+// ConnID names a connection of the server; an answer to a connection that has
+// gone meanwhile is dropped.
+type ConnID uint64
+
+// Handler receives each request, on the server's loop; listener is the index
+// of the address it came in by. It must not block.
+type Handler func(id ConnID, listener int, r Request)
+
+type serverConn struct {
+	id      ConnID
+	evio    evio.Conn
+	in      []byte
+	busy    bool // a request is being worked on; its successor waits in in
+	closing bool // close after the answer
+	told    bool // 100 Continue was sent for the current request
+
+	mu  sync.Mutex
+	out []byte // written by Answer, taken by the loop
+	end bool   // the answer in out is complete
+}
+
+// Server is an HTTP server on evio with deferred answers.
+type Server struct {
+	maxBody, maxConns int
+	handle            Handler
+	stop              context.Context
+
+	mu    sync.Mutex
+	conns map[ConnID]*serverConn
+	last  ConnID
+}
+
+// NewServer returns a server that gives its requests to handle.
+func NewServer(maxBody, maxConns int, handle Handler) *Server {
+	return &Server{maxBody: maxBody, maxConns: maxConns, handle: handle, conns: map[ConnID]*serverConn{}}
+}
+
+// Serve listens on the addresses until the context ends or listening fails.
+func (s *Server) Serve(ctx context.Context, addrs ...string) error {
+	s.stop = ctx
+	var ev evio.Events
+	ev.NumLoops = 1
+	ev.Opened = s.opened
+	ev.Closed = s.closed
+	ev.Data = s.data
+	urls := make([]string, len(addrs))
+	for i, a := range addrs {
+		urls[i] = "tcp://" + a
+	}
+	if err := evio.Serve(ev, urls...); err != nil {
+		return fmt.Errorf("serving HTTP: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) opened(c evio.Conn) (out []byte, opts evio.Options, action evio.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.maxConns {
+		slog.Error("connection refused: too many", "open", len(s.conns))
+		return nil, opts, evio.Close
+	}
+	s.last++
+	sc := &serverConn{id: s.last, evio: c}
+	s.conns[sc.id] = sc
+	c.SetContext(sc)
+	return nil, opts, evio.None
+}
+
+func (s *Server) closed(c evio.Conn, _ error) evio.Action {
+	if sc, ok := c.Context().(*serverConn); ok {
+		s.mu.Lock()
+		delete(s.conns, sc.id)
+		s.mu.Unlock()
+	}
+	if s.stop.Err() != nil {
+		return evio.Shutdown
+	}
+	return evio.None
+}
+
+// data is called with new bytes, and with none after a Wake.
+func (s *Server) data(c evio.Conn, in []byte) (out []byte, action evio.Action) {
+	if s.stop.Err() != nil {
+		return nil, evio.Shutdown
+	}
+	sc, ok := c.Context().(*serverConn)
+	if !ok {
+		return nil, evio.Close
+	}
+	sc.mu.Lock()
+	if sc.end {
+		out, sc.out, sc.end = sc.out, nil, false
+		sc.busy, sc.told = false, false
+		if sc.closing {
+			sc.mu.Unlock()
+			return out, evio.Close
+		}
+	}
+	sc.mu.Unlock()
+	sc.in = append(sc.in, in...)
+	if sc.busy {
+		// Requests are never pipelined; a client that floods is cut off.
+		if len(sc.in) > maxHead+s.maxBody {
+			return nil, evio.Close
+		}
+		return out, evio.None
+	}
+	if len(sc.in) == 0 {
+		sc.in = nil
+		return out, evio.None
+	}
+	r, n, err := ParseRequest(sc.in, s.maxBody)
+	if err != nil {
+		status := 400
+		if errors.Is(err, ErrTooLarge) {
+			status = 413
+		}
+		return AppendResponse(out, status, []byte(`{"error":"`+err.Error()+`"}`), 0, true), evio.Close
+	}
+	if n == 0 {
+		if r.Expect && !sc.told {
+			sc.told = true
+			out = append(out, "HTTP/1.1 100 Continue\r\n\r\n"...)
+		}
+		return out, evio.None
+	}
+	sc.in = append([]byte(nil), sc.in[n:]...)
+	sc.busy, sc.closing = true, r.Close
+	s.handle(sc.id, c.AddrIndex(), r)
+	return out, evio.None
+}
+
+// Answer sends the response to the request in progress on a connection. It may
+// be called from any goroutine.
+func (s *Server) Answer(id ConnID, status int, body []byte, retryAfter int) {
+	s.mu.Lock()
+	sc := s.conns[id]
+	s.mu.Unlock()
+	if sc == nil {
+		return
+	}
+	sc.mu.Lock()
+	sc.out = AppendResponse(nil, status, body, retryAfter, sc.closing)
+	sc.end = true
+	sc.mu.Unlock()
+	sc.evio.Wake()
+}
--- /dev/null
+++ b/sched/sched.go
@@ -0,0 +1,287 @@
+// Package sched owns one round of placement: gangs whole and first-fit, then
+// all other pending tasks together by min-cost flow, within each team's share.
+// It is pure: the same input gives the same plan.
+package sched
+
+import (
+	"slices"
+
+	"basaltwall/api"
+	"basaltwall/flow"
+)
+
+// Machine is a machine that may take tasks.
+type Machine struct {
+	ID     api.MachineID
+	Type   api.TypeName
+	Zone   api.Zone
+	Spot   bool
+	Free   api.Resources
+	GPU    bool               // the type has accelerators
+	Speed  float64            // relative, 1 when unknown
+	Images map[api.Image]bool // cached, as far as known
+	Fetch  float64            // GB per second
+}
+
+// Job is a job with pending tasks.
+type Job struct {
+	Spec      *api.JobSpec
+	Demand    api.Resources
+	Pending   []int            // task numbers that wait
+	Zones     map[api.Zone]int // where its other tasks are
+	Urgency   float64          // orders jobs of equal rank, between 0 and 1
+	Entitled  bool             // within its team's guarantee
+	Within    float64          // seconds in which a start is hoped for, 0: no such aim
+	AvoidedBy map[api.MachineID]bool
+}
+
+// Input is everything a round looks at.
+type Input struct {
+	Machines []Machine
+	Jobs     []Job
+	Left     map[api.Team]api.Resources // what each team may still start here
+	Largest  api.Resources              // the largest capacity of any type
+	Most     int                        // starts at most
+}
+
+// Placement puts a task on a machine.
+type Placement struct {
+	Job, Task, Machine int // indices into Input.Jobs, a task number, into Input.Machines
+}
+
+// Allowed reports whether the job may use the machine at all, the job's other
+// tasks aside.
+func Allowed(s *api.JobSpec, typ api.TypeName, zone api.Zone, spot bool) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, typ)) &&
+		(s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
+}
+
+// zoneOpen reports whether one more task of the job may go into the zone.
+func zoneOpen(s *api.JobSpec, zones map[api.Zone]int, z api.Zone) bool {
+	if s.OneZone {
+		for other, n := range zones {
+			if n > 0 && other != z {
+				return false
+			}
+		}
+	}
+	return !s.Spread || zones[z] < (s.Tasks+1)/2
+}
+
+// Weights of the edge cost, relative to the dot product, which lies between 0
+// and the number of resources. docs/design.md gives the reasons.
+const (
+	costScale     = 1e6
+	baseBonus     = 8.0  // being placed always beats waiting
+	rankBonus     = 16.0 // a higher priority outweighs every other term
+	entitledBonus = 4.0
+	urgencyBonus  = 2.0
+	scarcePenalty = 2.0 // accelerators are kept for work that needs them
+	imageWeight   = 0.2 // a fetch, as a share of what the task takes in all
+)
+
+func share(a, of api.Amount) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return float64(a) / float64(of)
+}
+
+// edgeCost is the paper's dot product with the users' world added as terms.
+func edgeCost(in *Input, j *Job, m *Machine) int64 {
+	dp := share(j.Demand.CPU, in.Largest.CPU)*share(m.Free.CPU, in.Largest.CPU) +
+		share(j.Demand.GPU, in.Largest.GPU)*share(m.Free.GPU, in.Largest.GPU) +
+		share(j.Demand.Mem, in.Largest.Mem)*share(m.Free.Mem, in.Largest.Mem)
+	gain := dp + baseBonus + rankBonus*float64(j.Spec.Priority.Rank()) + urgencyBonus*j.Urgency
+	if j.Entitled {
+		gain += entitledBonus
+	}
+	if m.GPU && j.Demand.GPU == 0 {
+		gain -= scarcePenalty
+	}
+	if !m.Images[j.Spec.Image] && m.Fetch > 0 {
+		fetch := j.Spec.ImageGB / m.Fetch
+		if j.Within > 0 {
+			gain -= min(1, fetch/j.Within)
+		} else {
+			gain -= imageWeight * fetch / (fetch + j.Spec.Estimate + 1)
+		}
+	}
+	return -int64(gain * costScale)
+}
+
+// Round plans a round.
+func Round(in *Input) []Placement {
+	var plan []Placement
+	free := make([]api.Resources, len(in.Machines))
+	for i, m := range in.Machines {
+		free[i] = m.Free
+	}
+	left := make(map[api.Team]api.Resources, len(in.Left))
+	for t, l := range in.Left {
+		left[t] = l
+	}
+	order := make([]int, len(in.Jobs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return before(&in.Jobs[a], &in.Jobs[b]) })
+	for _, ji := range order {
+		if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(plan)+len(j.Pending) <= in.Most {
+			plan = append(plan, gang(in, ji, free, left)...)
+		}
+	}
+	return append(plan, flowRound(in, order, free, left, in.Most-len(plan))...)
+}
+
+// before orders jobs for gangs' first fit and for a team's share.
+func before(a, b *Job) int {
+	if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
+		return d
+	}
+	if a.Entitled != b.Entitled {
+		if a.Entitled {
+			return -1
+		}
+		return 1
+	}
+	switch {
+	case a.Urgency > b.Urgency:
+		return -1
+	case a.Urgency < b.Urgency:
+		return 1
+	}
+	return 0
+}
+
+// gang places all tasks of a gang first-fit, or none.
+func gang(in *Input, ji int, free []api.Resources, left map[api.Team]api.Resources) []Placement {
+	j := &in.Jobs[ji]
+	if !j.Demand.Times(len(j.Pending)).Fits(left[j.Spec.Team]) {
+		return nil
+	}
+	// Machines with the image first, and those with least to spare: whole
+	// pieces stay whole.
+	order := make([]int, len(in.Machines))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		ia, ib := in.Machines[a].Images[j.Spec.Image], in.Machines[b].Images[j.Spec.Image]
+		if ia != ib {
+			if ia {
+				return -1
+			}
+			return 1
+		}
+		return j.Demand.Slots(free[a]) - j.Demand.Slots(free[b])
+	})
+	var zones []api.Zone
+	if j.Spec.OneZone {
+		for _, mi := range order {
+			if z := in.Machines[mi].Zone; !slices.Contains(zones, z) {
+				zones = append(zones, z)
+			}
+		}
+	} else {
+		zones = []api.Zone{""}
+	}
+	for _, zone := range zones {
+		counts := map[api.Zone]int{}
+		for z, n := range j.Zones {
+			counts[z] = n
+		}
+		var got []Placement
+		for _, mi := range order {
+			m := &in.Machines[mi]
+			if zone != "" && m.Zone != zone || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) {
+				continue
+			}
+			room := free[mi]
+			for len(got) < len(j.Pending) && j.Demand.Fits(room) && zoneOpen(j.Spec, counts, m.Zone) {
+				got = append(got, Placement{ji, j.Pending[len(got)], mi})
+				room = room.Minus(j.Demand)
+				counts[m.Zone]++
+			}
+		}
+		if len(got) == len(j.Pending) {
+			for _, p := range got {
+				free[p.Machine] = free[p.Machine].Minus(j.Demand)
+			}
+			left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(len(got)))
+			return got
+		}
+	}
+	return nil
+}
+
+// flowRound places tasks by min-cost flow, one per machine. Tasks of one job
+// are alike, so a job is one node with as many units of supply: the optimum is
+// that of one node per task.
+func flowRound(in *Input, order []int, free []api.Resources, left map[api.Team]api.Resources, most int) []Placement {
+	if most <= 0 || len(in.Machines) == 0 {
+		return nil
+	}
+	type node struct{ job, supply int }
+	var nodes []node
+	total := 0
+	for _, ji := range order {
+		j := &in.Jobs[ji]
+		if j.Spec.Kind == api.Gang {
+			continue
+		}
+		supply := min(len(j.Pending), len(in.Machines), j.Demand.Slots(left[j.Spec.Team]), most)
+		if j.Spec.Spread || j.Spec.OneZone {
+			supply = min(supply, 1) // each of its starts changes where the next may go
+		}
+		if supply == 0 {
+			continue
+		}
+		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(supply))
+		nodes = append(nodes, node{ji, supply})
+		if total += supply; total >= 4*len(in.Machines)+64 {
+			break // enough to fill every machine this round
+		}
+	}
+	n, k := len(nodes), len(in.Machines)
+	g := flow.New(n + k + 3)
+	source, unscheduled, sink := n+k, n+k+1, n+k+2
+	g.Edge(unscheduled, sink, total, 0)
+	for mi := range k {
+		g.Edge(n+mi, sink, 1, 0)
+	}
+	type link struct {
+		edge    flow.EdgeID
+		job, mi int
+	}
+	var links []link
+	for i, nd := range nodes {
+		j := &in.Jobs[nd.job]
+		g.Edge(source, i, nd.supply, 0)
+		g.Edge(i, unscheduled, nd.supply, 0)
+		for mi := range in.Machines {
+			m := &in.Machines[mi]
+			if !j.Demand.Fits(free[mi]) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
+				!zoneOpen(j.Spec, j.Zones, m.Zone) {
+				continue
+			}
+			room := *m
+			room.Free = free[mi]
+			links = append(links, link{g.Edge(i, n+mi, 1, edgeCost(in, j, &room)), nd.job, mi})
+		}
+	}
+	if len(links) == 0 {
+		return nil
+	}
+	g.Run(source, sink, total)
+	var plan []Placement
+	next := map[int]int{}
+	for _, l := range links {
+		if g.Flow(l.edge) > 0 && len(plan) < most {
+			j := &in.Jobs[l.job]
+			plan = append(plan, Placement{l.job, j.Pending[next[l.job]], l.mi})
+			next[l.job]++
+		}
+	}
+	return plan
+}
