--- a/control/book.go
+++ b/control/book.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
@@ -136,14 +135,6 @@
 
 func (b bitset) has(i int) bool { return i/64 < len(b) && b[i/64]&(1<<(i%64)) != 0 }
 
-func (b bitset) count() int {
-	n := 0
-	for _, w := range b {
-		n += bits.OnesCount64(w)
-	}
-	return n
-}
-
 func (b bitset) bytes() []byte {
 	out := make([]byte, 0, len(b)*8)
 	for _, w := range b {
@@ -200,7 +191,6 @@
 	places map[int]*Place
 
 	// Owner's working notes.
-	seen     api.Time
 	hold     api.Time // no new starts before, after failures
 	fails    int
 	failedOn map[api.MachineID]bool
@@ -513,8 +503,7 @@
 func (b *book) finishLoad() error {
 	raw := b.raw
 	b.raw = nil
-	var rounds [][]record
-	rounds = make([][]record, len(b.parts))
+	rounds := make([][]record, len(b.parts))
 	for _, key := range slices.Sorted(maps.Keys(raw)) {
 		if p, _, ok := partOf(key, keyRound, len(b.parts)); ok {
 			var r record
--- a/control/part.go
+++ b/control/part.go
@@ -588,7 +588,6 @@
 	type choice struct {
 		victims []*Place
 		loss    float64
-		makes   int
 	}
 	var choices []choice
 	for _, sm := range in.Machines {
