--- a/control/book.go
+++ b/control/book.go
@@ -21,6 +21,7 @@
 	keySnap     = root + "snap/"
 	keyRound    = root + "round/"
 	keyJob      = root + "job/"
+	keyLend     = root + "lend/"
 	keyTypes    = root + "types"
 	keyFinal    = "final/"
 	keySettings = root + "settings"
@@ -83,6 +84,16 @@
 	Chunks int    `json:"chunks"`
 }
 
+// lendValue is the key of a machine that was given to another part.
+type lendValue struct {
+	Part api.PartID `json:"part"`
+}
+
+type lent struct {
+	part api.PartID
+	rev  api.Revision
+}
+
 // startEntry is a durable start: the task, its machine and that machine's session.
 type startEntry struct {
 	Task    int           `json:"i"`
@@ -225,6 +236,7 @@
 	jobs    map[api.JobRef]*Job
 	onPart  []map[*Place]bool // places by part
 	onHost  map[api.MachineID]map[*Place]bool
+	lent    map[api.MachineID]lent
 	types   []api.MachineType
 	finals  map[api.JobRef]api.JobState
 	oldest  []api.JobRef // finals in the order they came, to bound them
@@ -245,7 +257,7 @@
 		vers: map[string]api.Revision{}, members: map[api.Label]memberValue{},
 		parts: make([]partState, parts), jobs: map[api.JobRef]*Job{},
 		onPart: make([]map[*Place]bool, parts), onHost: map[api.MachineID]map[*Place]bool{},
-		finals: map[api.JobRef]api.JobState{},
+		finals: map[api.JobRef]api.JobState{}, lent: map[api.MachineID]lent{},
 	}
 	for i := range b.parts {
 		b.parts[i].given = map[api.PartID]map[api.Team]api.Resources{}
@@ -462,6 +474,12 @@
 			return fmt.Errorf("key %s: %w", key, err)
 		}
 		b.foldRecord(p, &r)
+	case strings.HasPrefix(key, keyLend):
+		var v lendValue
+		if err := json.Unmarshal(value, &v); err != nil || v.Part < 0 || int(v.Part) >= n {
+			return fmt.Errorf("key %s: %w", key, err)
+		}
+		b.lent[api.MachineID(key[len(keyLend):])] = lent{v.Part, ver}
 	case key == keyTypes:
 		var v api.MachineTypes
 		if err := json.Unmarshal(value, &v); err != nil {
@@ -484,6 +502,8 @@
 	switch {
 	case strings.HasPrefix(key, keyMember):
 		delete(b.members, api.Label(key[len(keyMember):]))
+	case strings.HasPrefix(key, keyLend):
+		delete(b.lent, api.MachineID(key[len(keyLend):]))
 	case strings.HasPrefix(key, keyJob):
 		ref := api.JobRef(key[len(keyJob):])
 		if j := b.jobs[ref]; j != nil {
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -192,14 +192,14 @@
 	}
 }
 
-// hold is how long a machine may stand idle: several times what fetching it
-// back would take.
+// hold is how long a machine may stand idle: as long as fetching another would
+// take. By then it has cost what returning it too early would cost.
 func (n *Node) hold(m *Machine) time.Duration {
 	typ := n.types[m.typ]
 	if typ == nil {
-		return 5 * time.Minute
+		return time.Minute
 	}
-	return max(time.Minute, api.Seconds(2*typ.Boot))
+	return max(15*time.Second, api.Seconds(typ.Boot))
 }
 
 // rent finds the waiting tasks that fit nowhere, neither on what is up nor on
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -8,11 +8,12 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/sched"
 )
 
 // news describes one of our parts to the others.
 func (n *Node) news(t *turf) PartNews {
-	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting}
+	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack}
 	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
 		m := n.machines[id]
 		if n.partOf(id) != t.part || m.heard == 0 || m.deleting {
@@ -87,6 +88,17 @@
 	return out
 }
 
+// newsBesides is what is known of all parts but one.
+func (n *Node) newsBesides(t *turf) []PartNews {
+	out := n.othersNews()
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		if o := n.turfs[p]; o != t {
+			out = append(out, PartNews{Part: p, Want: o.want, Lack: o.lack})
+		}
+	}
+	return out
+}
+
 // gifts gives shares of teams' limits that this part does not use to parts
 // that could use them.
 func (n *Node) gifts(t *turf) []gift {
@@ -95,13 +107,7 @@
 		return nil
 	}
 	var out []gift
-	others := n.othersNews()
-	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
-		if o := n.turfs[p]; o != t {
-			others = append(others, PartNews{Part: p, Want: o.want})
-		}
-	}
-	for _, pn := range others {
+	for _, pn := range n.newsBesides(t) {
 		if n.now < t.gaveAt[pn.Part] {
 			continue
 		}
@@ -166,6 +172,15 @@
 		if most == 0 {
 			continue
 		}
+		if j.Spec.Whole() {
+			holds := n.partsHolding(j.Spec)
+			if holds[t.part] || len(holds) == 0 {
+				continue
+			}
+			if !holds[best] {
+				best = slices.Min(slices.Collect(maps.Keys(holds)))
+			}
+		}
 		split, ok := moved(j, t.part, best, most)
 		if !ok {
 			continue
@@ -230,3 +245,87 @@
 	}
 	return nil, false
 }
+
+// partsHolding finds the parts that have room for all of a job's tasks.
+func (n *Node) partsHolding(s *api.JobSpec) map[api.PartID]bool {
+	machines := map[api.PartID][]sched.Machine{}
+	n.eachMachine(func(p api.PartID, m *MachineNews) {
+		if m.Usable {
+			machines[p] = append(machines[p], sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free})
+		}
+	})
+	out := map[api.PartID]bool{}
+	for p, ms := range machines {
+		if sched.Holds(ms, s) {
+			out[p] = true
+		}
+	}
+	return out
+}
+
+// lend gives a free machine to a part that can't hold a job whole. The write
+// raises the token under which the machine is commanded, so nothing that this
+// part has sent it can take effect any more.
+func (n *Node) lend(t *turf) {
+	if t.lending || t.leaving || t.writing != nil || n.now < t.lendAt || t.waiting > 0 {
+		return
+	}
+	t.lendAt = n.now.Add(2 * gossipEvery)
+	for _, pn := range n.newsBesides(t) {
+		for _, l := range pn.Lack {
+			if l.Spec == nil {
+				continue
+			}
+			for _, id := range slices.Sorted(maps.Keys(n.machines)) {
+				m := n.machines[id]
+				if n.partOf(id) != t.part || !n.usable(m, t) || len(n.book.onHost[id]) > 0 || len(m.tasks) > 0 || m.calling {
+					continue
+				}
+				if !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) ||
+					!l.Spec.Demand().Fits(n.freeOn(m, t)) {
+					continue
+				}
+				n.lendTo(t, id, pn.Part, l.Spec.Ref)
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) lendTo(t *turf, id api.MachineID, to api.PartID, ref api.JobRef) {
+	t.lending = true
+	key := keyLend + string(id)
+	v, _ := json.Marshal(lendValue{Part: to})
+	tx := api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}, {Key: key, Version: n.book.vers[key]}},
+		Writes: []api.Write{{Put: key, Value: v}}}
+	// No round is planned before the outcome is known: a late write must not
+	// give away a machine that has got a task meanwhile.
+	var try func()
+	settle := func() { t.lending, t.dirty = false, true }
+	try = func() {
+		n.txn(tx, func(a StateAnswer) {
+			if n.turfs[t.part] != t {
+				return
+			}
+			switch a.Status {
+			case 200, 409:
+				if a.Status == 200 {
+					slog.Info("machine lent", "machine", id, "from", t.part, "to", to, "for", ref)
+				}
+				n.current(settle, func() { n.pause(try) })
+			default:
+				n.pause(try)
+			}
+		})
+	}
+	try()
+}
+
+// unlend forgets that a machine was lent once it is gone.
+func (n *Node) unlend(t *turf, id api.MachineID) {
+	if _, ok := n.book.lent[id]; !ok {
+		return
+	}
+	n.txn(api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}},
+		Writes: []api.Write{{Drop: keyLend + string(id)}}}, func(StateAnswer) {})
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -53,20 +53,32 @@
 	used api.Time
 }
 
-// hashPart says which part a machine belongs to. Names are numbered in order
-// of creation, so the number spreads machines rented together evenly.
+// hashPart says which part a machine belongs to unless it was lent. Names are
+// numbered in order of creation, so the number spreads machines rented together
+// evenly; turning by one after each turn keeps zones rented in rotation apart.
 func hashPart(id api.MachineID, parts int) api.PartID {
 	s := string(id)
 	digits := s[strings.LastIndexByte(s, '-')+1:]
 	if v, err := strconv.ParseUint(digits, 10, 64); err == nil {
-		return api.PartID(v % uint64(parts))
+		return api.PartID((v + v/uint64(parts)) % uint64(parts))
 	}
 	h := fnv.New32a()
 	h.Write([]byte(s))
 	return api.PartID(h.Sum32() % uint32(parts))
 }
 
-func (n *Node) partOf(id api.MachineID) api.PartID { return hashPart(id, len(n.book.parts)) }
+func (n *Node) partOf(id api.MachineID) api.PartID {
+	if l, ok := n.book.lent[id]; ok {
+		return l.part
+	}
+	return hashPart(id, len(n.book.parts))
+}
+
+// base is the lowest token under which the owner of a part may command a
+// machine: its term or, for a machine lent to it since, the lending's revision.
+func (n *Node) base(t *turf, id api.MachineID) api.Token {
+	return api.Token(max(t.term, n.book.lent[id].rev))
+}
 
 func (n *Node) machine(id api.MachineID) *Machine {
 	m := n.machines[id]
@@ -96,9 +108,7 @@
 		n.refuse(c.Req, 503, "machine is being returned")
 		return
 	}
-	if m.cmd == 0 || m.cmd < api.Token(t.term) {
-		m.cmd = api.Token(t.term)
-	}
+	m.cmd = max(m.cmd, n.base(t, m.ID))
 	if r.Token > m.cmd {
 		// Somebody commands it under a later term: we were deposed for it.
 		n.reply(c.Req, 421, api.Redirect{}, 0)
@@ -296,7 +306,7 @@
 // its last report. Composing them again is harmless.
 func (n *Node) orders(m *Machine, t *turf) []api.Order {
 	out := []api.Order{}
-	if m.token < api.Token(t.term) {
+	if m.token < n.base(t, m.ID) {
 		return out // the term is announced first
 	}
 	known := map[taskKey]bool{}
@@ -359,9 +369,7 @@
 	if t == nil || m.deleting {
 		return
 	}
-	if m.cmd < api.Token(t.term) {
-		m.cmd = api.Token(t.term)
-	}
+	m.cmd = max(m.cmd, n.base(t, m.ID))
 	if m.doubt != 0 && m.cmd <= m.doubt {
 		if api.Token(t.lastRev) > m.doubt {
 			m.cmd, m.kick = api.Token(t.lastRev), true
@@ -369,7 +377,7 @@
 			t.wantRev = true
 		}
 	}
-	unannounced := m.token < api.Token(t.term)
+	unannounced := m.token < n.base(t, m.ID)
 	silent := n.now.Sub(m.heard) > n.cfg.ReportEvery()*5/4+time.Second
 	if !m.calling && m.addr != "" && n.now >= m.callNext && (m.kick || unannounced || silent) {
 		n.direct(m, t)
@@ -461,6 +469,7 @@
 			return
 		}
 		n.fleet.gone[m.ID] = n.now
+		n.unlend(t, m.ID)
 		if n.turfs[t.part] == t {
 			for _, p := range n.placesOn(m.ID) {
 				if p.Part == t.part && !p.over {
--- a/control/messages.go
+++ b/control/messages.go
@@ -178,8 +178,18 @@
 	Want     map[api.Team]api.Resources // share it could use
 	Spare    map[api.Team]api.Resources // share it does not use
 	Waiting  int                        // tasks that found no room
+	Lack     []Lack                     // jobs that this part can't hold whole
 }
 
+// Lack is a job whose tasks must lie in one part, and don't fit there.
+type Lack struct {
+	Spec  *api.JobSpec
+	Zones map[api.Zone]int // where some of its tasks are
+}
+
+// maxLack bounds the lacks a part tells of.
+const maxLack = 4
+
 // MachineNews describes a machine.
 type MachineNews struct {
 	ID      api.MachineID
--- a/control/node.go
+++ b/control/node.go
@@ -68,6 +68,7 @@
 	largest  api.Resources
 	types    map[api.TypeName]*api.MachineType
 
+	paused    []paused
 	fleet     fleet
 	sentTo    map[api.MachineID]redirected
 	roundGap  time.Duration
@@ -76,6 +77,11 @@
 	started   bool
 }
 
+type paused struct {
+	at api.Time
+	do func()
+}
+
 type syncWaiter struct{ ok, fail func() }
 
 type redirected struct {
@@ -225,8 +231,18 @@
 	n.emit(PeerCall{n.callID(func(a any) { f(a.(PeerAnswer)) }), to, m, peerTimeout})
 }
 
+// pause does something again a little later.
+func (n *Node) pause(do func()) {
+	n.paused = append(n.paused, paused{n.now.Add(retryPause), do})
+}
+
 // tick does whatever is due.
 func (n *Node) tick() {
+	for len(n.paused) > 0 && n.paused[0].at <= n.now {
+		do := n.paused[0].do
+		n.paused = n.paused[1:]
+		do()
+	}
 	n.membership()
 	if !n.loaded {
 		n.load()
@@ -550,7 +566,7 @@
 
 // handOver gives a part to its home. The round in flight is finished first.
 func (n *Node) handOver(t *turf, home api.Label) {
-	if t.writing != nil || t.handing || t.saving {
+	if t.writing != nil || t.handing || t.saving || t.lending {
 		return
 	}
 	t.handing = true
--- a/control/part.go
+++ b/control/part.go
@@ -33,6 +33,9 @@
 	gaveAt  map[api.PartID]api.Time    // no further gift to a part before
 	waiting int
 	moving  bool
+	lending bool
+	lendAt  api.Time
+	lack    []Lack
 	moveAt  api.Time
 }
 
@@ -80,7 +83,7 @@
 	}
 	for _, m := range n.machines {
 		if n.partOf(m.ID) == p {
-			m.cmd, m.doubt, m.missed, m.found = api.Token(term), 0, 0, n.now
+			m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 		}
 	}
 	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.onPart[p]))
@@ -116,7 +119,8 @@
 	n.checkpoint(t)
 	n.putAway(t)
 	n.rebalance(t)
-	if t.writing != nil || t.leaving || n.now < t.next || !t.dirty && !t.wantRev {
+	n.lend(t)
+	if t.writing != nil || t.leaving || t.lending || n.now < t.next || !t.dirty && !t.wantRev {
 		return
 	}
 	if n.book.parts[t.part].seq+1 >= n.book.parts[t.part].head.Seq+ringSize {
@@ -170,14 +174,7 @@
 }
 
 func (n *Node) rewrite(t *turf, w *writing) {
-	// Only state answers and time move this on; a tick later is soon enough.
-	t.next = n.now.Add(retryPause)
-	n.after(t, w)
-}
-
-// after sends the record again once the pause is over.
-func (n *Node) after(t *turf, w *writing) {
-	n.state(StateCall{Changes: &ChangesAsk{Since: n.book.rev, Wait: retryPause}, Timeout: retryPause + time.Second}, func(StateAnswer) {
+	n.pause(func() {
 		if n.turfs[t.part] == t && t.writing == w {
 			n.write(t)
 		}
@@ -325,7 +322,7 @@
 
 // usable reports whether a machine may get new tasks.
 func (n *Node) usable(m *Machine, t *turf) bool {
-	return m.heard != 0 && m.token >= api.Token(t.term) && !m.notice && !m.deleting && !m.drained && n.types[m.typ] != nil &&
+	return m.heard != 0 && m.token >= n.base(t, m.ID) && !m.notice && !m.deleting && !m.drained && n.types[m.typ] != nil &&
 		m.sickTill < n.now && m.fullTill < n.now && n.now.Sub(m.heard) < 2*n.cfg.ReportEvery()+2*time.Second
 }
 
@@ -434,6 +431,7 @@
 		jobs = append(jobs, j)
 	}
 	t.want = map[api.Team]api.Resources{}
+	t.lack = nil
 	if len(in.Jobs) == 0 {
 		return nil
 	}
@@ -572,10 +570,12 @@
 			if can == 0 || j.Spec.Kind == api.Gang {
 				continue
 			}
-			missing = can
+		}
+		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
+			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones})
 		}
 		if placed[i] == 0 {
-			n.preempt(t, in, &in.Jobs[i], j, missing)
+			n.preempt(t, in, &in.Jobs[i], j)
 		}
 	}
 }
@@ -583,7 +583,7 @@
 // preempt makes room for a job of higher priority by stopping lower work, the
 // machine where that costs least first. One machine a round is enough: the
 // room is taken as soon as evidence shows it free.
-func (n *Node) preempt(t *turf, in *sched.Input, sj *sched.Job, j *Job, missing int) {
+func (n *Node) preempt(t *turf, in *sched.Input, sj *sched.Job, j *Job) {
 	rank := j.Spec.Priority.Rank()
 	type choice struct {
 		victims []*Place
--- a/control/user.go
+++ b/control/user.go
@@ -212,8 +212,12 @@
 		weight[i] = float64(room[i]) - float64(n.waitingIn(api.PartID(i), demand))
 	}
 	best := 0
+	holds := map[api.PartID]bool{}
+	if s.Whole() {
+		holds = n.partsHolding(s)
+	}
 	for i := range weight {
-		if weight[i] > weight[best] {
+		if h, b := holds[api.PartID(i)], holds[api.PartID(best)]; h && !b || h == b && weight[i] > weight[best] {
 			best = i
 		}
 	}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,413 @@
+// Package scenario owns the tests' scenarios: small text files, each a
+// deployment, what its users do and what goes wrong, and the one runner that
+// plays them against the stand-ins and reports every broken rule and every
+// expectation that is not met.
+//
+// A scenario is a txtar archive. Its comment says what it is about; the file
+// "script" has a line for each step, blank lines and lines from # on aside:
+//
+//	limit TEAM CPUS                     a team's limit on CPUs
+//	machines N [spot]                   machines that are up at the start
+//	capacity N                          machines the cloud has in all
+//	submit AT REF KIND key=value...     a job; see jobOf for the keys
+//	cancel AT REF
+//	ask AT REF                          a poll for a job nobody submitted
+//	crash AT NODE|all BACK              a controller ends and returns after BACK seconds
+//	roll AT EVERY                       all controllers restart one after the other
+//	cut AT FOR NODE SIDE hold|drop      SIDE: state, workers, peers, cloud, users or all
+//	outage AT FOR                       the state service is down
+//	refuse AT FOR NODE                  the state service refuses one node
+//	lose AT FOR SHARE                   answers of the state service get lost
+//	delay AT FOR SHARE                  transactions arrive seconds late
+//	cloud AT FOR                        the cloud is down
+//	kill AT MACHINE                     a machine fails silently
+//	hang AT FOR MACHINE
+//	sick AT FOR MACHINE                 every task fails that it starts
+//	random SEED FROM TO                 faults drawn by chance
+//	end AT
+//	expect REF done|aborted|pending|running [by AT]
+//	starts MIN MAX                      task starts in all
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/tools/txtar"
+
+	"basaltwall/api"
+	"basaltwall/config"
+	"basaltwall/internal/standin"
+)
+
+const settings = `{"label":"stone-%d","domain":"a","api_addr":"10.0.0.%d:8080","peer_listen":"10.0.0.%d:8081",
+"peers":[%s],"external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+"deployment":{"initial_size":3,"zones":["a","b","c"],
+"teams":[{"name":"red","cpus":16,"cpus_max":0,"gpus":2,"gpus_max":4},{"name":"blue","cpus":8,"cpus_max":0,"gpus":0,"gpus_max":0}],
+"objectives":[{"kind":"finished","class":"batch","within_s":120,"share":0.9}],
+"workers":{"report_s":3,"lease_s":30,"gang_wait_s":30,"gang_peer_s":5,"cancel_s":60},
+"state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},"cloud":{"rps":10,"list_lag_s":5},
+"limits":{"cpu_share":0.36,"memory_mb":300,"fd_limit":2000},"clock_error_ms":250}}`
+
+func configs() ([]*config.Config, error) {
+	var out []*config.Config
+	for i := range 3 {
+		var peers []string
+		for k := range 3 {
+			if k != i {
+				peers = append(peers, fmt.Sprintf(`{"label":"stone-%d","domain":"a","peer_addr":"10.0.0.%d:8081"}`, k, k+1))
+			}
+		}
+		c, err := config.Parse(fmt.Appendf(nil, settings, i, i+1, i+1, strings.Join(peers, ",")))
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+type expectation struct {
+	ref   api.JobRef
+	state api.JobState
+	by    time.Duration
+}
+
+type runner struct {
+	w       *standin.World
+	cfgs    []*config.Config
+	expects []expectation
+	end     time.Duration
+	min     int
+	max     int
+}
+
+// Result is what a scenario came to.
+type Result struct {
+	Problems []string
+	World    *standin.World
+}
+
+// Run plays a scenario.
+func Run(data []byte) (Result, error) {
+	cfgs, err := configs()
+	if err != nil {
+		return Result{}, err
+	}
+	var lines [][]string
+	for _, f := range txtar.Parse(data).Files {
+		if f.Name != "script" {
+			continue
+		}
+		for l := range strings.Lines(string(f.Data)) {
+			l, _, _ = strings.Cut(l, "#")
+			if words := strings.Fields(l); len(words) > 0 {
+				lines = append(lines, words)
+			}
+		}
+	}
+	if len(lines) == 0 {
+		return Result{}, fmt.Errorf("no script")
+	}
+	for _, l := range lines {
+		if l[0] == "limit" && len(l) == 3 {
+			cpus, err := strconv.ParseFloat(l[2], 64)
+			if err != nil {
+				return Result{}, err
+			}
+			for _, c := range cfgs {
+				for i := range c.Deployment.Teams {
+					if string(c.Deployment.Teams[i].Name) == l[1] {
+						c.Deployment.Teams[i].CPUsMax = cpus
+					}
+				}
+			}
+		}
+	}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30}
+	r.w.Cloud.Types = []api.MachineType{
+		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
+		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
+	}
+	for _, l := range lines {
+		if err := r.line(l); err != nil {
+			return Result{}, fmt.Errorf("%s: %w", strings.Join(l, " "), err)
+		}
+	}
+	if r.end == 0 {
+		return Result{}, fmt.Errorf("no end")
+	}
+	r.w.Run(r.end)
+	res := Result{Problems: r.w.Check.Broken, World: r.w}
+	for _, e := range r.expects {
+		got := r.w.Check.Known(e.ref)
+		at, done := r.w.Users.DoneAt[e.ref]
+		switch {
+		case got != e.state:
+			res.Problems = append(res.Problems, fmt.Sprintf("%s is %q, expected %s", e.ref, got, e.state))
+		case e.by > 0 && (!done || at > e.by):
+			res.Problems = append(res.Problems, fmt.Sprintf("%s was done at %.1f s, expected by %.1f s", e.ref, at.Seconds(), e.by.Seconds()))
+		}
+	}
+	if n := r.w.Check.Starts; n < r.min || n > r.max {
+		res.Problems = append(res.Problems, fmt.Sprintf("%d starts, expected %d to %d", n, r.min, r.max))
+	}
+	return res, nil
+}
+
+// args reads a line's words by turns: d a duration in seconds, n a number, s a word.
+func args(words []string, form string) (ds []time.Duration, ns []float64, ss []string, err error) {
+	if len(words) != len(form) {
+		return nil, nil, nil, fmt.Errorf("%d words, expected %d", len(words), len(form))
+	}
+	for i, f := range form {
+		if f == 's' {
+			ss = append(ss, words[i])
+			continue
+		}
+		v, err := strconv.ParseFloat(words[i], 64)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		if f == 'd' {
+			ds = append(ds, api.Seconds(v))
+		} else {
+			ns = append(ns, v)
+		}
+	}
+	return ds, ns, ss, nil
+}
+
+func (r *runner) line(l []string) error {
+	w := r.w
+	rest := l[1:]
+	forms := map[string]string{"limit": "sn", "capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
+		"cut": "ddsss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds",
+		"hang": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn"}
+	var ds []time.Duration
+	var ns []float64
+	var ss []string
+	if form, ok := forms[l[0]]; ok {
+		var err error
+		if ds, ns, ss, err = args(rest, form); err != nil {
+			return err
+		}
+	}
+	machine := func(i int) api.MachineID { return api.MachineID(ss[i]) }
+	switch l[0] {
+	case "limit":
+	case "machines":
+		return r.machines(rest)
+	case "capacity":
+		w.Cloud.Capacity = int(ns[0])
+	case "submit":
+		return r.submit(rest)
+	case "cancel":
+		w.After(ds[0], func() { w.Users.Cancel(api.JobRef(ss[0])) })
+	case "ask":
+		w.After(ds[0], func() { w.Users.Ask(api.JobRef(ss[0])) })
+	case "crash":
+		w.After(ds[0], func() { r.eachNode(ss[0], func(n string) { w.Crash(n, ds[1]) }) })
+	case "roll":
+		for i, c := range r.cfgs {
+			w.After(ds[0]+time.Duration(i)*ds[1], func() { w.Crash(string(c.Label), 3*time.Second) })
+		}
+	case "cut":
+		w.After(ds[0], func() { r.cut(ss[0], ss[1], ds[1], ss[2] == "hold") })
+	case "outage":
+		w.After(ds[0], func() { w.State.Outage(ds[1]) })
+	case "refuse":
+		w.After(ds[0], func() { w.State.Refuse(ss[0], ds[1]) })
+	case "lose":
+		w.After(ds[0], func() { w.LoseAnswers = ns[0] })
+		w.After(ds[0]+ds[1], func() { w.LoseAnswers = 0 })
+	case "delay":
+		w.After(ds[0], func() { w.DelayState = ns[0] })
+		w.After(ds[0]+ds[1], func() { w.DelayState = 0 })
+	case "cloud":
+		w.After(ds[0], func() { w.Cloud.Down = true })
+		w.After(ds[0]+ds[1], func() { w.Cloud.Down = false })
+	case "kill":
+		w.After(ds[0], func() { w.Kill(machine(0)) })
+	case "hang":
+		w.After(ds[0], func() { w.Hang(machine(0), ds[1]) })
+	case "sick":
+		w.After(ds[0], func() { w.Sicken(machine(0), ds[1]) })
+	case "random":
+		r.random(uint64(ns[0]), ds[0], ds[1])
+	case "end":
+		r.end = ds[0]
+	case "starts":
+		r.min, r.max = int(ns[0]), int(ns[1])
+	case "expect":
+		e := expectation{}
+		switch {
+		case len(rest) == 2:
+		case len(rest) == 4 && rest[2] == "by":
+			v, err := strconv.ParseFloat(rest[3], 64)
+			if err != nil {
+				return err
+			}
+			e.by = api.Seconds(v)
+		default:
+			return fmt.Errorf("not understood")
+		}
+		e.ref, e.state = api.JobRef(rest[0]), api.JobState(rest[1])
+		r.expects = append(r.expects, e)
+	default:
+		return fmt.Errorf("no such step")
+	}
+	return nil
+}
+
+func (r *runner) eachNode(name string, do func(string)) {
+	for _, c := range r.cfgs {
+		if name == "all" || name == string(c.Label) {
+			do(string(c.Label))
+		}
+	}
+}
+
+func (r *runner) cut(node, side string, length time.Duration, hold bool) {
+	r.eachNode(node, func(n string) {
+		for _, s := range []standin.Side{standin.SideState, standin.SideWorkers, standin.SidePeers, standin.SideCloud, standin.SideUsers} {
+			if side == "all" || side == string(s) {
+				r.w.Cut(n, s, length, hold)
+			}
+		}
+	})
+}
+
+func (r *runner) machines(rest []string) error {
+	if len(rest) == 0 {
+		return fmt.Errorf("how many?")
+	}
+	n, err := strconv.Atoi(rest[0])
+	if err != nil {
+		return err
+	}
+	typ, spot := api.TypeName("c8"), false
+	for _, x := range rest[1:] {
+		if x == "spot" {
+			spot = true
+		} else {
+			typ = api.TypeName(x)
+		}
+	}
+	lag := r.w.Cloud.Lag
+	r.w.Cloud.Lag = 0
+	for i := range n {
+		r.w.Cloud.Rent(typ, api.Zone([]string{"a", "b", "c"}[i%3]), spot, 10*time.Millisecond)
+	}
+	r.w.Cloud.Lag = lag
+	r.w.Cloud.Capacity = max(r.w.Cloud.Capacity, n)
+	return nil
+}
+
+// submit reads a job: tasks, cpus, gpus, run (seconds), team, priority, types,
+// zone, deadline, checkpoint, save, at (a node) with =, and the words together,
+// scatter and spot.
+func (r *runner) submit(rest []string) error {
+	if len(rest) < 3 {
+		return fmt.Errorf("not understood")
+	}
+	at, err := strconv.ParseFloat(rest[0], 64)
+	if err != nil {
+		return err
+	}
+	kinds := map[string]api.Kind{"array": api.Array, "gang": api.Gang, "service": api.Service}
+	s := &api.JobSpec{Ref: api.JobRef(rest[1]), Kind: kinds[rest[2]], Class: "batch", Team: "red", Priority: api.Normal,
+		Tasks: 1, CPUs: 1, MemGB: 1, Image: "img", ImageGB: 1}
+	if s.Kind == "" {
+		return fmt.Errorf("no such kind")
+	}
+	run, node := 10.0, ""
+	for _, x := range rest[3:] {
+		k, v, _ := strings.Cut(x, "=")
+		f, ferr := strconv.ParseFloat(v, 64)
+		numeric := true
+		switch k {
+		case "tasks":
+			s.Tasks = int(f)
+		case "cpus":
+			s.CPUs = f
+		case "gpus":
+			s.GPUs = f
+		case "run":
+			run = f
+		case "deadline":
+			s.Deadline = &f
+		case "checkpoint":
+			s.Checkpoint = f
+		case "save":
+			s.Save = f
+		default:
+			numeric = false
+			switch k {
+			case "team":
+				s.Team = api.Team(v)
+			case "class":
+				s.Class = api.Class(v)
+			case "image":
+				s.Image = api.Image(v)
+			case "priority":
+				s.Priority = api.Priority(v)
+			case "types":
+				s.Types = []api.TypeName{api.TypeName(v)}
+			case "zone":
+				s.Zone = api.Zone(v)
+			case "at":
+				node = v
+			case "together":
+				s.OneZone = true
+			case "scatter":
+				s.Spread = true
+			case "spot":
+				s.Spot = true
+			default:
+				return fmt.Errorf("no such key %s", k)
+			}
+		}
+		if numeric && ferr != nil {
+			return ferr
+		}
+	}
+	if s.Kind != api.Service {
+		s.Estimate = run
+	}
+	r.w.After(api.Seconds(at), func() { r.w.Users.Submit(s, api.Seconds(run), node) })
+	return nil
+}
+
+// random draws faults of every kind between two times.
+func (r *runner) random(seed uint64, from, to time.Duration) {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	at := from
+	for at < to {
+		node := string(r.cfgs[rnd.IntN(len(r.cfgs))].Label)
+		length := time.Duration(1+rnd.IntN(25)) * time.Second
+		machine := api.MachineID(fmt.Sprintf("i-%06d", rnd.IntN(8)))
+		hold := rnd.IntN(2) == 0
+		share := 0.1 + 0.4*rnd.Float64()
+		faults := []func(){
+			func() { r.w.Crash(node, time.Duration(1+rnd.IntN(8))*time.Second) },
+			func() { r.eachNode("all", func(n string) { r.w.Crash(n, 3*time.Second) }) },
+			func() { r.cut(node, "state", length, hold) },
+			func() { r.cut(node, "workers", length, hold) },
+			func() { r.cut(node, "all", length, hold) },
+			func() { r.cut(node, "peers", length, hold) },
+			func() { r.w.State.Outage(length / 2) },
+			func() { r.w.State.Refuse(node, length) },
+			func() { r.w.LoseAnswers = share; r.w.After(length, func() { r.w.LoseAnswers = 0 }) },
+			func() { r.w.DelayState = share; r.w.After(length, func() { r.w.DelayState = 0 }) },
+			func() { r.w.Kill(machine) },
+			func() { r.w.Hang(machine, length) },
+			func() { r.w.Sicken(machine, length) },
+		}
+		r.w.After(at, faults[rnd.IntN(len(faults))])
+		at += time.Duration(1+rnd.IntN(12)) * time.Second
+	}
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,87 @@
+package scenario
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("LOG_LEVEL") == "" {
+		slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}
+	os.Exit(m.Run())
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txtar"), func(t *testing.T) {
+			t.Parallel()
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			play(t, data)
+		})
+	}
+}
+
+func play(t *testing.T, data []byte) {
+	t.Helper()
+	res, err := Run(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range res.Problems {
+		t.Error(p)
+	}
+}
+
+// randomScript has work of every kind under faults drawn by chance, and then
+// the quiet in which all of it must come to its end.
+const randomScript = `
+-- script --
+limit red 40
+machines 6
+machines 2 spot
+machines 2 g8
+capacity 14
+submit 1 run-1 array tasks=40 cpus=2 run=15 spot
+submit 2 run-2 service tasks=2 cpus=2 scatter priority=critical team=blue
+submit 3 run-3 gang tasks=3 cpus=2 run=20 together checkpoint=5 save=1 priority=high
+submit 20 run-4 array tasks=30 cpus=1 run=8 team=blue
+submit 30 run-5 array tasks=12 cpus=4 run=12
+submit 40 run-6 gang tasks=1 cpus=4 gpus=2 run=10 types=g8 priority=high
+submit 50 run-7 array tasks=20 cpus=2 run=300 team=blue
+submit 60 run-8 service tasks=3 cpus=1 scatter priority=critical
+cancel 75 run-7
+submit 90 run-9 array tasks=60 cpus=1 run=5 spot
+cancel 95 run-9
+random %d 5 130
+ask 60 run-99
+ask 140 run-98
+end 420
+expect run-1 done
+expect run-3 done
+expect run-4 done
+expect run-5 done
+expect run-6 done
+expect run-7 aborted
+`
+
+func TestRandomFaults(t *testing.T) {
+	for seed := range 24 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, fmt.Appendf(nil, randomScript, seed))
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/checker.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/config"
+)
+
+// Checker watches what really happens and what users are told, and finds
+// broken rules. It shares no code with the controllers' decisions.
+type Checker struct {
+	Broken []string
+	Starts int
+
+	cfg    *config.Config
+	on     map[api.TaskID]map[api.MachineID]placed
+	done   map[api.TaskID]bool
+	told   map[api.JobRef]api.JobState // the strongest answer so far
+	ended  map[api.JobRef]time.Duration
+	asked  map[api.JobRef]bool // cancellation asked by its user
+	known  map[api.JobRef]*api.JobSpec
+	submit map[api.JobRef]bool
+}
+
+type placed struct {
+	zone api.Zone
+	spec *api.JobSpec
+}
+
+// NewChecker returns a checker for a deployment.
+func NewChecker(cfg *config.Config) *Checker {
+	return &Checker{cfg: cfg, on: map[api.TaskID]map[api.MachineID]placed{}, done: map[api.TaskID]bool{},
+		told: map[api.JobRef]api.JobState{}, ended: map[api.JobRef]time.Duration{}, asked: map[api.JobRef]bool{},
+		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}}
+}
+
+func (c *Checker) broke(at time.Duration, rule, format string, args ...any) {
+	c.Broken = append(c.Broken, fmt.Sprintf("%s at %.2f s: %s", rule, at.Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// Started notes that a task is on a machine.
+func (c *Checker) Started(at time.Duration, id api.TaskID, s *api.JobSpec, m api.MachineID, typ api.TypeName, zone api.Zone, spot bool) {
+	c.Starts++
+	for other := range c.on[id] {
+		if other != m {
+			c.broke(at, "ran_twice", "%s starts on %s while on %s", id, m, other)
+		}
+	}
+	if len(s.Types) > 0 && !slices.Contains(s.Types, typ) || s.Zone != "" && s.Zone != zone || spot && !s.Spot {
+		c.broke(at, "wrong_place", "%s on %s, a %s in %s", id, m, typ, zone)
+	}
+	same := 1
+	for other, hosts := range c.on {
+		if other.Job != id.Job || other == id {
+			continue
+		}
+		for _, p := range hosts {
+			if s.OneZone && p.zone != zone {
+				c.broke(at, "wrong_place", "%s in %s while %s is in %s", id, zone, other, p.zone)
+			}
+			if p.zone == zone {
+				same++
+			}
+		}
+	}
+	if s.Spread && same > ceilHalf(s.Tasks) {
+		c.broke(at, "wrong_place", "%d of %d tasks of %s in %s", same, s.Tasks, id.Job, zone)
+	}
+	if end, ok := c.ended[id.Job]; ok && at > end+api.Seconds(c.cfg.Deployment.Workers.Cancel) {
+		c.broke(at, "ran_cancelled", "%s starts after its cancellation", id)
+	}
+	if c.on[id] == nil {
+		c.on[id] = map[api.MachineID]placed{}
+	}
+	c.on[id][m] = placed{zone, s}
+	var use api.Resources
+	for _, hosts := range c.on {
+		for _, p := range hosts {
+			if p.spec.Team == s.Team {
+				use = use.Plus(p.spec.Demand())
+			}
+		}
+	}
+	for _, t := range c.cfg.Deployment.Teams {
+		if t.Name == s.Team && (t.CPUsMax > 0 && use.CPU > api.ToAmount(t.CPUsMax) || t.GPUsMax > 0 && use.GPU > api.ToAmount(t.GPUsMax)) {
+			c.broke(at, "quota", "%s uses %.1f CPUs, %.1f GPUs", s.Team, use.CPU.Float(), use.GPU.Float())
+		}
+	}
+}
+
+// Ended notes that a task has left a machine.
+func (c *Checker) Ended(id api.TaskID, m api.MachineID, done bool) {
+	delete(c.on[id], m)
+	if done {
+		c.done[id] = true
+	}
+}
+
+// Submitted notes that a user has tried to submit a job, AskedCancel that one
+// has asked for its cancellation.
+func (c *Checker) Submitted(s *api.JobSpec) { c.submit[s.Ref] = true; c.known[s.Ref] = s }
+
+// AskedCancel notes a user's wish to cancel.
+func (c *Checker) AskedCancel(ref api.JobRef) { c.asked[ref] = true }
+
+func strength(s api.JobState) int {
+	switch s {
+	case api.JobDone, api.JobCancelled:
+		return 2
+	case api.JobPending, api.JobRunning:
+		return 1
+	}
+	return 0
+}
+
+// Told notes an answer: before is what was known when the request was sent.
+func (c *Checker) Told(at time.Duration, ref api.JobRef, status int, s api.JobState, before api.JobState) {
+	if status == 404 || status == 400 || status == 422 {
+		if before != "" {
+			c.broke(at, "forgotten", "%s, accepted before, gets %d", ref, status)
+		}
+		return
+	}
+	if status != 200 && status != 201 {
+		return
+	}
+	if !c.submit[ref] {
+		c.broke(at, "invented", "%s gets %d", ref, status)
+		return
+	}
+	if strength(before) == 2 && s != before {
+		c.broke(at, "went_back", "%s was %s, is called %s", ref, before, s)
+	}
+	if s == api.JobCancelled && !c.asked[ref] {
+		c.broke(at, "went_back", "%s is called cancelled, which nobody asked", ref)
+	}
+	if s == api.JobDone {
+		for i := range c.known[ref].Tasks {
+			if !c.done[api.TaskID{Job: ref, Index: i}] {
+				c.broke(at, "not_done", "%s is called done, task %d is not", ref, i)
+				break
+			}
+		}
+	}
+	if s == api.JobCancelled {
+		if _, ok := c.ended[ref]; !ok {
+			c.ended[ref] = at
+		}
+	}
+	if strength(s) >= strength(c.told[ref]) {
+		c.told[ref] = s
+	}
+}
+
+// Known is the strongest answer given so far for a job.
+func (c *Checker) Known(ref api.JobRef) api.JobState { return c.told[ref] }
+
+// Look checks what may go wrong by time alone.
+func (c *Checker) Look(at time.Duration) {
+	for id, hosts := range c.on {
+		end, ok := c.ended[id.Job]
+		if ok && len(hosts) > 0 && at > end+api.Seconds(c.cfg.Deployment.Workers.Cancel) {
+			c.broke(at, "ran_cancelled", "%s is still on a machine", id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,263 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"basaltwall/api"
+)
+
+type entry struct {
+	value json.RawMessage
+	ver   api.Revision
+	lease api.LeaseID
+}
+
+type watch struct {
+	under  string
+	since  api.Revision
+	answer func(int, []byte)
+	over   bool
+}
+
+// State stands in for the state service.
+type State struct {
+	w       *World
+	rev     api.Revision
+	keys    map[string]entry
+	log     []api.Change
+	leases  map[api.LeaseID]time.Duration // when they end
+	ttl     map[api.LeaseID]time.Duration
+	last    api.LeaseID
+	watches []*watch
+	out     bool            // nobody is served
+	refused map[string]bool // these nodes are not served
+}
+
+func newState(w *World) *State {
+	s := &State{w: w, keys: map[string]entry{}, leases: map[api.LeaseID]time.Duration{},
+		ttl: map[api.LeaseID]time.Duration{}, refused: map[string]bool{}}
+	w.After(100*time.Millisecond, s.expire)
+	return s
+}
+
+func (s *State) expire() {
+	s.w.After(100*time.Millisecond, s.expire)
+	if s.out {
+		return
+	}
+	var ended []api.LeaseID
+	for id, end := range s.leases {
+		if end <= s.w.Now {
+			ended = append(ended, id)
+		}
+	}
+	sort.Slice(ended, func(i, j int) bool { return ended[i] < ended[j] })
+	for _, id := range ended {
+		delete(s.leases, id)
+		var gone []string
+		for k, e := range s.keys {
+			if e.lease == id {
+				gone = append(gone, k)
+			}
+		}
+		sort.Strings(gone)
+		for _, k := range gone {
+			s.rev++
+			s.change(api.Change{Drop: k, Version: s.rev}, 0)
+		}
+	}
+	s.wake()
+}
+
+// Outage stops the service for a while; afterwards leases have their full time.
+func (s *State) Outage(length time.Duration) {
+	s.out = true
+	s.w.After(length, func() {
+		s.out = false
+		for id := range s.leases {
+			s.leases[id] = s.w.Now + s.ttl[id]
+		}
+	})
+}
+
+// Refuse turns one node away for a while.
+func (s *State) Refuse(node string, length time.Duration) {
+	s.refused[node] = true
+	s.w.After(length, func() { delete(s.refused, node) })
+}
+
+func (s *State) change(c api.Change, lease api.LeaseID) {
+	if c.Drop != "" {
+		delete(s.keys, c.Drop)
+	} else {
+		s.keys[c.Put] = entry{c.Value, c.Version, lease}
+	}
+	s.log = append(s.log, c)
+}
+
+func (s *State) since(under string, rev api.Revision) []api.Change {
+	var out []api.Change
+	for _, c := range s.log {
+		if c.Version > rev && (strings.HasPrefix(c.Put, under) && c.Put != "" || strings.HasPrefix(c.Drop, under) && c.Drop != "") {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func reply(answer func(int, []byte), status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	answer(status, b)
+}
+
+func (s *State) wake() {
+	var open []*watch
+	for _, w := range s.watches {
+		if w.over {
+			continue
+		}
+		if log := s.since(w.under, w.since); len(log) > 0 {
+			w.over = true
+			reply(w.answer, 200, api.Changes{Revision: s.rev, Log: log})
+			continue
+		}
+		open = append(open, w)
+	}
+	s.watches = open
+}
+
+// Serve answers a request, a watch possibly later.
+func (s *State) Serve(node, method, target string, body []byte, answer func(int, []byte)) {
+	if s.out || s.refused[node] {
+		answer(503, []byte(`{"error":"trouble"}`))
+		return
+	}
+	u, err := url.Parse(target)
+	if err != nil {
+		answer(400, nil)
+		return
+	}
+	q := u.Query()
+	switch {
+	case method == "POST" && u.Path == api.PathMulti:
+		s.multi(body, answer)
+	case method == "POST" && u.Path == api.PathLeases:
+		var ask api.LeaseAsk
+		if json.Unmarshal(body, &ask) != nil || ask.TTL < 100 {
+			answer(400, nil)
+			return
+		}
+		s.last++
+		s.ttl[s.last] = time.Duration(ask.TTL) * time.Millisecond
+		s.leases[s.last] = s.w.Now + s.ttl[s.last]
+		reply(answer, 200, api.LeaseAnswer{Lease: s.last})
+	case method == "POST" && strings.HasPrefix(u.Path, api.PathLeases+"/"):
+		n, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		id := api.LeaseID(n)
+		if _, ok := s.leases[id]; !ok {
+			answer(404, []byte(`{}`))
+			return
+		}
+		s.leases[id] = s.w.Now + s.ttl[id]
+		answer(200, []byte(`{}`))
+	case method == "GET" && u.Path == api.PathKeys:
+		s.page(q, answer)
+	case method == "GET" && strings.HasPrefix(u.Path, api.PathKeys+"/"):
+		key := u.Path[len(api.PathKeys)+1:]
+		e, ok := s.keys[key]
+		if !ok {
+			reply(answer, 404, map[string]api.Revision{"registro": s.rev})
+			return
+		}
+		reply(answer, 200, api.Pair{Key: key, Value: e.value, Version: e.ver})
+	case method == "GET" && u.Path == api.PathChanges:
+		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		w := &watch{under: q.Get("under"), since: api.Revision(since), answer: answer}
+		log := s.since(w.under, w.since)
+		if len(log) > 0 || wait == 0 {
+			reply(answer, 200, api.Changes{Revision: s.rev, Log: log})
+			return
+		}
+		s.watches = append(s.watches, w)
+		s.w.After(time.Duration(wait)*time.Millisecond, func() {
+			if !w.over && !s.out {
+				w.over = true
+				reply(answer, 200, api.Changes{Revision: s.rev})
+			}
+		})
+	default:
+		answer(400, nil)
+	}
+}
+
+func (s *State) multi(body []byte, answer func(int, []byte)) {
+	var t api.Txn
+	cfg := s.w.cfgs[s.w.names[0]].Deployment.State
+	if json.Unmarshal(body, &t) != nil || len(t.Writes) > cfg.TxnOps || len(t.If) > 4*cfg.TxnOps || len(body) > 64<<10 {
+		answer(400, []byte(`{"error":"malformed"}`))
+		return
+	}
+	for _, w := range t.Writes {
+		if float64(len(w.Value)) > cfg.ValueKB*1024 {
+			answer(400, []byte(`{"error":"too large"}`))
+			return
+		}
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			answer(400, []byte(`{"error":"no such lease"}`))
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].ver != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		reply(answer, 409, api.TxnAnswer{Failed: failed, Revision: s.rev})
+		return
+	}
+	if len(t.Writes) > 0 {
+		s.rev++
+	}
+	for _, w := range t.Writes {
+		if w.Drop != "" {
+			if _, ok := s.keys[w.Drop]; ok {
+				s.change(api.Change{Drop: w.Drop, Version: s.rev}, 0)
+			}
+			continue
+		}
+		s.change(api.Change{Put: w.Put, Value: w.Value, Version: s.rev}, w.Lease)
+	}
+	reply(answer, 200, api.TxnAnswer{Revision: s.rev})
+	s.wake()
+}
+
+func (s *State) page(q url.Values, answer func(int, []byte)) {
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	out := api.KeyPage{Revision: s.rev, Pairs: []api.Pair{}}
+	for _, k := range keys {
+		if len(out.Pairs) == limit {
+			out.More = true
+			break
+		}
+		out.Pairs = append(out.Pairs, api.Pair{Key: k, Value: s.keys[k].value, Version: s.keys[k].ver})
+	}
+	reply(answer, 200, out)
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"encoding/json"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/control"
+	"basaltwall/worker"
+)
+
+// Users stand in for all users: they submit, poll and cancel through whichever
+// node they happen to reach, and ask again after a failure.
+type Users struct {
+	w        *World
+	specs    map[api.JobRef]*api.JobSpec
+	runs     map[api.JobRef]time.Duration
+	Accepted map[api.JobRef]time.Duration
+	DoneAt   map[api.JobRef]time.Duration
+	polling  map[api.JobRef]bool
+}
+
+func newUsers(w *World) *Users {
+	u := &Users{w: w, specs: map[api.JobRef]*api.JobSpec{}, runs: map[api.JobRef]time.Duration{},
+		Accepted: map[api.JobRef]time.Duration{}, DoneAt: map[api.JobRef]time.Duration{}, polling: map[api.JobRef]bool{}}
+	w.After(time.Second, u.look)
+	return u
+}
+
+func (u *Users) look() {
+	u.w.Check.Look(u.w.Now)
+	u.w.After(time.Second, u.look)
+}
+
+// deliver hands a request to a controller as its server would.
+func (w *World) deliver(name, method, path string, body []byte, answer func(int, []byte)) {
+	h := w.nodes[name]
+	if h == nil || h.node == nil {
+		return
+	}
+	w.ask(h, func(req control.ReqID) control.Command {
+		switch {
+		case path == api.PathCheckin:
+			r, err := worker.ParseReport(body)
+			w.must(err)
+			return control.Checkin{Req: req, Report: r, Body: body}
+		case method == "POST" && path == api.PathJobs:
+			return control.Submit{Req: req, Body: body}
+		case method == "POST":
+			return control.Cancel{Req: req, Ref: path[len(api.PathJobs)+1 : len(path)-len(api.EndCancel)-1]}
+		}
+		return control.Poll{Req: req, Ref: path[len(api.PathJobs)+1:]}
+	}, answer)
+}
+
+// Request sends one request to a node and passes on its answer, status 0 when
+// none comes.
+func (u *Users) Request(name, method, path string, body []byte, timeout time.Duration, answer func(int, []byte)) {
+	settled := false
+	settle := func(status int, b []byte) {
+		if !settled {
+			settled = true
+			answer(status, b)
+		}
+	}
+	u.w.After(timeout, func() { settle(0, nil) })
+	u.w.across(name, SideUsers, func() {
+		u.w.deliver(name, method, path, body, func(status int, b []byte) {
+			u.w.across(name, SideUsers, func() { settle(status, b) })
+		})
+	})
+}
+
+func (u *Users) anyNode() string { return u.w.names[u.w.rand.IntN(len(u.w.names))] }
+
+// told passes an answer to the checker.
+func (u *Users) told(ref api.JobRef, status int, body []byte, before api.JobState) api.JobState {
+	var s api.JobStatus
+	if status == 200 || status == 201 {
+		u.w.must(json.Unmarshal(body, &s))
+	}
+	u.w.Check.Told(u.w.Now, ref, status, s.State, before)
+	return s.State
+}
+
+// Submit submits a job again and again until it is answered, at the given
+// node or at any.
+func (u *Users) Submit(spec *api.JobSpec, run time.Duration, node string) {
+	u.specs[spec.Ref], u.runs[spec.Ref] = spec, run
+	u.w.Check.Submitted(spec)
+	body, err := json.Marshal(submission(spec))
+	u.w.must(err)
+	name := node
+	if name == "" {
+		name = u.anyNode()
+	}
+	before := u.w.Check.Known(spec.Ref)
+	u.Request(name, "POST", api.PathJobs, body, 5*time.Second, func(status int, b []byte) {
+		u.told(spec.Ref, status, b, before)
+		if status == 200 || status == 201 {
+			if _, ok := u.Accepted[spec.Ref]; !ok {
+				u.Accepted[spec.Ref] = u.w.Now
+			}
+			if !u.polling[spec.Ref] {
+				u.polling[spec.Ref] = true
+				u.poll(spec.Ref)
+			}
+			return
+		}
+		u.w.After(time.Second, func() { u.Submit(spec, run, "") })
+	})
+}
+
+func (u *Users) poll(ref api.JobRef) {
+	before := u.w.Check.Known(ref)
+	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(ref), nil, 2*time.Second, func(status int, b []byte) {
+		s := u.told(ref, status, b, before)
+		if _, ok := u.DoneAt[ref]; !ok && s == api.JobDone {
+			u.DoneAt[ref] = u.w.Now
+		}
+		// Final states are asked for again too, more seldom.
+		pause := 2 * time.Second
+		if strength(s) == 2 {
+			pause = 20 * time.Second
+		}
+		u.w.After(pause, func() { u.poll(ref) })
+	})
+}
+
+// Cancel asks for a job's cancellation until it is answered.
+func (u *Users) Cancel(ref api.JobRef) {
+	u.w.Check.AskedCancel(ref)
+	before := u.w.Check.Known(ref)
+	u.Request(u.anyNode(), "POST", api.PathJobs+"/"+string(ref)+"/"+api.EndCancel, nil, 5*time.Second, func(status int, b []byte) {
+		u.told(ref, status, b, before)
+		if status != 200 {
+			u.w.After(time.Second, func() { u.Cancel(ref) })
+		}
+	})
+}
+
+// Ask polls for a job that nobody has submitted.
+func (u *Users) Ask(ref api.JobRef) {
+	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(ref), nil, 2*time.Second, func(status int, b []byte) {
+		u.told(ref, status, b, u.w.Check.Known(ref))
+	})
+}
+
+// submission is a job as users write it, every field present.
+func submission(s *api.JobSpec) map[string]any {
+	return map[string]any{"ref": s.Ref, "mestiere": s.Class, "bottega": s.Team, "forma": s.Kind, "urgenza": s.Priority,
+		"pezzi": s.Tasks, "cores": s.CPUs, "gpus": s.GPUs, "ram_gb": s.MemGB, "stampo": s.Image, "image_gb": s.ImageGB,
+		"banchi": s.Types, "cortile": nullable(s.Zone), "together": s.OneZone, "scatter": s.Spread, "avanzi": s.Spot,
+		"stima_s": s.Estimate, "tappa_s": s.Checkpoint, "salvo_s": s.Save, "consegna_s": s.Deadline}
+}
+
+func nullable(z api.Zone) *api.Zone {
+	if z == "" {
+		return nil
+	}
+	return &z
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,331 @@
+// Package standin owns stand-ins for everything a controller meets (state
+// service, cloud, workers, users and the network between them) on one virtual
+// clock, and an independent checker of the rules. The controllers in it are the
+// real owners behind the real message adapters.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/cloud"
+	"basaltwall/config"
+	"basaltwall/control"
+	"basaltwall/httpx"
+	"basaltwall/peer"
+	"basaltwall/state"
+	"basaltwall/worker"
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type agenda []event
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// Side is an end of a connection that a cut may part from another.
+type Side string
+
+// The sides of a cut: a controller and what it is cut from.
+const (
+	SideState   Side = "state"
+	SideWorkers Side = "workers"
+	SidePeers   Side = "peers"
+	SideCloud   Side = "cloud"
+	SideUsers   Side = "users"
+)
+
+type cutKey struct {
+	node string
+	side Side
+}
+
+type cut struct {
+	hold bool
+	held []func()
+}
+
+// World is a deployment on a virtual clock.
+type World struct {
+	Now   time.Duration
+	Check *Checker
+	rand  *rand.Rand
+	queue agenda
+	seq   int
+
+	cfgs  map[string]*config.Config
+	names []string
+	nodes map[string]*host
+	cuts  map[cutKey]*cut
+
+	State   *State
+	Cloud   *Cloud
+	workers map[api.MachineID]*Worker
+	Users   *Users
+
+	// LoseAnswers makes that share of the state service's answers get lost
+	// after the request was carried out; DelayState that share of requests
+	// arrive seconds late, after their sender has given up.
+	LoseAnswers, DelayState float64
+	gangs                   map[gangKey]*gang
+	saved                   map[api.JobRef]time.Duration
+}
+
+type host struct {
+	name  string
+	node  *control.Node
+	life  int
+	reqs  map[control.ReqID]func(status int, body []byte)
+	last  control.ReqID
+	inbox []control.Command
+	woken bool
+	begun time.Duration
+}
+
+// NewWorld builds a deployment of three controllers.
+func NewWorld(seed uint64, cfgs []*config.Config) *World {
+	w := &World{
+		rand: rand.New(rand.NewPCG(seed, 7)), cfgs: map[string]*config.Config{}, nodes: map[string]*host{},
+		cuts: map[cutKey]*cut{}, workers: map[api.MachineID]*Worker{}, gangs: map[gangKey]*gang{},
+		saved: map[api.JobRef]time.Duration{},
+	}
+	w.Check = NewChecker(cfgs[0])
+	w.State = newState(w)
+	w.Cloud = newCloud(w)
+	w.Users = newUsers(w)
+	for _, c := range cfgs {
+		w.cfgs[string(c.Label)] = c
+		w.names = append(w.names, string(c.Label))
+		w.Start(string(c.Label))
+	}
+	return w
+}
+
+// After schedules an event.
+func (w *World) After(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.Now + d, w.seq, do})
+}
+
+// Run plays until the given time.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.Now = e.at
+		e.do()
+	}
+	w.Now = until
+}
+
+func (w *World) latency() time.Duration {
+	return time.Duration(500+w.rand.IntN(1500)) * time.Microsecond
+}
+
+// Start starts a controller with nothing in its memory.
+func (w *World) Start(name string) {
+	life := 1
+	if old := w.nodes[name]; old != nil {
+		life = old.life + 1
+	}
+	h := &host{name: name, life: life, reqs: map[control.ReqID]func(int, []byte){}, begun: w.Now,
+		node: control.New(w.cfgs[name], int64(w.Now)+int64(life))}
+	w.nodes[name] = h
+	w.tick(h)
+}
+
+// Crash ends a controller and starts it again later.
+func (w *World) Crash(name string, back time.Duration) {
+	h := w.nodes[name]
+	if h == nil || h.node == nil {
+		return
+	}
+	h.node = nil
+	w.After(back, func() { w.Start(name) })
+}
+
+func (w *World) tick(h *host) {
+	if h.node == nil || w.nodes[h.name] != h {
+		return
+	}
+	w.step(h)
+	w.After(control.Tick, func() { w.tick(h) })
+}
+
+func (w *World) tell(h *host, c control.Command) {
+	if h.node == nil || w.nodes[h.name] != h {
+		return
+	}
+	h.inbox = append(h.inbox, c)
+	if !h.woken {
+		h.woken = true
+		w.After(0, func() { w.step(h) })
+	}
+}
+
+func (w *World) step(h *host) {
+	if h.node == nil {
+		return
+	}
+	cmds := h.inbox
+	h.inbox, h.woken = nil, false
+	effects := h.node.Step(api.Time(w.Now-h.begun)+1, api.Wall(1_000_000+w.Now.Milliseconds()), cmds)
+	for _, e := range effects {
+		w.perform(h, e)
+	}
+}
+
+// perform carries out an effect through the real adapters.
+func (w *World) perform(h *host, e control.Effect) {
+	switch e := e.(type) {
+	case control.Reply:
+		if answer := h.reqs[e.Req]; answer != nil {
+			delete(h.reqs, e.Req)
+			answer(e.Status, e.Body)
+		}
+	case control.StateCall:
+		method, target, body, err := state.Request(e)
+		w.must(err)
+		lose := e.Txn != nil && w.rand.Float64() < w.LoseAnswers
+		var extra time.Duration
+		if e.Txn != nil && w.rand.Float64() < w.DelayState {
+			extra = time.Duration(1+w.rand.IntN(8)) * time.Second
+		}
+		w.call(h, SideState, extra, e.Timeout, func(answer func(int, []byte)) {
+			w.State.Serve(h.name, method, target, body, func(status int, body []byte) {
+				if !lose {
+					answer(status, body)
+				}
+			})
+		}, func(r httpx.Response, err error) control.Command { return state.Answer(e, r, err) })
+	case control.CloudCall:
+		method, target, body, err := cloud.Request(e)
+		w.must(err)
+		w.call(h, SideCloud, 100*time.Millisecond, e.Timeout, func(answer func(int, []byte)) {
+			answer(w.Cloud.Serve(method, target, body))
+		}, func(r httpx.Response, err error) control.Command { return cloud.Answer(e, r, err) })
+	case control.WorkerCall:
+		_, _, body, err := worker.Request(e)
+		w.must(err)
+		w.call(h, SideWorkers, 0, e.Timeout, func(answer func(int, []byte)) {
+			for _, wk := range w.workers {
+				if wk.addr == e.Addr {
+					wk.commands(body, answer)
+					return
+				}
+			}
+		}, func(r httpx.Response, err error) control.Command { return worker.Answer(e, r, err) })
+	case control.PeerCall:
+		_, _, body, err := peer.Request(e)
+		w.must(err)
+		w.call(h, SidePeers, 0, e.Timeout, func(answer func(int, []byte)) {
+			to := w.nodes[string(e.To)]
+			if to.node == nil || w.cuts[cutKey{to.name, SidePeers}] != nil {
+				return
+			}
+			m, err := peer.ParseMessage(body)
+			w.must(err)
+			w.ask(to, func(req control.ReqID) control.Command {
+				return peer.Command(m, req, func(b []byte) control.Command {
+					r, err := worker.ParseReport(b)
+					w.must(err)
+					return control.Checkin{Req: req, Report: r, Body: b, Forwarded: true}
+				})
+			}, func(status int, body []byte) {
+				data, err := peer.Encode(control.PeerReply{Status: status, Body: body})
+				w.must(err)
+				answer(200, data)
+			})
+		}, func(r httpx.Response, err error) control.Command { return peer.Answer(e, r, err) })
+	default:
+		panic(fmt.Sprintf("stand-in: effect %T", e))
+	}
+}
+
+func (w *World) must(err error) {
+	if err != nil {
+		panic(fmt.Sprintf("stand-in: %v", err))
+	}
+}
+
+// ask gives a controller a request and passes its answer on.
+func (w *World) ask(h *host, command func(control.ReqID) control.Command, answer func(int, []byte)) {
+	if h.node == nil {
+		return
+	}
+	h.last++
+	h.reqs[h.last] = answer
+	w.tell(h, command(h.last))
+}
+
+type timeoutError struct{}
+
+func (timeoutError) Error() string { return "no answer" }
+
+// call carries a request from a controller across the network and its answer
+// back, exactly one command in the end. A cut may hold packets and deliver them
+// when it ends, though the sender has given up.
+func (w *World) call(h *host, side Side, extra, timeout time.Duration, serve func(answer func(int, []byte)),
+	answer func(httpx.Response, error) control.Command) {
+	settled := false
+	settle := func(r httpx.Response, err error) {
+		if !settled {
+			settled = true
+			w.tell(h, answer(r, err))
+		}
+	}
+	w.After(timeout, func() { settle(httpx.Response{}, timeoutError{}) })
+	deliver := func() {
+		serve(func(status int, body []byte) {
+			w.across(h.name, side, func() { settle(httpx.Response{Status: status, Body: body}, nil) })
+		})
+	}
+	w.After(extra, func() { w.across(h.name, side, deliver) })
+}
+
+// across does something one network latency later, unless a cut is in the way.
+func (w *World) across(node string, side Side, do func()) {
+	w.After(w.latency(), func() {
+		if c := w.cuts[cutKey{node, side}]; c != nil {
+			if c.hold {
+				c.held = append(c.held, do)
+			}
+			return
+		}
+		do()
+	})
+}
+
+// Cut parts a controller from one side for a while; with hold, packets are
+// delivered when it ends.
+func (w *World) Cut(node string, side Side, length time.Duration, hold bool) {
+	k := cutKey{node, side}
+	if w.cuts[k] != nil {
+		return
+	}
+	c := &cut{hold: hold}
+	w.cuts[k] = c
+	w.After(length, func() {
+		delete(w.cuts, k)
+		for _, do := range c.held {
+			w.After(w.latency(), do)
+		}
+	})
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -56,8 +56,8 @@
 		(s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
 }
 
-// zoneOpen reports whether one more task of the job may go into the zone.
-func zoneOpen(s *api.JobSpec, zones map[api.Zone]int, z api.Zone) bool {
+// ZoneOpen reports whether one more task of the job may go into the zone.
+func ZoneOpen(s *api.JobSpec, zones map[api.Zone]int, z api.Zone) bool {
 	if s.OneZone {
 		for other, n := range zones {
 			if n > 0 && other != z {
@@ -198,7 +198,7 @@
 				continue
 			}
 			room := free[mi]
-			for len(got) < len(j.Pending) && j.Demand.Fits(room) && zoneOpen(j.Spec, counts, m.Zone) {
+			for len(got) < len(j.Pending) && j.Demand.Fits(room) && ZoneOpen(j.Spec, counts, m.Zone) {
 				got = append(got, Placement{ji, j.Pending[len(got)], mi})
 				room = room.Minus(j.Demand)
 				counts[m.Zone]++
@@ -262,7 +262,7 @@
 		for mi := range in.Machines {
 			m := &in.Machines[mi]
 			if !j.Demand.Fits(free[mi]) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
-				!zoneOpen(j.Spec, j.Zones, m.Zone) {
+				!ZoneOpen(j.Spec, j.Zones, m.Zone) {
 				continue
 			}
 			room := *m
@@ -285,3 +285,18 @@
 	}
 	return plan
 }
+
+// Holds reports whether the machines have room for all of a job's tasks
+// together, by first fit.
+func Holds(machines []Machine, s *api.JobSpec) bool {
+	in := &Input{Machines: machines}
+	pending := make([]int, s.Tasks)
+	in.Jobs = []Job{{Spec: s, Demand: s.Demand(), Pending: pending}}
+	free := make([]api.Resources, len(machines))
+	for i, m := range machines {
+		free[i] = m.Free
+	}
+	const plenty = api.Amount(1) << 52
+	left := map[api.Team]api.Resources{s.Team: {CPU: plenty, GPU: plenty, Mem: plenty}}
+	return len(gang(in, 0, free, left)) == s.Tasks
+}
