--- a/control/book.go
+++ b/control/book.go
@@ -574,6 +574,10 @@
 func (b *book) share(p api.PartID, team api.Team, limit api.Resources) api.Resources {
 	n := api.Amount(len(b.parts))
 	s := api.Resources{CPU: limit.CPU / n, GPU: limit.GPU / n}
+	if p == 0 { // what can't be divided
+		s.CPU += limit.CPU % n
+		s.GPU += limit.GPU % n
+	}
 	for i := range b.parts {
 		if api.PartID(i) != p {
 			s = s.Plus(b.parts[i].given[p][team])
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		if t.writing == nil && m.heard != 0 && n.now.Sub(m.idle) > n.hold(m) && n.now.Sub(t.since) > n.hold(m) {
-			n.remove(m, t, "idle")
+			n.remove(m, t, idleWhy)
 		}
 	}
 }
@@ -259,23 +259,36 @@
 		waiting = min(waiting, j.demand.Slots(left[j.Spec.Team]), budget)
 		budget -= waiting
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(waiting))
+		var zone api.Zone
+		if j.Spec.OneZone && waiting > 0 {
+			room := map[api.Zone]int{}
+			for _, s := range spaces {
+				if sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
+					room[s.zone] += j.demand.Slots(s.free)
+				}
+			}
+			zone = most(room)
+		}
 		for i := range spaces {
 			s := &spaces[i]
 			if waiting == 0 {
 				break
 			}
-			if sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
+			if (zone == "" || zone == s.zone) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
 				k := min(waiting, j.demand.Slots(s.free))
 				s.free = s.free.Minus(j.demand.Times(k))
 				waiting -= k
 			}
 		}
 		for waiting > 0 {
-			o, ok := n.cheapest(j.Spec, need)
+			o, ok := n.cheapest(j.Spec, need, zone)
 			if !ok {
 				break
 			}
 			need[o]++
+			if j.Spec.OneZone {
+				zone = o.zone
+			}
 			free := n.types[o.typ].Capacity()
 			k := min(waiting, j.demand.Slots(free))
 			waiting -= k
@@ -318,7 +331,7 @@
 }
 
 // cheapest finds the offer with the lowest price for one task of the job.
-func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int) (offer, bool) {
+func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int, zone api.Zone) (offer, bool) {
 	demand := s.Demand()
 	var best offer
 	bestPrice := 0.0
@@ -335,7 +348,7 @@
 		for _, z := range zones {
 			for _, spot := range []bool{true, false} {
 				o := offer{name, z, spot}
-				if !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now {
+				if zone != "" && z != zone || !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now {
 					continue
 				}
 				price := typ.Price
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		mn := MachineNews{ID: id, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session,
-			Usable: n.usable(m, t), Images: slices.Sorted(maps.Keys(m.images))}
+			Silent: n.now.Sub(m.heard), Usable: n.usable(m, t), Images: slices.Sorted(maps.Keys(m.images))}
 		if mn.Usable {
 			mn.Free = n.freeOn(m, t)
 		}
@@ -263,6 +263,31 @@
 	return out
 }
 
+// zoneFor is the zone with most room for a job whose tasks must be together.
+func (n *Node) zoneFor(s *api.JobSpec) api.Zone {
+	if !s.OneZone {
+		return ""
+	}
+	room := map[api.Zone]int{}
+	n.eachMachine(func(_ api.PartID, m *MachineNews) {
+		if m.Usable && sched.Allowed(s, m.Type, m.Zone, m.Spot) {
+			room[m.Zone] += s.Demand().Slots(m.Free)
+		}
+	})
+	return most(room)
+}
+
+// most is the zone with the highest count.
+func most(room map[api.Zone]int) api.Zone {
+	var best api.Zone
+	for _, z := range slices.Sorted(maps.Keys(room)) {
+		if best == "" || room[z] > room[best] {
+			best = z
+		}
+	}
+	return best
+}
+
 // lend gives a free machine to a part that can't hold a job whole. The write
 // raises the token under which the machine is commanded, so nothing that this
 // part has sent it can take effect any more.
@@ -281,7 +306,7 @@
 				if n.partOf(id) != t.part || !n.usable(m, t) || len(n.book.onHost[id]) > 0 || len(m.tasks) > 0 || m.calling {
 					continue
 				}
-				if !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) ||
+				if l.Zone != "" && m.zone != l.Zone || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) ||
 					!l.Spec.Demand().Fits(n.freeOn(m, t)) {
 					continue
 				}
--- a/control/machine.go
+++ b/control/machine.go
@@ -37,8 +37,9 @@
 
 	calling  bool
 	callNext api.Time
-	kick     bool // something is to be told at once
-	missed   int  // direct calls without an answer, in a row
+	direct   api.Time // last direct call that was answered
+	kick     bool     // something is to be told at once
+	missed   int      // direct calls without an answer, in a row
 	deleting bool
 	idle     api.Time // since when it has had nothing
 	images   map[api.Image]cached
@@ -103,6 +104,10 @@
 		n.sendOn(c, n.book.parts[p].owner)
 		return
 	}
+	if n.fleet.gone[r.Machine] != 0 {
+		n.refuse(c.Req, 503, "machine was returned")
+		return
+	}
 	m := n.machine(r.Machine)
 	if m.deleting {
 		n.refuse(c.Req, 503, "machine is being returned")
@@ -116,9 +121,38 @@
 		return
 	}
 	n.process(m, r, t)
+	if c.Forwarded {
+		// It comes by way of a peer because it could not reach us. Once a
+		// direct call gets through again, it is sent back to us.
+		if m.direct != 0 && n.now.Sub(m.direct) < n.cfg.ReportEvery() {
+			n.reply(c.Req, 421, api.Redirect{ReportTo: n.cfg.Label}, 0)
+			return
+		}
+		m.kick = true
+	}
 	n.reply(c.Req, 200, api.Orders{Token: m.cmd, Orders: n.orders(m, t)}, 0)
 }
 
+// returnTime is how soon a worker comes back that was sent to a node which
+// does not answer, and perhaps to another like it.
+const returnTime = 20 * time.Second
+
+// unheard reports whether a machine's owner says that it does not hear it.
+func (n *Node) unheard(owner api.Label, id api.MachineID) bool {
+	p := n.peers[owner]
+	if p == nil || p.heard == 0 || n.now.Sub(p.heard) > 5*time.Second {
+		return false
+	}
+	for _, pn := range p.gossip.Parts {
+		for _, m := range pn.Machines {
+			if m.ID == id {
+				return m.Silent > n.cfg.ReportEvery()*5/4+time.Second
+			}
+		}
+	}
+	return false
+}
+
 // sendOn directs a worker to the owner of its part. A worker that comes back
 // soon can't reach the owner; its reports are then passed on.
 func (n *Node) sendOn(c Checkin, owner api.Label) {
@@ -127,7 +161,7 @@
 		return
 	}
 	last := n.sentTo[c.Report.Machine]
-	if last.to == owner && n.now.Sub(last.at) < 3*n.cfg.ReportEvery() && n.peers[owner] != nil {
+	if (last.to == owner && n.now.Sub(last.at) < returnTime || n.unheard(owner, c.Report.Machine)) && n.peers[owner] != nil {
 		n.sentTo[c.Report.Machine] = redirected{owner, n.now}
 		n.peer(owner, PeerMessage{Forward: &Forward{Kind: "checkin", Body: c.Body}}, func(a PeerAnswer) {
 			if !a.OK || a.Reply.Status == 0 {
@@ -157,7 +191,10 @@
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return
 	}
-	m.session, m.seq, m.token, m.heard, m.missed = r.Session, r.Seq, r.Token, n.now, 0
+	if !n.usable(m, t) {
+		t.dirty = true // it may be from now on
+	}
+	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, n.now
 	m.addr, m.typ, m.zone, m.spot, m.notice = r.Address, r.Type, r.Zone, r.Spot, r.Notice != nil
 	if r.Token > m.doubt {
 		m.doubt = 0
@@ -411,6 +448,7 @@
 		if n.turfs[t.part] != t || m.deleting {
 			return
 		}
+		m.direct, m.missed = n.now, 0
 		if a.Report.Token > m.cmd {
 			n.current(func() {}, func() {}) // deposed, as the book will tell
 			return
@@ -442,42 +480,61 @@
 	if m.heard == 0 && !n.listedRunning(m) && len(n.book.onHost[m.ID]) == 0 {
 		return // still booting, as far as we know
 	}
-	peers, mute := 0, 0
+	zone, zoneMute, all, allMute := 0, 0, 0, 0
 	for _, o := range n.machines {
-		if n.turfs[n.partOf(o.ID)] == nil || o.heard == 0 || o.zone != m.zone && m.zone != "" {
+		if n.turfs[n.partOf(o.ID)] == nil || o.heard == 0 {
 			continue
 		}
-		peers++
-		if n.now.Sub(o.heard) > n.cfg.ReportEvery()+2*time.Second {
-			mute++
+		mute := 0
+		// One that is only heard by way of peers speaks for a cut as well.
+		if o.missed > 0 || n.now.Sub(o.heard) > n.cfg.ReportEvery()+2*time.Second {
+			mute = 1
+		}
+		all, allMute = all+1, allMute+mute
+		if o.zone == m.zone {
+			zone, zoneMute = zone+1, zoneMute+mute
 		}
 	}
-	if mute >= 2 && mute*3 >= peers && quiet < n.cfg.WorkerLease()+n.cfg.ReportEvery()+2*time.Second {
+	network := zoneMute >= 2 && zoneMute*3 >= zone || allMute >= 2 && allMute*2 >= all
+	if network && quiet < n.cfg.WorkerLease()+n.cfg.ReportEvery()+2*time.Second {
 		return
 	}
 	n.remove(m, t, "not reachable")
 }
 
-// remove has the cloud delete a machine; its answer proves the tasks over.
+// remove has the cloud delete a machine; its answer proves the tasks over. That
+// the part is still ours is read first: a deposed owner, cut off perhaps, must
+// not delete what another has put to use.
 func (n *Node) remove(m *Machine, t *turf, why string) {
 	m.deleting = true
-	slog.Info("deleting a machine", "machine", m.ID, "why", why, "tasks", len(n.book.onHost[m.ID]))
-	n.cloud(CloudCall{Delete: []api.MachineID{m.ID}}, func(a CloudAnswer) {
-		if a.Status != 200 {
-			m.deleting = false
-			m.callNext = n.now.Add(time.Second)
+	keep := func() {
+		m.deleting = false
+		m.callNext = n.now.Add(time.Second)
+	}
+	n.current(func() {
+		if n.turfs[t.part] != t || n.partOf(m.ID) != t.part || why == idleWhy && len(n.book.onHost[m.ID]) > 0 {
+			keep()
 			return
 		}
-		n.fleet.gone[m.ID] = n.now
-		n.unlend(t, m.ID)
-		if n.turfs[t.part] == t {
-			for _, p := range n.placesOn(m.ID) {
-				if p.Part == t.part && !p.over {
-					n.end(t, p, false, "machine deleted")
+		slog.Info("deleting a machine", "machine", m.ID, "why", why, "tasks", len(n.book.onHost[m.ID]))
+		n.cloud(CloudCall{Delete: []api.MachineID{m.ID}}, func(a CloudAnswer) {
+			if a.Status != 200 {
+				keep()
+				return
+			}
+			n.fleet.gone[m.ID] = n.now
+			n.unlend(t, m.ID)
+			if n.turfs[t.part] == t {
+				for _, p := range n.placesOn(m.ID) {
+					if p.Part == t.part && !p.over {
+						n.end(t, p, false, "machine deleted")
+					}
 				}
+				t.dirty = true
 			}
-			t.dirty = true
-		}
-		delete(n.machines, m.ID)
-	})
+			delete(n.machines, m.ID)
+		})
+	}, keep)
 }
+
+const idleWhy = "idle"
--- a/control/messages.go
+++ b/control/messages.go
@@ -185,6 +185,7 @@
 type Lack struct {
 	Spec  *api.JobSpec
 	Zones map[api.Zone]int // where some of its tasks are
+	Zone  api.Zone         // where it should be, when they must be together
 }
 
 // maxLack bounds the lacks a part tells of.
@@ -198,6 +199,7 @@
 	Zone    api.Zone
 	Spot    bool
 	Session api.Session
+	Silent  time.Duration // since its last report
 	Usable  bool
 	Free    api.Resources
 	Images  []api.Image
--- a/control/part.go
+++ b/control/part.go
@@ -572,7 +572,7 @@
 			}
 		}
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
-			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones})
+			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec)})
 		}
 		if placed[i] == 0 {
 			n.preempt(t, in, &in.Jobs[i], j)
--- a/httpx/parse.go
+++ b/httpx/parse.go
@@ -203,6 +203,21 @@
 // ParseResponse reads one response from the start of buf; eof says that the
 // other side has closed, which ends a body of unstated length.
 func ParseResponse(buf []byte, maxBody int, eof bool) (Response, int, error) {
+	skipped := 0
+	for {
+		r, n, err := parseOne(buf[skipped:], maxBody, eof)
+		if err != nil || n == 0 {
+			return Response{}, 0, err
+		}
+		skipped += n
+		if r.Status >= 200 {
+			return r, skipped, nil
+		}
+		// An interim answer: the real one follows.
+	}
+}
+
+func parseOne(buf []byte, maxBody int, eof bool) (Response, int, error) {
 	h, err := parseHead(buf, maxBody)
 	if err != nil || h.size == 0 {
 		return Response{}, 0, err
@@ -217,13 +232,6 @@
 	}
 	r := Response{Status: status, Close: h.close || (version == "HTTP/1.0" && !h.keep)}
 	if status < 200 || status == 204 || status == 304 {
-		if status < 200 { // an interim answer: the real one follows
-			next, n, err := ParseResponse(buf[h.size:], maxBody, eof)
-			if err != nil || n == 0 {
-				return Response{}, 0, err
-			}
-			return next, n + h.size, nil
-		}
 		return r, h.size, nil
 	}
 	if h.length < 0 && !h.chunked {
--- /dev/null
+++ b/httpx/parse_test.go
@@ -0,0 +1,99 @@
+package httpx
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+)
+
+func TestParseRequest(t *testing.T) {
+	cases := []struct {
+		name, in string
+		want     Request
+		used     bool
+		err      error
+	}{
+		{"simple", "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", Request{Method: "GET", Path: "/ready"}, true, nil},
+		{"query and body", "POST /a?b=c HTTP/1.1\r\ncontent-length: 3\r\n\r\nxyzGET", Request{Method: "POST", Path: "/a", Query: "b=c", Body: []byte("xyz")}, true, nil},
+		{"close", "GET / HTTP/1.1\r\nConnection: Close\r\n\r\n", Request{Method: "GET", Path: "/", Close: true}, true, nil},
+		{"old version closes", "GET / HTTP/1.0\r\n\r\n", Request{Method: "GET", Path: "/", Close: true}, true, nil},
+		{"chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: v\r\n\r\n", Request{Method: "POST", Path: "/", Body: []byte("abc")}, true, nil},
+		{"head split", "GET / HTTP/1.1\r\nHos", Request{}, false, nil},
+		{"body split", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", Request{}, false, nil},
+		{"chunk split", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", Request{}, false, nil},
+		{"too long", "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", Request{}, false, ErrTooLarge},
+		{"too long in chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n", Request{}, false, ErrTooLarge},
+		{"two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", Request{}, false, ErrMalformed},
+		{"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", Request{}, false, ErrMalformed},
+		{"negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Request{}, false, ErrMalformed},
+		{"space in name", "GET / HTTP/1.1\r\nA b: c\r\n\r\n", Request{}, false, ErrMalformed},
+		{"no version", "GET /\r\n\r\n", Request{}, false, ErrMalformed},
+		{"other version", "GET / HTTP/2.0\r\n\r\n", Request{}, false, ErrMalformed},
+		{"relative", "GET ready HTTP/1.1\r\n\r\n", Request{}, false, ErrMalformed},
+	}
+	for _, c := range cases {
+		r, n, err := ParseRequest([]byte(c.in), 100)
+		if !errors.Is(err, c.err) || (n > 0) != c.used {
+			t.Errorf("%s: used %d, err %v", c.name, n, err)
+			continue
+		}
+		if c.used && (r.Method != c.want.Method || r.Path != c.want.Path || r.Query != c.want.Query || r.Close != c.want.Close || !bytes.Equal(r.Body, c.want.Body)) {
+			t.Errorf("%s: %+v", c.name, r)
+		}
+	}
+}
+
+func TestParseResponse(t *testing.T) {
+	cases := []struct {
+		name, in string
+		eof      bool
+		status   int
+		body     string
+		err      error
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, 200, "ok", nil},
+		{"no reason", "HTTP/1.1 404\r\nContent-Length: 0\r\n\r\n", false, 404, "", nil},
+		{"interim first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 1\r\n\r\nx", false, 201, "x", nil},
+		{"until close", "HTTP/1.1 200 OK\r\n\r\nrest", true, 200, "rest", nil},
+		{"not closed yet", "HTTP/1.1 200 OK\r\n\r\nrest", false, 0, "", nil},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false, 200, "abc", nil},
+		{"no number", "HTTP/1.1 abc\r\n\r\n", false, 0, "", ErrMalformed},
+		{"not HTTP", "SSH-2.0 x\r\n\r\n", false, 0, "", ErrMalformed},
+	}
+	for _, c := range cases {
+		r, n, err := ParseResponse([]byte(c.in), 100, c.eof)
+		if !errors.Is(err, c.err) || r.Status != c.status || string(r.Body) != c.body || (n > 0) != (c.status > 0) {
+			t.Errorf("%s: %+v, used %d, err %v", c.name, r, n, err)
+		}
+	}
+}
+
+// Whatever arrives, a parser neither panics nor claims bytes it has not, and a
+// message cut anywhere is the same message once the rest has come.
+func FuzzParseRequest(f *testing.F) {
+	f.Add([]byte("POST /a?b HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz"), 20)
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"), 50)
+	f.Add([]byte("GET / HTTP/1.1\r\nExpect: 100-continue\r\n\r\n"), 3)
+	f.Fuzz(func(t *testing.T, in []byte, cut int) {
+		r, n, err := ParseRequest(in, 1000)
+		if n < 0 || n > len(in) || err != nil && n != 0 || len(r.Body) > 1000 {
+			t.Fatalf("used %d of %d, err %v", n, len(in), err)
+		}
+		if n > 0 && cut >= 0 && cut < n {
+			if _, early, err := ParseRequest(in[:cut], 1000); early != 0 || err != nil {
+				t.Fatalf("complete after %d of %d bytes: %v", cut, n, err)
+			}
+		}
+	})
+}
+
+func FuzzParseResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), false)
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nx"), true)
+	f.Fuzz(func(t *testing.T, in []byte, eof bool) {
+		r, n, err := ParseResponse(in, 1000, eof)
+		if n < 0 || n > len(in) || err != nil && n != 0 || len(r.Body) > 1000 {
+			t.Fatalf("used %d of %d, err %v", n, len(in), err)
+		}
+	})
+}
--- /dev/null
+++ b/httpx/server_test.go
@@ -0,0 +1,118 @@
+package httpx
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// freeAddr finds a loopback address that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// serve starts a server that answers, from another goroutine, with what the
+// request carried.
+func serve(t *testing.T, maxConns int) string {
+	t.Helper()
+	addr := freeAddr(t)
+	var s *Server
+	s = NewServer(1000, maxConns, func(id ConnID, _ int, r Request) {
+		go s.Answer(id, 200, []byte(r.Method+" "+r.Path+" "+string(r.Body)), 0)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		if err := s.Serve(ctx, addr); err != nil {
+			t.Errorf("server: %v", err)
+		}
+	}()
+	for range 200 {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return addr
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("server does not come up")
+	return ""
+}
+
+func TestManyCallsAtOnce(t *testing.T) {
+	addr := serve(t, 100)
+	c := NewClient(10_000, 4)
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 50 {
+				body := fmt.Sprintf("%d-%d", g, i)
+				r, err := c.Do(t.Context(), addr, "POST", "/x", []byte(body), 10*time.Second)
+				if err != nil || r.Status != 200 || string(r.Body) != "POST /x "+body {
+					t.Errorf("%s: %v %d %q", body, err, r.Status, r.Body)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func raw(t *testing.T, addr string, pieces ...string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range pieces {
+		if _, err := conn.Write([]byte(p)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	var got strings.Builder
+	buf := make([]byte, 4096)
+	for {
+		n, err := conn.Read(buf)
+		got.Write(buf[:n])
+		if err != nil {
+			return got.String()
+		}
+	}
+}
+
+func TestServerOnTheWire(t *testing.T) {
+	addr := serve(t, 100)
+	const closing = "POST /b HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+	cases := []struct {
+		name   string
+		pieces []string
+		want   []string
+	}{
+		{"split anywhere", []string{"POST /a HT", "TP/1.1\r\nContent-Le", "ngth: 4\r\n\r\nab", "cd", closing}, []string{"POST /a abcd", "POST /b hi"}},
+		{"two at once", []string{"GET /a HTTP/1.1\r\n\r\n" + closing}, []string{"GET /a", "POST /b hi"}},
+		{"malformed", []string{"nonsense\r\n\r\n"}, []string{"HTTP/1.1 400"}},
+		{"too large", []string{"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"}, []string{"HTTP/1.1 413"}},
+		{"asks before it sends", []string{"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", "x", closing}, []string{"100 Continue", "POST /a x"}},
+	}
+	for _, c := range cases {
+		got := raw(t, addr, c.pieces...)
+		for _, w := range c.want {
+			if !strings.Contains(got, w) {
+				t.Errorf("%s: %q lacks %q", c.name, got, w)
+			}
+		}
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -31,7 +31,9 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +72,10 @@
 	return out, nil
 }
 
+// Trace makes Run write the controllers' logs with the scenario's time. It is
+// for looking at one scenario alone.
+var Trace bool
+
 type expectation struct {
 	ref   api.JobRef
 	state api.JobState
@@ -132,6 +138,14 @@
 		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
 		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
 	}
+	if Trace {
+		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey {
+				return slog.Float64(slog.TimeKey, r.w.Now.Seconds())
+			}
+			return a
+		}})))
+	}
 	for _, l := range lines {
 		if err := r.line(l); err != nil {
 			return Result{}, fmt.Errorf("%s: %w", strings.Join(l, " "), err)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv("LOG_LEVEL") == "" {
+	if Trace = os.Getenv("LOG_LEVEL") != ""; !Trace {
 		slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	}
 	os.Exit(m.Run())
