--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -14,7 +14,6 @@
 	api.Host
 	born   time.Duration
 	listed time.Duration // from when the list shows it
-	failed bool
 }
 
 // Cloud stands in for the cloud.
