Accelerator machines: CPU work may use them while they are up, does not keep or rent them

Cause: the array's tasks kept all four accelerator machines from ever being idle, and more were rented for them. One-zone jobs may now rent in another zone.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -166,8 +166,8 @@
 		t := n.turfs[n.partOf(id)]
 		_, listed := f.hosts[id]
 		busy := len(n.book.onHost[id]) > 0
-		if busy {
-			m.idle = n.now
+		if n.keeps(m) {
+			m.idle, m.closing = n.now, false
 		}
 		if t == nil {
 			if n.now.Sub(max(m.heard, m.found)) > time.Minute {
@@ -175,6 +175,8 @@
 			}
 			continue
 		}
+		idle := m.heard != 0 && n.now.Sub(m.idle) > n.hold(m) && n.now.Sub(t.since) > n.hold(m)
+		m.closing = idle && n.accelerated(m.typ)
 		if m.deleting || busy {
 			continue
 		}
@@ -186,12 +188,23 @@
 			n.remove(m, t, "sick")
 			continue
 		}
-		if t.writing == nil && m.heard != 0 && n.now.Sub(m.idle) > n.hold(m) && n.now.Sub(t.since) > n.hold(m) {
+		if idle && t.writing == nil && len(m.tasks) == 0 {
 			n.remove(m, t, idleWhy)
 		}
 	}
 }
 
+// keeps reports whether a machine has work that it is kept for: any, but on
+// one with accelerators only such as needs them.
+func (n *Node) keeps(m *Machine) bool {
+	for p := range n.book.onHost[m.ID] {
+		if !n.accelerated(m.typ) || !n.plain(p.job.Spec) {
+			return true
+		}
+	}
+	return false
+}
+
 // hold is how long a machine may stand idle: as long as fetching another would
 // take. By then it has cost what returning it too early would cost.
 func (n *Node) hold(m *Machine) time.Duration {
@@ -212,27 +225,28 @@
 	f.rentNext = n.now.Add(time.Second)
 	type space struct {
 		offer
-		free api.Resources
+		free   api.Resources
+		closed bool
 	}
 	var spaces []space
 	seen := map[api.MachineID]bool{}
 	n.eachMachine(func(_ api.PartID, m *MachineNews) {
 		seen[m.ID] = true
 		if m.Usable {
-			spaces = append(spaces, space{offer{m.Type, m.Zone, m.Spot}, m.Free})
+			spaces = append(spaces, space{offer{m.Type, m.Zone, m.Spot}, m.Free, m.Closed})
 		}
 	})
 	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
 		h := f.hosts[id]
 		if typ := n.types[h.Type]; typ != nil && !seen[id] && h.State == api.MachineBooting && f.gone[id] == 0 {
-			spaces = append(spaces, space{offer{h.Type, h.Zone, h.Spot}, typ.Capacity()})
+			spaces = append(spaces, space{offer{h.Type, h.Zone, h.Spot}, typ.Capacity(), false})
 			seen[id] = true
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.rented)) {
 		r := f.rented[id]
 		if typ := n.types[r.typ]; typ != nil && !seen[id] && f.gone[id] == 0 {
-			spaces = append(spaces, space{r.offer, typ.Capacity()})
+			spaces = append(spaces, space{r.offer, typ.Capacity(), false})
 		}
 	}
 	left := map[api.Team]api.Resources{}
@@ -259,6 +273,7 @@
 		waiting = min(waiting, j.demand.Slots(left[j.Spec.Team]), budget)
 		budget -= waiting
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(waiting))
+		plain := n.plain(j.Spec)
 		var zone api.Zone
 		if j.Spec.OneZone && waiting > 0 {
 			room := map[api.Zone]int{}
@@ -267,14 +282,18 @@
 					room[s.zone] += j.demand.Slots(s.free)
 				}
 			}
-			zone = most(room)
+			// Where there is some room, the rest is rented beside it.
+			if zone = most(room); zone != "" && room[zone] == 0 {
+				zone = ""
+			}
 		}
+		all := waiting
 		for i := range spaces {
 			s := &spaces[i]
 			if waiting == 0 {
 				break
 			}
-			if (zone == "" || zone == s.zone) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
+			if (zone == "" || zone == s.zone) && !(plain && s.closed) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
 				k := min(waiting, j.demand.Slots(s.free))
 				s.free = s.free.Minus(j.demand.Times(k))
 				waiting -= k
@@ -282,6 +301,12 @@
 		}
 		for waiting > 0 {
 			o, ok := n.cheapest(j.Spec, need, zone)
+			if !ok && zone != "" {
+				zone, waiting = "", all // all of it somewhere else
+				if o, ok = n.cheapest(j.Spec, need, zone); ok {
+					zone = o.zone
+				}
+			}
 			if !ok {
 				break
 			}
@@ -292,7 +317,7 @@
 			free := n.types[o.typ].Capacity()
 			k := min(waiting, j.demand.Slots(free))
 			waiting -= k
-			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k))})
+			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k)), false})
 		}
 	}
 	if len(need) == 0 {
@@ -332,13 +357,13 @@
 
 // cheapest finds the offer with the lowest price for one task of the job.
 func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int, zone api.Zone) (offer, bool) {
-	demand := s.Demand()
+	demand, plain := s.Demand(), n.plain(s)
 	var best offer
 	bestPrice := 0.0
 	for _, name := range slices.Sorted(maps.Keys(n.types)) {
 		typ := n.types[name]
 		slots := demand.Slots(typ.Capacity())
-		if slots == 0 {
+		if slots == 0 || plain && typ.GPUs > 0 {
 			continue
 		}
 		zones := typ.Zones
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		mn := MachineNews{ID: id, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session,
-			Silent: n.now.Sub(m.heard), Usable: n.usable(m, t), Images: slices.Sorted(maps.Keys(m.images))}
+			Silent: n.now.Sub(m.heard), Usable: n.usable(m, t), Closed: m.closing, Images: slices.Sorted(maps.Keys(m.images))}
 		if mn.Usable {
 			mn.Free = n.freeOn(m, t)
 		}
@@ -306,7 +306,7 @@
 				if n.partOf(id) != t.part || !n.usable(m, t) || len(n.book.onHost[id]) > 0 || len(m.tasks) > 0 || m.calling {
 					continue
 				}
-				if l.Zone != "" && m.zone != l.Zone || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) ||
+				if l.Zone != "" && m.zone != l.Zone || n.accelerated(m.typ) && n.plain(l.Spec) || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) ||
 					!l.Spec.Demand().Fits(n.freeOn(m, t)) {
 					continue
 				}
--- a/control/machine.go
+++ b/control/machine.go
@@ -41,7 +41,8 @@
 	kick     bool     // something is to be told at once
 	missed   int      // direct calls without an answer, in a row
 	deleting bool
-	idle     api.Time // since when it has had nothing
+	idle     api.Time // since when it has had nothing that it is kept for
+	closing  bool     // idle for long: nothing that could go elsewhere starts on it
 	images   map[api.Image]cached
 	failed   map[api.JobRef]api.Time
 	sickTill api.Time
@@ -207,9 +208,6 @@
 		}
 		m.tasks[taskKey{id, tr.Attempt}] = tr
 	}
-	if len(m.tasks) > 0 {
-		m.idle = n.now
-	}
 	for _, p := range n.placesOn(m.ID) {
 		if p.Part != t.part || p.over {
 			continue
--- a/control/messages.go
+++ b/control/messages.go
@@ -201,6 +201,7 @@
 	Session api.Session
 	Silent  time.Duration // since its last report
 	Usable  bool
+	Closed  bool // only for work that needs its accelerators
 	Free    api.Resources
 	Images  []api.Image
 }
--- a/control/part.go
+++ b/control/part.go
@@ -394,7 +394,7 @@
 			continue
 		}
 		typ := n.types[m.typ]
-		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0,
+		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0, Closed: m.closing,
 			Fetch: typ.FetchRate, Images: map[api.Image]bool{}}
 		for img := range m.images {
 			sm.Images[img] = true
@@ -423,7 +423,8 @@
 		}
 		t.waiting += j.waiting(t.part)
 		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j),
-			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn}
+			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn,
+			Plain: n.plain(j.Spec)}
 		if len(j.failedOn)*2 > len(machines) {
 			sj.AvoidedBy = nil
 		}
@@ -504,6 +505,20 @@
 	return zones, known
 }
 
+// plain reports whether a type without accelerators can take the job's tasks.
+// Such work goes to the others last, and they are neither rented nor kept for
+// it: they are dear, and whole pieces of them should be free for the work that
+// needs them.
+func (n *Node) plain(s *api.JobSpec) bool {
+	demand := s.Demand()
+	for _, t := range n.types {
+		if t.GPUs == 0 && demand.Fits(t.Capacity()) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) startAim(c api.Class) float64 {
 	for _, o := range n.cfg.Deployment.Objectives {
 		if o.Kind == "wait" && o.Class == c {
@@ -591,7 +606,7 @@
 	}
 	var choices []choice
 	for _, sm := range in.Machines {
-		if !sched.Allowed(j.Spec, sm.Type, sm.Zone, sm.Spot) || sj.AvoidedBy[sm.ID] {
+		if !sched.Allowed(j.Spec, sm.Type, sm.Zone, sm.Spot) || sj.AvoidedBy[sm.ID] || sm.GPU && sj.Plain {
 			continue
 		}
 		if j.Spec.Spread && sj.Zones[sm.Zone] >= (j.Spec.Tasks+1)/2 {
--- a/control/user.go
+++ b/control/user.go
@@ -249,14 +249,21 @@
 func (n *Node) roomByPart(s *api.JobSpec) []int {
 	room := make([]int, len(n.book.parts))
 	demand := s.Demand()
+	plain := n.plain(s)
 	n.eachMachine(func(p api.PartID, m *MachineNews) {
-		if m.Usable && sched.Allowed(s, m.Type, m.Zone, m.Spot) {
+		if m.Usable && !(plain && m.Closed) && sched.Allowed(s, m.Type, m.Zone, m.Spot) {
 			room[p] += demand.Slots(m.Free)
 		}
 	})
 	return room
 }
 
+// accelerated reports whether machines of a type have accelerators.
+func (n *Node) accelerated(t api.TypeName) bool {
+	typ := n.types[t]
+	return typ != nil && typ.GPUs > 0
+}
+
 // waitingIn counts tasks of a part that wait, in units of a demand.
 func (n *Node) waitingIn(p api.PartID, demand api.Resources) int {
 	count := 0
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -18,6 +18,7 @@
 	Spot   bool
 	Free   api.Resources
 	GPU    bool               // the type has accelerators
+	Closed bool               // only for work that needs its accelerators
 	Speed  float64            // relative, 1 when unknown
 	Images map[api.Image]bool // cached, as far as known
 	Fetch  float64            // GB per second
@@ -33,6 +34,7 @@
 	Entitled  bool             // within its team's guarantee
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
 	AvoidedBy map[api.MachineID]bool
+	Plain     bool // some type without accelerators can take its tasks
 }
 
 // Input is everything a round looks at.
@@ -96,7 +98,7 @@
 	if j.Entitled {
 		gain += entitledBonus
 	}
-	if m.GPU && j.Demand.GPU == 0 {
+	if m.GPU && j.Plain {
 		gain -= scarcePenalty
 	}
 	if !m.Images[j.Spec.Image] && m.Fetch > 0 {
@@ -261,7 +263,7 @@
 		g.Edge(i, unscheduled, nd.supply, 0)
 		for mi := range in.Machines {
 			m := &in.Machines[mi]
-			if !j.Demand.Fits(free[mi]) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
+			if !j.Demand.Fits(free[mi]) || m.Closed && j.Plain || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
 				!ZoneOpen(j.Spec, j.Zones, m.Zone) {
 				continue
 			}
