--- a/control/part.go
+++ b/control/part.go
@@ -388,6 +388,7 @@
 func (n *Node) schedule(t *turf, w *writing, most int) []*Place {
 	in := &sched.Input{Largest: n.largest, Left: n.leftOf(t.part), Most: most}
 	var machines []*Machine
+	cpus := 0.0
 	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
 		m := n.machines[id]
 		if n.partOf(id) != t.part || !n.usable(m, t) {
@@ -400,6 +401,7 @@
 			sm.Images[img] = true
 		}
 		in.Machines = append(in.Machines, sm)
+		cpus += typ.CPUs
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
@@ -422,7 +424,7 @@
 			continue // where its other tasks are is not known yet
 		}
 		t.waiting += j.waiting(t.part)
-		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j),
+		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
 			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn,
 			Plain: n.plain(j.Spec)}
 		if len(j.failedOn)*2 > len(machines) {
@@ -528,22 +530,44 @@
 	return 0
 }
 
-// urgency grows from 0 to 1 as a job nears the time it should be complete.
-func (n *Node) urgency(j *Job) float64 {
-	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
-	limit := 0.0
-	if j.Spec.Deadline != nil {
-		limit = *j.Spec.Deadline
-	}
+// limits are the times after submission by which the job should be complete, by
+// its deadline and its class's aims, in order.
+func (n *Node) limits(s *api.JobSpec) []float64 {
+	var out []float64
 	for _, o := range n.cfg.Deployment.Objectives {
-		if o.Class == j.Spec.Class && o.Kind == "finished" {
-			limit = max(limit, o.Within)
+		switch {
+		case o.Class != s.Class:
+		case o.Kind == "finished":
+			out = append(out, o.Within)
+		case o.Kind == "deadline" && s.Deadline != nil && o.Times > 0:
+			out = append(out, *s.Deadline*o.Times)
 		}
 	}
-	if limit <= 0 {
-		limit = 600
+	if len(out) == 0 && s.Deadline != nil {
+		out = append(out, *s.Deadline)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// urgency orders jobs of one rank, between 0 and 1. Of the jobs that can still
+// be complete in time, those with least work left go first: so as many as
+// possible are in time when not all can be. A job that can't be in time any
+// more waits for the others.
+func (n *Node) urgency(j *Job, cpus float64) float64 {
+	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
+	limits := n.limits(j.Spec)
+	if len(limits) == 0 {
+		return min(1, elapsed/600)
+	}
+	for i, l := range limits {
+		if elapsed+j.Spec.Estimate > l {
+			continue
+		}
+		left := float64(j.Spec.Tasks-j.doneN) * j.demand.CPU.Float() * j.Spec.Estimate
+		return (0.2 + 0.8/(1+left/(cpus*10+1))) / float64(1+i)
 	}
-	return min(1, elapsed/limit)
+	return 0.05 * min(1, elapsed/(10*limits[len(limits)-1]))
 }
 
 func (n *Node) totalUsage() map[api.Team]api.Resources {
