Services keep off accelerator machines

Cause: services with no other room settled on accelerator machines and blocked gangs for good (wait p90 over 400 s). Also: a submission whose write is not answered soon goes to a peer.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -212,7 +212,7 @@
 	if typ == nil {
 		return time.Minute
 	}
-	return max(15*time.Second, api.Seconds(4*typ.Boot))
+	return max(15*time.Second, api.Seconds(typ.Boot))
 }
 
 // rent finds the waiting tasks that fit nowhere, neither on what is up nor on
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -35,7 +35,7 @@
 		return
 	}
 	n.gossipAt = n.now.Add(gossipEvery)
-	g := &Gossip{From: n.cfg.Label, StateOK: n.stateOK}
+	g := &Gossip{From: n.cfg.Label, StateOK: !n.unreachable()}
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		g.Parts = append(g.Parts, n.news(n.turfs[p]))
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -99,7 +99,7 @@
 func New(cfg *config.Config, born int64) *Node {
 	d := cfg.Deployment
 	n := &Node{
-		cfg: cfg, born: born, calls: map[CallID]func(any){}, book: newBook(d.Size),
+		cfg: cfg, born: born, calls: map[CallID]func(any){}, asked: map[CallID]api.Time{}, book: newBook(d.Size),
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
@@ -198,22 +198,41 @@
 	if c.Timeout == 0 {
 		c.Timeout = stateTimeout
 	}
-	c.ID = n.callID(func(a any) {
+	var id CallID
+	id = n.callID(func(a any) {
 		ans := a.(StateAnswer)
-		switch {
-		case ans.Status == 0 || ans.Status == 503:
-			if n.stateOK || n.stateBad == 0 {
-				n.stateBad = n.now
-			}
+		delete(n.asked, id)
+		if ans.Status == 0 || ans.Status == 503 {
 			n.stateOK = false
-		case ans.Status != 429:
+		} else if ans.Status != 429 {
 			n.stateOK = true
 		}
 		f(ans)
 	})
+	c.ID = id
+	if c.Changes == nil || c.Changes.Wait == 0 {
+		n.asked[id] = n.now
+	}
 	n.emit(c)
 }
 
+// slowState is when the state service is taken not to answer this node, for
+// the time being: its answers usually take a few milliseconds.
+const slowState = 150 * time.Millisecond
+
+// unreachable reports whether the state service seems not to answer us.
+func (n *Node) unreachable() bool {
+	if !n.loaded || !n.stateOK {
+		return true
+	}
+	for _, at := range n.asked {
+		if n.now.Sub(at) > slowState {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) txn(t api.Txn, f func(StateAnswer)) {
 	n.state(StateCall{Txn: &t}, f)
 }
--- a/control/user.go
+++ b/control/user.go
@@ -66,28 +66,36 @@
 	}, fail)
 }
 
+// helper is a peer that reaches the state service, or none.
+func (n *Node) helper() api.Label {
+	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
+		if p := n.peers[l]; p.gossip.StateOK && p.heard != 0 && n.now.Sub(p.heard) < 3*gossipEvery {
+			return l
+		}
+	}
+	return ""
+}
+
 // forward passes a request to a peer that reaches the state service, or
 // refuses it at once.
 func (n *Node) forward(req ReqID, f Forward, already bool) {
-	if !already {
-		for _, l := range slices.Sorted(maps.Keys(n.peers)) {
-			if p := n.peers[l]; p.gossip.StateOK && p.heard != 0 && n.now.Sub(p.heard) < 3*gossipEvery {
-				n.peer(l, PeerMessage{Forward: &f}, func(a PeerAnswer) {
-					if !a.OK || a.Reply.Status == 0 {
-						n.refuse(req, 503, "no peer answers")
-						return
-					}
-					n.emit(Reply{req, a.Reply.Status, a.Reply.Body, a.Reply.RetryAfter})
-				})
-				return
-			}
-		}
+	l := n.helper()
+	if already || l == "" {
+		n.refuse(req, 503, "state service not reachable")
+		return
 	}
-	n.refuse(req, 503, "state service not reachable")
+	n.peer(l, PeerMessage{Forward: &f}, func(a PeerAnswer) {
+		if !a.OK || a.Reply.Status == 0 {
+			n.refuse(req, 503, "no peer answers")
+			return
+		}
+		n.emit(Reply{req, a.Reply.Status, a.Reply.Body, a.Reply.RetryAfter})
+	})
 }
 
-func (n *Node) unreachable() bool {
-	return !n.loaded || (!n.stateOK && n.stateBad != 0 && n.now.Sub(n.stateBad) > 500*time.Millisecond)
+// pass reports whether a request is better passed on to a peer at once.
+func (n *Node) pass(already bool) bool {
+	return !n.loaded || n.unreachable() && !already && n.helper() != ""
 }
 
 func (n *Node) poll(c Poll) {
@@ -101,7 +109,7 @@
 		return
 	}
 	elsewhere := func() { n.forward(c.Req, Forward{Kind: "poll", Ref: c.Ref}, c.Forwarded) }
-	if n.unreachable() {
+	if n.pass(c.Forwarded) {
 		elsewhere()
 		return
 	}
@@ -170,7 +178,7 @@
 		known(s)
 		return
 	}
-	if n.unreachable() || len(n.types) == 0 {
+	if n.pass(c.Forwarded) || len(n.types) == 0 {
 		elsewhere()
 		return
 	}
@@ -189,7 +197,14 @@
 		return
 	}
 	job, final := keyJob+string(spec.Ref), keyFinal+string(spec.Ref)
-	n.txn(api.Txn{If: []api.Condition{{Key: job}, {Key: final}}, Writes: []api.Write{{Put: job, Value: v}}}, func(a StateAnswer) {
+	// With a peer that can help, an answer that does not come soon is not
+	// waited for: the peer may write the same job, and one of the two counts.
+	timeout := stateTimeout
+	if !c.Forwarded && n.helper() != "" {
+		timeout = slowState
+	}
+	tx := api.Txn{If: []api.Condition{{Key: job}, {Key: final}}, Writes: []api.Write{{Put: job, Value: v}}}
+	n.state(StateCall{Txn: &tx, Timeout: timeout}, func(a StateAnswer) {
 		switch a.Status {
 		case 200:
 			n.reply(c.Req, 201, api.JobStatus{Ref: spec.Ref, State: api.JobPending}, 0)
@@ -313,7 +328,7 @@
 		return
 	}
 	elsewhere := func() { n.forward(c.Req, Forward{Kind: "cancel", Ref: c.Ref}, c.Forwarded) }
-	if n.unreachable() {
+	if n.pass(c.Forwarded) {
 		elsewhere()
 		return
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -263,7 +263,8 @@
 		g.Edge(i, unscheduled, nd.supply, 0)
 		for mi := range in.Machines {
 			m := &in.Machines[mi]
-			if !j.Demand.Fits(free[mi]) || m.Closed && j.Plain || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
+			// Work without an end would block an accelerator for good.
+			if !j.Demand.Fits(free[mi]) || j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
 				!ZoneOpen(j.Spec, j.Zones, m.Zone) {
 				continue
 			}
