--- a/control/node.go
+++ b/control/node.go
@@ -48,8 +48,8 @@
 	watchNext api.Time
 	syncing   bool
 	waiters   []syncWaiter
-	stateOK   bool
-	stateBad  api.Time // since when the state service has not answered us
+	stateOK   bool                // its last answer was one
+	asked     map[CallID]api.Time // calls to it that should be answered at once
 
 	lease      api.LeaseID
 	leaseBusy  bool
--- a/control/user.go
+++ b/control/user.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"time"
 
 	"basaltwall/api"
 	"basaltwall/config"
