--- a/control/gossip.go
+++ b/control/gossip.go
@@ -38,6 +38,7 @@
 	g := &Gossip{From: n.cfg.Label, StateOK: !n.unreachable()}
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		g.Parts = append(g.Parts, n.news(n.turfs[p]))
+		n.wanted(p, n.turfs[p].want)
 	}
 	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[l]
@@ -52,10 +53,23 @@
 func (n *Node) hear(c Hear) {
 	if p := n.peers[c.Gossip.From]; p != nil {
 		p.gossip, p.heard = *c.Gossip, n.now
+		for _, pn := range p.gossip.Parts {
+			n.wanted(pn.Part, pn.Want)
+		}
 	}
 	n.reply(c.Req, 200, struct{}{}, 0)
 }
 
+// wanted has our other parts run a round in which they may give of their shares.
+func (n *Node) wanted(by api.PartID, want map[api.Team]api.Resources) {
+	if len(want) == 0 {
+		return
+	}
+	for p, t := range n.turfs {
+		t.dirty = t.dirty || p != by
+	}
+}
+
 // eachMachine visits the machines of all parts, others' as their owners tell.
 func (n *Node) eachMachine(visit func(api.PartID, *MachineNews)) {
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
@@ -169,15 +183,24 @@
 				best, most = api.PartID(q), r
 			}
 		}
+		if capacity := n.capacityByPart(j.Spec); j.Spec.Whole() && most == 0 && capacity[t.part] < j.Spec.Tasks {
+			// It can never be placed here; there it may wait or have others
+			// make way.
+			for q, c := range capacity {
+				if c >= j.Spec.Tasks && c > most {
+					best, most = api.PartID(q), c
+				}
+			}
+		}
 		if most == 0 {
 			continue
 		}
 		if j.Spec.Whole() {
 			holds := n.partsHolding(j.Spec)
-			if holds[t.part] || len(holds) == 0 {
+			if holds[t.part] {
 				continue
 			}
-			if !holds[best] {
+			if len(holds) > 0 && !holds[best] {
 				best = slices.Min(slices.Collect(maps.Keys(holds)))
 			}
 		}
--- a/control/user.go
+++ b/control/user.go
@@ -230,6 +230,13 @@
 	if s.Whole() {
 		holds = n.partsHolding(s)
 	}
+	if s.Whole() && len(holds) == 0 {
+		// Nobody has room: better wait, or make lower work give way, where
+		// there are machines for it at all.
+		for i, c := range n.capacityByPart(s) {
+			weight[i] += float64(c) - float64(room[i])
+		}
+	}
 	for i := range weight {
 		if h, b := holds[api.PartID(i)], holds[api.PartID(best)]; h && !b || h == b && weight[i] > weight[best] {
 			best = i
@@ -272,6 +279,20 @@
 	return room
 }
 
+// capacityByPart counts how many tasks of a job each part's machines could
+// hold if they were empty.
+func (n *Node) capacityByPart(s *api.JobSpec) []int {
+	out := make([]int, len(n.book.parts))
+	demand, plain := s.Demand(), n.plain(s)
+	n.eachMachine(func(p api.PartID, m *MachineNews) {
+		typ := n.types[m.Type]
+		if m.Usable && typ != nil && sched.Allowed(s, m.Type, m.Zone, m.Spot) && !(plain && typ.GPUs > 0) {
+			out[p] += demand.Slots(typ.Capacity())
+		}
+	})
+	return out
+}
+
 // accelerated reports whether machines of a type have accelerators.
 func (n *Node) accelerated(t api.TypeName) bool {
 	typ := n.types[t]
