--- a/control/book.go
+++ b/control/book.go
@@ -206,6 +206,7 @@
 	fails    int
 	failedOn map[api.MachineID]bool
 	moved    api.Time
+	begun    bool // a start was planned here
 }
 
 // state is what users are told. A job all of whose tasks are done is done even
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -54,6 +54,11 @@
 const (
 	listEvery  = 4 * time.Second
 	typesEvery = time.Minute
+
+	// A machine usually boots within 1.5 times its type's boot time. After
+	// that, others are rented in its stead; later it is given up.
+	lateBoot = 1.5
+	deadBoot = 2.5
 )
 
 func (n *Node) runFleet() {
@@ -156,7 +161,7 @@
 			n.remove(m, t, "failed")
 		case api.MachineBooting:
 			typ := n.types[h.Type]
-			if m.heard == 0 && typ != nil && h.Age > 3*typ.Boot+20 {
+			if m.heard == 0 && typ != nil && h.Age > deadBoot*typ.Boot+10 {
 				n.remove(m, t, "does not come up")
 			}
 		}
@@ -239,8 +244,11 @@
 	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
 		h := f.hosts[id]
 		if typ := n.types[h.Type]; typ != nil && !seen[id] && h.State == api.MachineBooting && f.gone[id] == 0 {
-			spaces = append(spaces, space{offer{h.Type, h.Zone, h.Spot}, typ.Capacity(), false})
 			seen[id] = true
+			if h.Age > lateBoot*typ.Boot {
+				continue // not to be counted on any more
+			}
+			spaces = append(spaces, space{offer{h.Type, h.Zone, h.Spot}, typ.Capacity(), false})
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.rented)) {
--- a/control/part.go
+++ b/control/part.go
@@ -222,6 +222,12 @@
 	slot := w.txn.Writes[0].Put
 	n.book.vers[slot] = max(n.book.vers[slot], rev)
 	n.book.foldRecord(t.part, &w.rec)
+	for _, d := range w.rec.Jobs {
+		if j := n.book.jobs[d.Job]; j != nil && len(d.Done) > 0 && j.state() == api.JobDone {
+			slog.Info("job done", "job", d.Job, "class", j.Spec.Class, "tasks", j.Spec.Tasks, "estimate", j.Spec.Estimate,
+				"after", float64(n.wall-j.Accepted)/1000, "limits", n.limits(j.Spec))
+		}
+	}
 	for _, s := range w.starts {
 		if p := s.job.places[s.Task.Index]; p != nil {
 			p.since = n.now
@@ -443,6 +449,10 @@
 	for _, pl := range sched.Round(in) {
 		m, j := machines[pl.Machine], jobs[pl.Job]
 		placed[pl.Job]++
+		if !j.begun {
+			j.begun = true
+			slog.Info("job starts", "job", j.ref, "class", j.Spec.Class, "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
+		}
 		starts = append(starts, &Place{Task: api.TaskID{Job: j.ref, Index: pl.Task}, Part: t.part, Machine: m.ID, Session: m.session, job: j})
 	}
 	n.unplaced(t, in, jobs, placed)
