--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -154,6 +154,7 @@
 	if r.end == 0 {
 		return Result{}, fmt.Errorf("no end")
 	}
+	r.w.StartAll()
 	r.w.Run(r.end)
 	res := Result{Problems: r.w.Check.Broken, World: r.w}
 	for _, e := range r.expects {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -38,7 +38,7 @@
 func (c *Cloud) Rent(typ api.TypeName, zone api.Zone, spot bool, boot time.Duration) api.MachineID {
 	id := api.MachineID(fmt.Sprintf("i-%06d", c.last))
 	c.last++
-	h := &rentedHost{Host: api.Host{ID: id, Address: fmt.Sprintf("10.1.0.%d:9000", c.last), Type: typ, Zone: zone, Spot: spot,
+	h := &rentedHost{Host: api.Host{ID: id, Address: c.w.Address(c.last), Type: typ, Zone: zone, Spot: spot,
 		State: api.MachineBooting}, born: c.w.Now, listed: c.w.Now + c.Lag}
 	c.hosts[id] = h
 	c.w.After(boot, func() {
--- /dev/null
+++ b/internal/standin/live.go
@@ -0,0 +1,251 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/config"
+)
+
+// Live runs the stand-ins in real time on loopback, for controllers that are
+// real processes. Its door takes users' requests to the controllers, as a load
+// balancer would, and remembers what they submit for the workers.
+type Live struct {
+	Configs []*config.Config
+	Files   [][]byte // the controllers' settings files
+	Door    string   // where users' requests go
+
+	mu     sync.Mutex
+	world  *World
+	client http.Client
+	turn   int
+	ctx    context.Context
+}
+
+// listen finds a free port on loopback.
+func listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in: %w", err)
+	}
+	return l, nil
+}
+
+// StartLive starts the stand-ins with a few machines of a small type.
+func StartLive(ctx context.Context, controllers, machines int) (*Live, error) {
+	l := &Live{ctx: ctx, client: http.Client{Timeout: 4 * time.Second}}
+	var open []net.Listener
+	for range 3 {
+		ln, err := listen()
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, ln)
+	}
+	if err := l.settings(controllers, open[0].Addr().String(), open[1].Addr().String()); err != nil {
+		return nil, err
+	}
+	l.Door = open[2].Addr().String()
+	w := NewWorld(1, l.Configs)
+	l.world = w
+	w.Cloud.Types = []api.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 5, Zones: []api.Zone{"a", "b"}}}
+	w.Cloud.Capacity = 2 * machines
+	w.Deliver = l.deliver
+	workers := map[int]net.Listener{}
+	w.Address = func(number int) string {
+		ln, err := listen()
+		if err != nil {
+			return "127.0.0.1:1" // it will seem unreachable
+		}
+		workers[number] = ln
+		return ln.Addr().String()
+	}
+	w.OnWorker = func(wk *Worker) {
+		for n, ln := range workers {
+			if ln.Addr().String() == wk.addr {
+				delete(workers, n)
+				l.serve(ln, func(_, _, _ string, body []byte, answer func(int, []byte)) { wk.commands(body, answer) })
+			}
+		}
+	}
+	for i := range machines {
+		w.Cloud.Rent("small", api.Zone([]string{"a", "b"}[i%2]), false, time.Second)
+	}
+	l.serve(open[0], w.State.Serve)
+	l.serve(open[1], func(_, method, target string, body []byte, answer func(int, []byte)) {
+		answer(w.Cloud.Serve(method, target, body))
+	})
+	l.door(open[2])
+	go l.run()
+	return l, nil
+}
+
+func (l *Live) settings(controllers int, state, cloud string) error {
+	type peer struct{ label, api, peer string }
+	var all []peer
+	for i := range controllers {
+		p := peer{label: "stone-" + strconv.Itoa(i)}
+		for _, addr := range []*string{&p.api, &p.peer} {
+			ln, err := listen()
+			if err != nil {
+				return err
+			}
+			*addr = ln.Addr().String()
+			if err := ln.Close(); err != nil {
+				return fmt.Errorf("stand-in: %w", err)
+			}
+		}
+		all = append(all, p)
+	}
+	for _, p := range all {
+		peers := []map[string]string{}
+		for _, o := range all {
+			if o != p {
+				peers = append(peers, map[string]string{"label": o.label, "domain": "a", "peer_addr": o.peer})
+			}
+		}
+		data, err := json.MarshalIndent(map[string]any{
+			"label": p.label, "domain": "a", "api_addr": p.api, "peer_listen": p.peer, "peers": peers,
+			"external": map[string]string{"cloud": cloud, "state": state},
+			"deployment": map[string]any{"initial_size": controllers, "zones": []string{"a", "b"},
+				"teams":   []map[string]any{{"name": "red", "cpus": 8, "cpus_max": 0, "gpus": 0, "gpus_max": 0}},
+				"workers": map[string]float64{"report_s": 3, "lease_s": 30, "gang_wait_s": 30, "gang_peer_s": 5, "cancel_s": 60},
+				"state":   map[string]float64{"rps": 500, "write_rps": 200, "value_kb": 8, "txn_ops": 12},
+				"cloud":   map[string]float64{"rps": 10, "list_lag_s": 5},
+				"limits":  map[string]float64{"cpu_share": 1, "memory_mb": 300, "fd_limit": 1000}},
+		}, "", "  ")
+		if err != nil {
+			return fmt.Errorf("stand-in: %w", err)
+		}
+		c, err := config.Parse(data)
+		if err != nil {
+			return fmt.Errorf("stand-in: %w", err)
+		}
+		l.Configs, l.Files = append(l.Configs, c), append(l.Files, data)
+	}
+	return nil
+}
+
+// run lets the world's clock follow the real one.
+func (l *Live) run() {
+	start := time.Now()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-tick.C:
+			l.mu.Lock()
+			l.world.Run(time.Since(start))
+			l.mu.Unlock()
+		}
+	}
+}
+
+// Broken lists the broken rules that the checker has seen.
+func (l *Live) Broken() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.world.Check.Broken...)
+}
+
+type answered struct {
+	status int
+	body   []byte
+}
+
+// serve answers requests on a listener with a handler of the world.
+func (l *Live) serve(ln net.Listener, handle func(node, method, target string, body []byte, answer func(int, []byte))) {
+	l.http(ln, func(rw http.ResponseWriter, r *http.Request, body []byte) {
+		c := make(chan answered, 1)
+		l.mu.Lock()
+		handle("", r.Method, r.URL.RequestURI(), body, func(status int, b []byte) { c <- answered{status, b} })
+		l.mu.Unlock()
+		select {
+		case a := <-c:
+			rw.WriteHeader(a.status)
+			rw.Write(a.body)
+		case <-r.Context().Done():
+		case <-l.ctx.Done():
+		}
+	})
+}
+
+func (l *Live) http(ln net.Listener, handle func(http.ResponseWriter, *http.Request, []byte)) {
+	s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+		if err != nil {
+			return
+		}
+		handle(rw, r, body)
+	})}
+	go s.Serve(ln)
+	context.AfterFunc(l.ctx, func() { s.Close() })
+}
+
+// deliver sends a worker's report to a controller.
+func (l *Live) deliver(name, method, path string, body []byte, answer func(int, []byte)) {
+	addr := l.world.cfgs[name].APIAddr
+	go func() {
+		status, b := l.send(method, addr, path, body)
+		if status == 0 {
+			return
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		answer(status, b)
+	}()
+}
+
+func (l *Live) send(method, addr, path string, body []byte) (int, []byte) {
+	req, err := http.NewRequestWithContext(l.ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return res.StatusCode, b
+}
+
+// door passes users' requests on to the controllers by turns.
+func (l *Live) door(ln net.Listener) {
+	l.http(ln, func(rw http.ResponseWriter, r *http.Request, body []byte) {
+		l.mu.Lock()
+		l.turn++
+		first := l.turn
+		if r.Method == "POST" && r.URL.Path == api.PathJobs {
+			if s, err := api.ParseJob(body); err == nil && l.world.Users.specs[s.Ref] == nil {
+				l.world.Users.specs[s.Ref], l.world.Users.runs[s.Ref] = s, api.Seconds(s.Estimate)
+				l.world.Check.Submitted(s)
+			}
+		}
+		l.mu.Unlock()
+		for i := range l.Configs {
+			c := l.Configs[(first+i)%len(l.Configs)]
+			if status, b := l.send(r.Method, c.APIAddr, r.URL.RequestURI(), body); status != 0 {
+				rw.Header().Set("Content-Type", "application/json")
+				rw.WriteHeader(status)
+				rw.Write(b)
+				return
+			}
+		}
+		rw.WriteHeader(http.StatusBadGateway)
+	})
+}
--- /dev/null
+++ b/internal/standin/live/main.go
@@ -0,0 +1,62 @@
+// Command live runs the stand-ins for the state service, the cloud and its
+// workers on loopback and in real time, so that controllers can be tried on one
+// machine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+
+	"github.com/alecthomas/kong"
+
+	"basaltwall/internal/standin"
+)
+
+type cli struct {
+	Dir         string `default:"." help:"Where the settings files are written."`
+	Controllers int    `default:"3" help:"How many controllers there will be."`
+	Machines    int    `default:"4" help:"How many machines are up at the start."`
+}
+
+func run(c *cli) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	l, err := standin.StartLive(ctx, c.Controllers, c.Machines)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
+		return fmt.Errorf("settings files: %w", err)
+	}
+	fmt.Println("Start each controller in a shell of its own:")
+	for i, f := range l.Files {
+		name := filepath.Join(c.Dir, fmt.Sprintf("%s.json", l.Configs[i].Label))
+		if err := os.WriteFile(name, f, 0o644); err != nil {
+			return fmt.Errorf("settings files: %w", err)
+		}
+		fmt.Printf("  target/basaltwall --config %s\n", name)
+	}
+	fmt.Printf(`Then submit, poll and cancel:
+  curl -d '{"ref":"run-1","mestiere":"try","bottega":"red","forma":"sweep","urgenza":"normal","pezzi":8,"cores":1,"gpus":0,"ram_gb":1,"stampo":"img","image_gb":1,"together":false,"scatter":false,"avanzi":false,"stima_s":20,"tappa_s":0,"salvo_s":0}' http://%[1]s/v1/jobs
+  curl http://%[1]s/v1/jobs/run-1
+  curl -X POST http://%[1]s/v1/jobs/run-1/withdraw
+End this with Ctrl-C.
+`, l.Door)
+	<-ctx.Done()
+	for _, b := range l.Broken() {
+		fmt.Println("rule broken:", b)
+	}
+	return nil
+}
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Name("live"), kong.Description("Stand-ins for trying basaltwall on one machine."))
+	if err := run(&c); err != nil {
+		fmt.Fprintln(os.Stderr, "live:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -65,7 +65,7 @@
 	}
 	u.w.After(timeout, func() { settle(0, nil) })
 	u.w.across(name, SideUsers, func() {
-		u.w.deliver(name, method, path, body, func(status int, b []byte) {
+		u.w.Deliver(name, method, path, body, func(status int, b []byte) {
 			u.w.across(name, SideUsers, func() { settle(status, b) })
 		})
 	})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -75,6 +75,7 @@
 		}
 	}
 	w.workers[h.ID] = wk
+	w.OnWorker(wk)
 	wk.tick()
 }
 
@@ -199,7 +200,7 @@
 		}
 	})
 	w.across(name, SideWorkers, func() {
-		w.deliver(name, "POST", api.PathCheckin, body, func(status int, answer []byte) {
+		w.Deliver(name, "POST", api.PathCheckin, body, func(status int, answer []byte) {
 			w.across(name, SideWorkers, func() {
 				if settled || wk.dead || wk.hung > w.Now {
 					return
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -85,8 +85,15 @@
 	// after the request was carried out; DelayState that share of requests
 	// arrive seconds late, after their sender has given up.
 	LoseAnswers, DelayState float64
-	gangs                   map[gangKey]*gang
-	saved                   map[api.JobRef]time.Duration
+
+	// Deliver carries a worker's or user's request to a controller; Address
+	// names a new machine's address and OnWorker is told when it is up.
+	Deliver  func(name, method, path string, body []byte, answer func(int, []byte))
+	Address  func(number int) string
+	OnWorker func(*Worker)
+
+	gangs map[gangKey]*gang
+	saved map[api.JobRef]time.Duration
 }
 
 type host struct {
@@ -100,7 +107,7 @@
 	begun time.Duration
 }
 
-// NewWorld builds a deployment of three controllers.
+// NewWorld builds a deployment; StartAll starts its controllers.
 func NewWorld(seed uint64, cfgs []*config.Config) *World {
 	w := &World{
 		rand: rand.New(rand.NewPCG(seed, 7)), cfgs: map[string]*config.Config{}, nodes: map[string]*host{},
@@ -114,11 +121,20 @@
 	for _, c := range cfgs {
 		w.cfgs[string(c.Label)] = c
 		w.names = append(w.names, string(c.Label))
-		w.Start(string(c.Label))
 	}
+	w.Deliver = w.deliver
+	w.Address = func(number int) string { return fmt.Sprintf("10.1.0.%d:9000", number) }
+	w.OnWorker = func(*Worker) {}
 	return w
 }
 
+// StartAll starts the controllers.
+func (w *World) StartAll() {
+	for _, name := range w.names {
+		w.Start(name)
+	}
+}
+
 // After schedules an event.
 func (w *World) After(d time.Duration, do func()) {
 	w.seq++
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	os.Exit(m.Run())
+}
+
+func request(t *testing.T, method, url string, body []byte) (int, api.JobStatus) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, api.JobStatus{}
+	}
+	defer res.Body.Close()
+	var s api.JobStatus
+	if data, err := io.ReadAll(res.Body); err == nil && res.StatusCode < 300 {
+		if err := json.Unmarshal(data, &s); err != nil {
+			t.Fatalf("%s: %v", data, err)
+		}
+	}
+	return res.StatusCode, s
+}
+
+// eventually tries until it works; the bound only ends a test that hangs.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 1200 {
+		if ok() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s: never", what)
+}
+
+const job = `{"ref":"%s","mestiere":"try","bottega":"red","forma":"%s","urgenza":"normal","pezzi":%d,"cores":1,"gpus":0,
+"ram_gb":1,"stampo":"img","image_gb":1,"together":false,"scatter":false,"avanzi":false,"stima_s":%d,"tappa_s":0,"salvo_s":0}`
+
+// Real controllers on real sockets: jobs are accepted, run, polled, cancelled,
+// and survive a controller's end.
+func TestControllersOnLoopback(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := standin.StartLive(ctx, 3, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	start := func(i int) context.CancelFunc {
+		ctx, stop := context.WithCancel(ctx)
+		wg.Go(func() {
+			if err := New(l.Configs[i]).Run(ctx); err != nil {
+				t.Errorf("controller %d: %v", i, err)
+			}
+		})
+		return stop
+	}
+	stop := start(0)
+	start(1)
+	start(2)
+	base := "http://" + l.Door + api.PathJobs
+	eventually(t, "an array accepted", func() bool {
+		code, _ := request(t, "POST", base, fmt.Appendf(nil, job, "run-1", "sweep", 6, 1))
+		return code == 201 || code == 200
+	})
+	eventually(t, "a service accepted", func() bool {
+		code, _ := request(t, "POST", base, fmt.Appendf(nil, job, "run-2", "daemon", 2, 0))
+		return code == 201 || code == 200
+	})
+	eventually(t, "the array done", func() bool {
+		_, s := request(t, "GET", base+"/run-1", nil)
+		return s.State == api.JobDone
+	})
+	stop()
+	eventually(t, "a gang done without the first controller", func() bool {
+		request(t, "POST", base, fmt.Appendf(nil, job, "run-3", "ensemble", 2, 1))
+		_, s := request(t, "GET", base+"/run-3", nil)
+		return s.State == api.JobDone
+	})
+	eventually(t, "the service cancelled", func() bool {
+		code, s := request(t, "POST", base+"/run-2/"+api.EndCancel, nil)
+		return code == 200 && s.State == api.JobCancelled
+	})
+	for url, want := range map[string]int{base + "/run-77": 404, base + "/x": 404, base: 405, "http://" + l.Door + "/nothing": 404} {
+		if code, _ := request(t, "GET", url, nil); code != want {
+			t.Errorf("GET %s: %d, expected %d", url, code, want)
+		}
+	}
+	if code, _ := request(t, "POST", base, []byte(`{"ref":"run-9"}`)); code != 400 {
+		t.Errorf("a malformed job gets %d", code)
+	}
+	if code, _ := request(t, "POST", base, bytes.Repeat([]byte(" "), 70_000)); code != 413 {
+		t.Errorf("an over-long body gets %d", code)
+	}
+	for _, b := range l.Broken() {
+		t.Error(b)
+	}
+	cancel()
+	wg.Wait()
+}
