--- a/control/part.go
+++ b/control/part.go
@@ -95,9 +95,6 @@
 		return
 	}
 	p.over = true
-	if p.job.Cancelled {
-		done = false
-	}
 	t.ends[p] = done
 	t.dirty = true
 	if !done {
@@ -204,12 +201,7 @@
 		return
 	}
 	t.writing = nil
-	for p, done := range w.ends {
-		if p.job.Cancelled {
-			done = false
-		}
-		t.ends[p] = done
-	}
+	maps.Copy(t.ends, w.ends)
 	t.dirty = true
 }
 
@@ -269,7 +261,10 @@
 			delete(t.ends, p) // put away with its job
 			continue
 		}
-		done := t.ends[p]
+		// The evidence may have come before the cancellation: a completion
+		// that is not recorded by then never is, or the job would be called
+		// done after it was called cancelled.
+		done := t.ends[p] && !p.job.Cancelled
 		if p.job.Spec.Kind == api.Gang && !done && !p.job.Cancelled && n.gangDone(t, p.job) {
 			done = true // when one task of a gang is done, all are
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -22,6 +22,7 @@
 //	cloud AT FOR                        the cloud is down
 //	kill AT MACHINE                     a machine fails silently
 //	hang AT FOR MACHINE
+//	late AT FOR MACHINE                 direct commands to it are held on their way
 //	sick AT FOR MACHINE                 every task fails that it starts
 //	random SEED FROM TO                 faults drawn by chance
 //	end AT
@@ -201,7 +202,7 @@
 	rest := l[1:]
 	forms := map[string]string{"limit": "sn", "capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
 		"cut": "ddsss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds",
-		"hang": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn"}
+		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -249,6 +250,8 @@
 		w.After(ds[0], func() { w.Kill(machine(0)) })
 	case "hang":
 		w.After(ds[0], func() { w.Hang(machine(0), ds[1]) })
+	case "late":
+		w.After(ds[0], func() { w.HoldDirect(machine(0), ds[1]) })
 	case "sick":
 		w.After(ds[0], func() { w.Sicken(machine(0), ds[1]) })
 	case "random":
@@ -421,6 +424,7 @@
 			func() { r.w.Kill(machine) },
 			func() { r.w.Hang(machine, length) },
 			func() { r.w.Sicken(machine, length) },
+			func() { r.w.HoldDirect(machine, 2*length) },
 		}
 		r.w.After(at, faults[rnd.IntN(len(faults))])
 		at += time.Duration(1+rnd.IntN(12)) * time.Second
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -62,6 +62,8 @@
 	dead    bool
 	hung    time.Duration
 	held    []func()
+	late    []func() // direct commands on their way, see HoldDirect
+	lateTo  time.Duration
 	sick    time.Duration
 }
 
@@ -122,6 +124,23 @@
 	})
 }
 
+// HoldDirect keeps direct commands to a machine on their way for a while,
+// though its reports and their answers pass.
+func (w *World) HoldDirect(id api.MachineID, length time.Duration) {
+	wk := w.workers[id]
+	if wk == nil {
+		return
+	}
+	wk.lateTo = w.Now + length
+	w.After(length, func() {
+		late := wk.late
+		wk.late = nil
+		for _, do := range late {
+			do()
+		}
+	})
+}
+
 // Sicken makes every task fail that a machine starts in the given time.
 func (w *World) Sicken(id api.MachineID, length time.Duration) {
 	if wk := w.workers[id]; wk != nil {
@@ -251,6 +270,10 @@
 	if wk.dead {
 		return
 	}
+	if wk.lateTo > wk.w.Now {
+		wk.late = append(wk.late, func() { wk.commands(body, answer) })
+		return
+	}
 	if wk.hung > wk.w.Now {
 		wk.held = append(wk.held, func() { wk.commands(body, answer) })
 		return
