--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,110 @@
+// Package admin owns the administration API: its paths, and the subcommands
+// that are its client. It lies under a versioned prefix of its own, apart from
+// the users' and workers' paths. What it answers and changes is the owner's
+// business, in control.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"basaltwall/control"
+	"basaltwall/httpx"
+)
+
+// Prefix is where the API lies.
+const Prefix = "/admin/v1/"
+
+// Command is what a request asks of the owner, or the status that refuses it.
+func Command(req control.ReqID, r httpx.Request) (control.Command, int) {
+	parts := strings.Split(strings.TrimPrefix(r.Path, Prefix), "/")
+	ask := control.Ask{Req: req, What: parts[0], Body: r.Body}
+	want := "GET"
+	switch {
+	case len(parts) == 1 && parts[0] == "settings":
+		if r.Method == "PUT" {
+			ask.What, want = "set", "PUT"
+		}
+	case len(parts) == 1 && (parts[0] == "members" || parts[0] == "parts" || parts[0] == "machines" || parts[0] == "teams" || parts[0] == "jobs"):
+	case len(parts) == 2 && parts[0] == "jobs" && parts[1] != "":
+		ask.What, ask.ID = "job", parts[1]
+	case len(parts) == 3 && parts[0] == "machines" && parts[1] != "" && (parts[2] == "drain" || parts[2] == "undrain"):
+		ask.What, ask.ID, want = parts[2], parts[1], "POST"
+	default:
+		return nil, 404
+	}
+	if r.Method != want {
+		return nil, 405
+	}
+	return ask, 0
+}
+
+// Cmd is the client's subcommands.
+type Cmd struct {
+	Addr string `required:"" placeholder:"IP:PORT" help:"A controller's api_addr."`
+
+	Members  showCmd   `cmd:"" help:"Show the controllers and their parts."`
+	Parts    showCmd   `cmd:"" help:"Show the parts, their owners and terms."`
+	Machines showCmd   `cmd:"" help:"Show the machines, their tasks, and why one is avoided."`
+	Teams    showCmd   `cmd:"" help:"Show the teams, their guarantees and shares."`
+	Jobs     showCmd   `cmd:"" help:"Show the jobs that are not over, and why their tasks wait."`
+	Job      jobCmd    `cmd:"" help:"Show one job."`
+	Drain    drainCmd  `cmd:"" help:"Start no more tasks on a machine."`
+	Undrain  drainCmd  `cmd:"" help:"Use a machine again."`
+	Settings showCmd   `cmd:"" help:"Show the operators' settings."`
+	Set      changeCmd `cmd:"" help:"Replace the operators' settings."`
+}
+
+type showCmd struct{}
+
+type jobCmd struct {
+	Ref string `arg:"" help:"The job's id."`
+}
+
+type drainCmd struct {
+	Machine string `arg:"" help:"The machine's name."`
+}
+
+type changeCmd struct {
+	File string `arg:"" help:"A file with the settings as the settings command shows them, the revision included."`
+}
+
+// Do runs the subcommand that was chosen.
+func (c *Cmd) Do(chosen string) error {
+	switch chosen {
+	case "job <ref>":
+		return c.call("GET", "jobs/"+c.Job.Ref, nil)
+	case "drain <machine>":
+		return c.call("POST", "machines/"+c.Drain.Machine+"/drain", nil)
+	case "undrain <machine>":
+		return c.call("POST", "machines/"+c.Undrain.Machine+"/undrain", nil)
+	case "set <file>":
+		body, err := os.ReadFile(c.Set.File)
+		if err != nil {
+			return fmt.Errorf("settings: %w", err)
+		}
+		return c.call("PUT", "settings", body)
+	}
+	return c.call("GET", chosen, nil)
+}
+
+func (c *Cmd) call(method, path string, body []byte) error {
+	r, err := httpx.NewClient(16<<20, 1).Do(context.Background(), c.Addr, method, Prefix+path, body, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	if json.Indent(&out, r.Body, "", "  ") != nil {
+		out.Write(r.Body)
+	}
+	if r.Status != 200 {
+		return fmt.Errorf("%s: %d: %s", path, r.Status, out.String())
+	}
+	fmt.Println(out.String())
+	return nil
+}
--- a/cmd/basaltwall/main.go
+++ b/cmd/basaltwall/main.go
@@ -9,10 +9,12 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"basaltwall/admin"
 	"basaltwall/config"
 	"basaltwall/node"
 )
@@ -64,6 +66,7 @@
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+	Admin   admin.Cmd  `cmd:"" help:"Ask a controller, or tell it operators' settings."`
 }
 
 func main() {
@@ -75,8 +78,13 @@
 		level = slog.LevelDebug
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	ctx := kong.Parse(&cli{}, kong.Name("basaltwall"), kong.Description("A cluster scheduler."))
-	if err := ctx.Run(); err != nil {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("basaltwall"), kong.Description("A cluster scheduler."))
+	run := ctx.Run
+	if chosen, ok := strings.CutPrefix(ctx.Command(), "admin "); ok {
+		run = func(...any) error { return c.Admin.Do(chosen) }
+	}
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "basaltwall:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/control/ask.go
@@ -0,0 +1,340 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/sched"
+)
+
+// Settings are what operators decide, beyond the platform's file. They live in
+// the state service and reach every controller by its watch.
+type Settings struct {
+	Drained  []api.MachineID `json:"drained"`     // no new tasks on these
+	IdleHold float64         `json:"idle_hold_s"` // how long idle machines are kept; 0: as long as a boot
+	NoRent   bool            `json:"no_rent"`     // rent nothing
+}
+
+// SettingsAt are settings with the revision that a change must name.
+type SettingsAt struct {
+	Settings
+	Revision api.Revision `json:"revision"`
+}
+
+// ParseSettings reads settings for a change; the error names the field.
+func ParseSettings(body []byte) (SettingsAt, error) {
+	var s SettingsAt
+	d := json.NewDecoder(strings.NewReader(string(body)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return s, fmt.Errorf("%s: wrong type", te.Field)
+		}
+		return s, err
+	}
+	if s.IdleHold < 0 || s.IdleHold > 86400 {
+		return s, errors.New("idle_hold_s: must be between 0 and 86400")
+	}
+	if len(s.Drained) > 200 {
+		return s, errors.New("drained: more than 200 machines")
+	}
+	for _, id := range s.Drained {
+		if id == "" || len(id) > 30 {
+			return s, errors.New("drained: not a machine's name")
+		}
+	}
+	return s, nil
+}
+
+// What an operator is shown.
+type (
+	// MemberView is a controller.
+	MemberView struct {
+		Label api.Label    `json:"label"`
+		Live  bool         `json:"live"`
+		Parts []api.PartID `json:"parts"`
+		Self  bool         `json:"self"`
+	}
+	// PartView is a part of the machines.
+	PartView struct {
+		Part    api.PartID   `json:"part"`
+		Owner   api.Label    `json:"owner"`
+		Term    api.Revision `json:"term"`
+		Rounds  uint64       `json:"rounds"`
+		Tasks   int          `json:"tasks"`
+		Waiting int          `json:"waiting"`
+	}
+	// MachineView is a machine, as this node or its owner's news tell.
+	MachineView struct {
+		ID      api.MachineID `json:"machine"`
+		Part    api.PartID    `json:"part"`
+		Type    api.TypeName  `json:"type"`
+		Zone    api.Zone      `json:"zone"`
+		Spot    bool          `json:"spot"`
+		Tasks   []string      `json:"tasks"`
+		Avoided string        `json:"avoided,omitempty"`
+	}
+	// TeamView is a team.
+	TeamView struct {
+		Team       api.Team `json:"team"`
+		CPUs       float64  `json:"cpus_used"`
+		GPUs       float64  `json:"gpus_used"`
+		Guaranteed float64  `json:"cpus_guaranteed"`
+		GPUsGuar   float64  `json:"gpus_guaranteed"`
+		CPUsMax    float64  `json:"cpus_max"`
+		GPUsMax    float64  `json:"gpus_max"`
+		Shares     []struct {
+			Part api.PartID `json:"part"`
+			CPUs float64    `json:"cpus"`
+			GPUs float64    `json:"gpus"`
+		} `json:"shares,omitempty"`
+	}
+	// JobView is a job; Late says whose it is when it can't be in time any more.
+	JobView struct {
+		Ref     api.JobRef   `json:"job"`
+		Class   api.Class    `json:"class"`
+		Team    api.Team     `json:"team"`
+		State   api.JobState `json:"state"`
+		Tasks   int          `json:"tasks"`
+		Done    int          `json:"done"`
+		Placed  int          `json:"placed"`
+		Parts   []api.PartID `json:"parts"`
+		Elapsed float64      `json:"elapsed_s"`
+		Late    api.Team     `json:"late_of,omitempty"`
+		Why     []string     `json:"waits_because,omitempty"`
+	}
+)
+
+// ask answers an operator.
+func (n *Node) ask(c Ask) {
+	if !n.loaded {
+		n.refuse(c.Req, 503, "starting")
+		return
+	}
+	switch c.What {
+	case "members":
+		n.reply(c.Req, 200, n.viewMembers(), 0)
+	case "parts":
+		n.reply(c.Req, 200, n.viewParts(), 0)
+	case "machines":
+		n.reply(c.Req, 200, n.viewMachines(), 0)
+	case "teams":
+		n.reply(c.Req, 200, n.viewTeams(), 0)
+	case "jobs":
+		out := []JobView{}
+		for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
+			out = append(out, n.viewJob(n.book.jobs[ref]))
+		}
+		n.reply(c.Req, 200, out, 0)
+	case "job":
+		j := n.book.jobs[api.JobRef(c.ID)]
+		if j == nil {
+			n.refuse(c.Req, 404, "no such job, or it is over")
+			return
+		}
+		n.reply(c.Req, 200, n.viewJob(j), 0)
+	case "settings":
+		n.reply(c.Req, 200, n.settingsNow(), 0)
+	case "set":
+		s, err := ParseSettings(c.Body)
+		if err != nil {
+			n.refuse(c.Req, 400, err.Error())
+			return
+		}
+		n.change(c.Req, s)
+	case "drain", "undrain":
+		s := n.settingsNow()
+		id := api.MachineID(c.ID)
+		s.Drained = slices.DeleteFunc(slices.Clone(s.Drained), func(x api.MachineID) bool { return x == id })
+		if c.What == "drain" {
+			s.Drained = append(s.Drained, id)
+		}
+		n.change(c.Req, s)
+	default:
+		n.refuse(c.Req, 404, "no such path")
+	}
+}
+
+func (n *Node) settingsNow() SettingsAt {
+	return SettingsAt{n.book.settings, n.book.vers[keySettings]}
+}
+
+// change writes settings; it must name the revision that it replaces.
+func (n *Node) change(req ReqID, s SettingsAt) {
+	v, err := json.Marshal(s.Settings)
+	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
+		n.refuse(req, 400, "drained: too many")
+		return
+	}
+	tx := api.Txn{If: []api.Condition{{Key: keySettings, Version: s.Revision}}, Writes: []api.Write{{Put: keySettings, Value: v}}}
+	n.txn(tx, func(a StateAnswer) {
+		switch a.Status {
+		case 200:
+			s.Revision = a.Txn.Revision
+			n.reply(req, 200, s, 0)
+			n.current(func() {}, func() {})
+		case 409:
+			n.refuse(req, 409, "revision: the settings have changed since")
+		default:
+			n.refuse(req, 503, "state service not reachable; the change may or may not have been made")
+		}
+	})
+}
+
+func (n *Node) viewMembers() []MemberView {
+	out := []MemberView{}
+	for _, l := range n.labels() {
+		v := MemberView{Label: l, Live: n.live(l), Parts: []api.PartID{}, Self: l == n.cfg.Label}
+		for i, p := range n.book.parts {
+			if p.owner == l {
+				v.Parts = append(v.Parts, api.PartID(i))
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (n *Node) viewParts() []PartView {
+	out := []PartView{}
+	for i, p := range n.book.parts {
+		v := PartView{Part: api.PartID(i), Owner: p.owner, Term: p.term, Rounds: p.seq, Tasks: len(n.book.onPart[i])}
+		for _, j := range n.book.jobs {
+			if !j.final() {
+				v.Waiting += j.waiting(v.Part)
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (n *Node) viewMachines() []MachineView {
+	out := []MachineView{}
+	n.eachMachine(func(p api.PartID, m *MachineNews) {
+		v := MachineView{ID: m.ID, Part: p, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Tasks: []string{}}
+		for _, pl := range n.placesOn(m.ID) {
+			v.Tasks = append(v.Tasks, pl.Task.String())
+		}
+		if own, t := n.machines[m.ID], n.turfs[p]; own != nil && t != nil {
+			v.Avoided = n.avoided(own, t)
+		} else if !m.Usable {
+			v.Avoided = "its owner does not use it"
+		}
+		out = append(out, v)
+	})
+	return out
+}
+
+// avoided says why a machine gets no new tasks, or nothing.
+func (n *Node) avoided(m *Machine, t *turf) string {
+	switch {
+	case m.deleting:
+		return "is being returned"
+	case slices.Contains(n.book.settings.Drained, m.ID):
+		return "drained by an operator"
+	case m.heard == 0:
+		return "has not been heard yet"
+	case m.notice:
+		return "the cloud takes it back"
+	case n.types[m.typ] == nil:
+		return "of an unknown type"
+	case m.sickTill >= n.now:
+		return "different jobs fail on it"
+	case m.fullTill >= n.now:
+		return "it refused a task for want of room"
+	case m.token < n.base(t, m.ID):
+		return "our term has not been announced to it"
+	case n.now.Sub(m.heard) >= 2*n.cfg.ReportEvery()+2*time.Second:
+		return "is silent"
+	}
+	return ""
+}
+
+func (n *Node) viewTeams() []TeamView {
+	out := []TeamView{}
+	use := n.totalUsage()
+	for _, name := range slices.Sorted(maps.Keys(n.teams)) {
+		t := n.teams[name]
+		v := TeamView{Team: name, CPUs: use[name].CPU.Float(), GPUs: use[name].GPU.Float(), Guaranteed: t.CPUs,
+			GPUsGuar: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
+		if t.CPUsMax > 0 || t.GPUsMax > 0 {
+			v.Shares = slices.Grow(v.Shares, len(n.book.parts))[:len(n.book.parts)]
+			for i := range n.book.parts {
+				s := n.book.share(api.PartID(i), name, limitOf(t))
+				v.Shares[i].Part = api.PartID(i)
+				if t.CPUsMax > 0 {
+					v.Shares[i].CPUs = s.CPU.Float()
+				}
+				if t.GPUsMax > 0 {
+					v.Shares[i].GPUs = s.GPU.Float()
+				}
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (n *Node) viewJob(j *Job) JobView {
+	v := JobView{Ref: j.ref, Class: j.Spec.Class, Team: j.Spec.Team, State: j.state(), Tasks: j.Spec.Tasks, Done: j.doneN,
+		Placed: len(j.places), Parts: []api.PartID{}, Elapsed: float64(n.wall-j.Accepted) / 1000}
+	for _, r := range j.Split {
+		if !slices.Contains(v.Parts, r.Part) {
+			v.Parts = append(v.Parts, r.Part)
+		}
+	}
+	if j.final() {
+		return v
+	}
+	if l := n.limits(j.Spec); len(l) > 0 && v.Elapsed+j.Spec.Estimate > l[0] {
+		v.Late = j.Spec.Team
+	}
+	for _, p := range v.Parts {
+		if w := j.waiting(p); w > 0 {
+			v.Why = append(v.Why, fmt.Sprintf("part %d: %d tasks: %s", p, w, n.whyWaiting(j, p)))
+		}
+	}
+	return v
+}
+
+// whyWaiting says what keeps a job's tasks from starting in a part.
+func (n *Node) whyWaiting(j *Job, p api.PartID) string {
+	owner := n.book.parts[p].owner
+	switch {
+	case !n.live(owner):
+		return "the part has no living owner"
+	case j.hold > n.now:
+		return fmt.Sprintf("backs off for another %.0f s after failures", j.hold.Sub(n.now).Seconds())
+	case j.Spec.Kind == api.Gang && len(j.places) > 0:
+		return "the gang's last attempt has not ended everywhere"
+	}
+	need := j.demand
+	if j.Spec.Kind == api.Gang {
+		need = need.Times(j.Spec.Tasks)
+	}
+	left := n.leftOf(p)[j.Spec.Team]
+	need.Mem = 0
+	if !need.Fits(left) {
+		return fmt.Sprintf("team %s has %.1f CPUs and %.1f GPUs of its limit left here", j.Spec.Team, left.CPU.Float(), left.GPU.Float())
+	}
+	allowed, usable, room := 0, 0, 0
+	n.eachMachine(func(q api.PartID, m *MachineNews) {
+		if q != p || !sched.Allowed(j.Spec, m.Type, m.Zone, m.Spot) {
+			return
+		}
+		allowed++
+		if m.Usable && !(m.Closed && n.plain(j.Spec)) {
+			usable++
+			room += j.demand.Slots(m.Free)
+		}
+	})
+	return fmt.Sprintf("%d machines are allowed, %d usable, with room for %d tasks", allowed, usable, room)
+}
--- a/control/book.go
+++ b/control/book.go
@@ -229,18 +229,19 @@
 // book is the durable state as this node knows it: the fold of every key under
 // root up to rev. All nodes fold the same changes and agree.
 type book struct {
-	rev     api.Revision
-	vers    map[string]api.Revision
-	raw     map[string]json.RawMessage // only while loading
-	members map[api.Label]memberValue
-	parts   []partState
-	jobs    map[api.JobRef]*Job
-	onPart  []map[*Place]bool // places by part
-	onHost  map[api.MachineID]map[*Place]bool
-	lent    map[api.MachineID]lent
-	types   []api.MachineType
-	finals  map[api.JobRef]api.JobState
-	oldest  []api.JobRef // finals in the order they came, to bound them
+	rev      api.Revision
+	vers     map[string]api.Revision
+	raw      map[string]json.RawMessage // only while loading
+	members  map[api.Label]memberValue
+	parts    []partState
+	jobs     map[api.JobRef]*Job
+	onPart   []map[*Place]bool // places by part
+	onHost   map[api.MachineID]map[*Place]bool
+	lent     map[api.MachineID]lent
+	types    []api.MachineType
+	finals   map[api.JobRef]api.JobState
+	settings Settings
+	oldest   []api.JobRef // finals in the order they came, to bound them
 }
 
 type partState struct {
@@ -481,6 +482,12 @@
 			return fmt.Errorf("key %s: %w", key, err)
 		}
 		b.lent[api.MachineID(key[len(keyLend):])] = lent{v.Part, ver}
+	case key == keySettings:
+		var v Settings
+		if err := json.Unmarshal(value, &v); err != nil {
+			return fmt.Errorf("key %s: %w", key, err)
+		}
+		b.settings = v
 	case key == keyTypes:
 		var v api.MachineTypes
 		if err := json.Unmarshal(value, &v); err != nil {
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -213,6 +213,9 @@
 // hold is how long a machine may stand idle: as long as fetching another would
 // take. By then it has cost what returning it too early would cost.
 func (n *Node) hold(m *Machine) time.Duration {
+	if h := n.book.settings.IdleHold; h > 0 {
+		return api.Seconds(h)
+	}
 	typ := n.types[m.typ]
 	if typ == nil {
 		return time.Minute
@@ -224,7 +227,7 @@
 // what is coming, and rents the cheapest machines for them.
 func (n *Node) rent(t *turf) {
 	f := &n.fleet
-	if f.renting || n.now < f.rentNext || f.listed == 0 || n.now.Sub(t.since) < 3*time.Second {
+	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 || n.now.Sub(t.since) < 3*time.Second {
 		return
 	}
 	f.rentNext = n.now.Add(time.Second)
--- a/control/machine.go
+++ b/control/machine.go
@@ -47,7 +47,6 @@
 	failed   map[api.JobRef]api.Time
 	sickTill api.Time
 	fullTill api.Time
-	drained  bool
 }
 
 type cached struct {
--- a/control/messages.go
+++ b/control/messages.go
@@ -45,6 +45,13 @@
 		Body      []byte // as it came, for passing on
 		Forwarded bool
 	}
+	// Ask is an operator's question or order; What says which.
+	Ask struct {
+		Req  ReqID
+		What string
+		ID   string
+		Body []byte
+	}
 	// Hear is another controller's news.
 	Hear struct {
 		Req    ReqID
--- a/control/node.go
+++ b/control/node.go
@@ -159,6 +159,8 @@
 		n.checkin(c)
 	case Hear:
 		n.hear(c)
+	case Ask:
+		n.ask(c)
 	case StateAnswer:
 		answer(c.ID)
 	case WorkerAnswer:
--- a/control/part.go
+++ b/control/part.go
@@ -322,10 +322,7 @@
 }
 
 // usable reports whether a machine may get new tasks.
-func (n *Node) usable(m *Machine, t *turf) bool {
-	return m.heard != 0 && m.token >= n.base(t, m.ID) && !m.notice && !m.deleting && !m.drained && n.types[m.typ] != nil &&
-		m.sickTill < n.now && m.fullTill < n.now && n.now.Sub(m.heard) < 2*n.cfg.ReportEvery()+2*time.Second
-}
+func (n *Node) usable(m *Machine, t *turf) bool { return n.avoided(m, t) == "" }
 
 // freeOn is the room on a machine: its capacity less all that is or may be on it.
 func (n *Node) freeOn(m *Machine, t *turf) api.Resources {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -222,7 +222,7 @@
 		lose := e.Txn != nil && w.rand.Float64() < w.LoseAnswers
 		var extra time.Duration
 		if e.Txn != nil && w.rand.Float64() < w.DelayState {
-			extra = time.Duration(1+w.rand.IntN(8)) * time.Second
+			extra = time.Duration(1+w.rand.IntN(20)) * time.Second
 		}
 		w.call(h, SideState, extra, e.Timeout, func(answer func(int, []byte)) {
 			w.State.Serve(h.name, method, target, body, func(status int, body []byte) {
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"basaltwall/admin"
 	"basaltwall/api"
 	"basaltwall/cloud"
 	"basaltwall/config"
@@ -244,6 +245,9 @@
 	case api.PathJobs:
 		return method("POST", control.Submit{Req: req, Body: r.Body})
 	}
+	if strings.HasPrefix(r.Path, admin.Prefix) {
+		return admin.Command(req, r)
+	}
 	rest, ok := strings.CutPrefix(r.Path, api.PathJobs+"/")
 	if !ok || rest == "" {
 		return nil, 404
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,9 +114,59 @@
 	if code, _ := request(t, "POST", base, bytes.Repeat([]byte(" "), 70_000)); code != 413 {
 		t.Errorf("an over-long body gets %d", code)
 	}
+	operate(t, "http://"+l.Configs[1].APIAddr+"/admin/v1/", "http://"+l.Configs[2].APIAddr+"/admin/v1/")
 	for _, b := range l.Broken() {
 		t.Error(b)
 	}
 	cancel()
 	wg.Wait()
 }
+
+// operate uses the administration API of two controllers as an operator would.
+func operate(t *testing.T, one, other string) {
+	t.Helper()
+	call := func(method, url, body string) (int, string) {
+		req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		data, err := io.ReadAll(res.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode, string(data)
+	}
+	for what, part := range map[string]string{"members": `"label":"stone-2"`, "parts": `"owner":"stone-1"`, "machines": `"type":"small"`,
+		"teams": `"team":"red"`, "jobs": `[`, "settings": `"drained"`} {
+		if code, got := call("GET", one+what, ""); code != 200 || !strings.Contains(got, part) {
+			t.Errorf("%s: %d %s lacks %s", what, code, got, part)
+		}
+	}
+	for body, field := range map[string]string{`{"idle_hold_s":-1}`: "idle_hold_s", `{"drained":[""]}`: "drained", `{"color":1}`: "color",
+		`{"no_rent":"yes"}`: "no_rent"} {
+		if code, got := call("PUT", one+"settings", body); code != 400 || !strings.Contains(got, field) {
+			t.Errorf("%s: %d %s", body, code, got)
+		}
+	}
+	if code, got := call("PUT", one+"settings", `{"revision":1}`); code != 409 {
+		t.Errorf("a change of an old revision: %d %s", code, got)
+	}
+	if code, got := call("POST", one+"machines/i-000001/drain", ""); code != 200 {
+		t.Errorf("drain: %d %s", code, got)
+	}
+	eventually(t, "the other controller hears of the drain", func() bool {
+		_, got := call("GET", other+"settings", "")
+		return strings.Contains(got, "i-000001")
+	})
+	if code, _ := call("GET", one+"machines/i-000001/drain", ""); code != 405 {
+		t.Errorf("a drain by GET: %d", code)
+	}
+	if code, _ := call("GET", one+"secrets", ""); code != 404 {
+		t.Errorf("an unknown path: %d", code)
+	}
+}
