Return accelerator machines beyond the recent peak of their use

Cause: one gang at a time went round four machines and kept all of them from being idle (23 of 34 an hour).

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -23,6 +23,10 @@
 	listed   api.Time // when the last whole list was had
 	listNext api.Time
 
+	useNext api.Time
+	use     map[api.TypeName][]usage // machines in use, of late
+	surplus map[api.MachineID]bool   // idle, and more than were needed of late
+
 	typesBusy bool
 	typesNext api.Time
 
@@ -49,6 +53,7 @@
 func (f *fleet) init() {
 	f.gone, f.hosts = map[api.MachineID]api.Time{}, map[api.MachineID]api.Host{}
 	f.refused, f.rented = map[offer]api.Time{}, map[api.MachineID]rental{}
+	f.use = map[api.TypeName][]usage{}
 }
 
 const (
@@ -67,6 +72,7 @@
 		return
 	}
 	n.readList()
+	n.watchUse()
 	n.useList()
 	if t := n.turfs[0]; t != nil {
 		n.rent(t)
@@ -171,7 +177,7 @@
 		t := n.turfs[n.partOf(id)]
 		_, listed := f.hosts[id]
 		busy := len(n.book.onHost[id]) > 0
-		if n.keeps(m) {
+		if n.keeps(m.ID, m.typ) {
 			m.idle, m.closing = n.now, false
 		}
 		if t == nil {
@@ -180,7 +186,8 @@
 			}
 			continue
 		}
-		idle := m.heard != 0 && n.now.Sub(m.idle) > n.hold(m) && n.now.Sub(t.since) > n.hold(m)
+		hold, unused := n.hold(m.typ), n.now.Sub(m.idle)
+		idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || f.surplus[id] && unused > hold/3)
 		m.closing = idle && n.accelerated(m.typ)
 		if m.deleting || busy {
 			continue
@@ -199,11 +206,72 @@
 	}
 }
 
+// watchUse notes how many machines with accelerators are in use, and which of the
+// others are more than were needed at any time lately. Work that goes round the
+// machines would otherwise keep all of them though it never needs them at once.
+// Those are the dear ones; of the others a few more do not matter, and rounds of
+// short tasks miss them (docs/measurements.md).
+func (n *Node) watchUse() {
+	f := &n.fleet
+	if n.now < f.useNext {
+		return
+	}
+	f.useNext = n.now.Add(time.Second)
+	busy, up := map[api.TypeName]int{}, map[api.TypeName]int{}
+	var idle []MachineNews
+	n.eachMachine(func(_ api.PartID, m *MachineNews) {
+		if !n.accelerated(m.Type) {
+			return
+		}
+		up[m.Type]++
+		if n.keeps(m.ID, m.Type) {
+			busy[m.Type]++
+		} else {
+			idle = append(idle, *m)
+		}
+	})
+	spare := map[api.TypeName]int{}
+	for typ, count := range up {
+		kept := f.use[typ][:0]
+		peak := 0
+		for _, u := range append(f.use[typ], usage{n.now, busy[typ]}) {
+			if n.now.Sub(u.at) <= n.hold(typ) {
+				kept = append(kept, u)
+				peak = max(peak, u.count)
+			}
+		}
+		f.use[typ] = kept
+		spare[typ] = count - peak
+	}
+	// All nodes choose alike: the dearest kind first, then the newest.
+	slices.SortFunc(idle, func(a, b MachineNews) int {
+		if a.Spot != b.Spot {
+			if b.Spot {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.ID, a.ID)
+	})
+	f.surplus = map[api.MachineID]bool{}
+	for _, m := range idle {
+		if spare[m.Type] > 0 {
+			spare[m.Type]--
+			f.surplus[m.ID] = true
+		}
+	}
+}
+
+type usage struct {
+	at    api.Time
+	count int
+}
+
 // keeps reports whether a machine has work that it is kept for: any, but on
 // one with accelerators only such as needs them.
-func (n *Node) keeps(m *Machine) bool {
-	for p := range n.book.onHost[m.ID] {
-		if !n.accelerated(m.typ) || !n.plain(p.job.Spec) {
+func (n *Node) keeps(id api.MachineID, typ api.TypeName) bool {
+	for p := range n.book.onHost[id] {
+		if !n.accelerated(typ) || !n.plain(p.job.Spec) {
 			return true
 		}
 	}
@@ -212,11 +280,11 @@
 
 // hold is how long a machine may stand idle: as long as fetching another would
 // take. By then it has cost what returning it too early would cost.
-func (n *Node) hold(m *Machine) time.Duration {
+func (n *Node) hold(t api.TypeName) time.Duration {
 	if h := n.book.settings.IdleHold; h > 0 {
 		return api.Seconds(h)
 	}
-	typ := n.types[m.typ]
+	typ := n.types[t]
 	if typ == nil {
 		return time.Minute
 	}
