--- a/control/fleet.go
+++ b/control/fleet.go
@@ -399,25 +399,6 @@
 			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k)), false})
 		}
 	}
-	// Machines take long to come: a little room is kept ahead of the arrays
-	// that come next, judged by the latest one.
-	if latest := n.latestArray(); latest != nil {
-		open, total := 0, 0
-		for _, s := range spaces {
-			if typ := n.types[s.typ]; typ != nil && typ.GPUs == 0 && sched.Allowed(latest.Spec, s.typ, s.zone, s.spot) {
-				open += latest.demand.Slots(s.free)
-				total += latest.demand.Slots(typ.Capacity())
-			}
-		}
-		for open < int(float64(total)*headroom) {
-			o, ok := n.cheapest(latest.Spec, need, "")
-			if !ok {
-				break
-			}
-			need[o]++
-			open += latest.demand.Slots(n.types[o.typ].Capacity())
-		}
-	}
 	if len(need) == 0 {
 		f.short = 0
 		return
@@ -453,21 +434,6 @@
 	})
 }
 
-// headroom is the share of the room that is kept free for what comes next.
-const headroom = 0.3
-
-// latestArray is the array that was accepted last, of those that are not over.
-func (n *Node) latestArray() *Job {
-	var latest *Job
-	for _, j := range n.book.jobs {
-		if j.Spec.Kind == api.Array && !j.final() && n.plain(j.Spec) &&
-			(latest == nil || j.Accepted > latest.Accepted || j.Accepted == latest.Accepted && j.ref < latest.ref) {
-			latest = j
-		}
-	}
-	return latest
-}
-
 // cheapest finds the offer with the lowest price for one task of the job.
 func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int, zone api.Zone) (offer, bool) {
 	demand, plain := s.Demand(), n.plain(s)
