--- a/admin/admin.go
+++ b/admin/admin.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,7 +31,7 @@
 		if r.Method == "PUT" {
 			ask.What, want = "set", "PUT"
 		}
-	case len(parts) == 1 && (parts[0] == "members" || parts[0] == "parts" || parts[0] == "machines" || parts[0] == "teams" || parts[0] == "jobs"):
+	case len(parts) == 1 && slices.Contains([]string{"members", "parts", "machines", "teams", "jobs", "metrics"}, parts[0]):
 	case len(parts) == 2 && parts[0] == "jobs" && parts[1] != "":
 		ask.What, ask.ID = "job", parts[1]
 	case len(parts) == 3 && parts[0] == "machines" && parts[1] != "" && (parts[2] == "drain" || parts[2] == "undrain"):
@@ -53,6 +54,7 @@
 	Machines showCmd   `cmd:"" help:"Show the machines, their tasks, and why one is avoided."`
 	Teams    showCmd   `cmd:"" help:"Show the teams, their guarantees and shares."`
 	Jobs     showCmd   `cmd:"" help:"Show the jobs that are not over, and why their tasks wait."`
+	Metrics  showCmd   `cmd:"" help:"Show what a controller has done and how long it took."`
 	Job      jobCmd    `cmd:"" help:"Show one job."`
 	Drain    drainCmd  `cmd:"" help:"Start no more tasks on a machine."`
 	Undrain  drainCmd  `cmd:"" help:"Use a machine again."`
--- a/control/ask.go
+++ b/control/ask.go
@@ -119,6 +119,8 @@
 		return
 	}
 	switch c.What {
+	case "metrics":
+		n.reply(c.Req, 200, n.viewMetrics(), 0)
 	case "members":
 		n.reply(c.Req, 200, n.viewMembers(), 0)
 	case "parts":
--- a/control/book.go
+++ b/control/book.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
@@ -146,6 +147,22 @@
 
 func (b bitset) has(i int) bool { return i/64 < len(b) && b[i/64]&(1<<(i%64)) != 0 }
 
+// count is how many members lie from one number up to another.
+func (b bitset) count(from, to int) int {
+	n := 0
+	for w := from / 64; w < len(b) && w*64 < to; w++ {
+		word := b[w]
+		if w*64 < from {
+			word &= ^uint64(0) << (from % 64)
+		}
+		if to-w*64 < 64 {
+			word &= 1<<(to%64) - 1
+		}
+		n += bits.OnesCount64(word)
+	}
+	return n
+}
+
 func (b bitset) bytes() []byte {
 	out := make([]byte, 0, len(b)*8)
 	for _, w := range b {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -220,6 +220,9 @@
 		tx := api.Txn{If: []api.Condition{{Key: key, Version: j.ver}, {Key: partKey(keyPart, t.part), Version: t.term}},
 			Writes: []api.Write{{Put: key, Value: data}}}
 		n.txn(tx, func(a StateAnswer) {
+			if a.Status == 200 {
+				n.metrics.Moves++
+			}
 			slog.Info("waiting tasks moved", "job", ref, "from", t.part, "to", best, "most", most, "status", a.Status)
 			n.current(func() { t.moving = false }, func() { t.moving = false })
 		})
@@ -358,6 +361,7 @@
 			switch a.Status {
 			case 200, 409:
 				if a.Status == 200 {
+					n.metrics.Lent++
 					slog.Info("machine lent", "machine", id, "from", t.part, "to", to, "for", ref)
 				}
 				n.current(settle, func() { n.pause(try) })
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"basaltwall/api"
+)
+
+// metrics are what an operator may want to see of the past: counts since the
+// process began and how long things took, in microseconds.
+type metrics struct {
+	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent uint64
+	StateRequests, StateWrites, StateFailures                            uint64
+	FlowTasks, FlowMachines                                              int // of the last round
+	times                                                                map[string]*hdrhistogram.Histogram
+}
+
+// Spent tells the owner how long its last step took: it has no clock.
+type Spent struct{ Time time.Duration }
+
+// took notes a duration.
+func (m *metrics) took(what string, d time.Duration) {
+	if m.times == nil {
+		m.times = map[string]*hdrhistogram.Histogram{}
+	}
+	h := m.times[what]
+	if h == nil {
+		h = hdrhistogram.New(1, time.Hour.Microseconds(), 2)
+		m.times[what] = h
+	}
+	// What is out of its range is noted as its end.
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), time.Hour.Microseconds()))
+}
+
+// timing describes a histogram, in milliseconds.
+type timing struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// MetricsView is what an operator is shown of a node's doings.
+type MetricsView struct {
+	UpSeconds     float64           `json:"up_s"`
+	Rounds        uint64            `json:"rounds"`
+	Starts        uint64            `json:"starts"`
+	Ends          uint64            `json:"ends"`
+	Completions   uint64            `json:"completions"`
+	Takeovers     uint64            `json:"takeovers"`
+	Preempted     uint64            `json:"preempted"`
+	Moves         uint64            `json:"moves"`
+	Lent          uint64            `json:"machines_lent"`
+	StateRequests uint64            `json:"state_requests"`
+	StateWrites   uint64            `json:"state_writes"`
+	StateFailures uint64            `json:"state_failures"`
+	StateRPS      float64           `json:"state_rps_limit"`
+	StateWriteRPS float64           `json:"state_write_rps_limit"`
+	FlowTasks     int               `json:"flow_tasks_last"`
+	FlowMachines  int               `json:"flow_machines_last"`
+	Jobs          int               `json:"jobs"`
+	Waiting       int               `json:"waiting_tasks"`
+	Calls         int               `json:"calls_open"`
+	Times         map[string]timing `json:"times"`
+}
+
+func (n *Node) viewMetrics() MetricsView {
+	m := &n.metrics
+	v := MetricsView{UpSeconds: n.now.Sub(n.startedAt).Seconds(), Rounds: m.Rounds, Starts: m.Starts, Ends: m.Ends,
+		Completions: m.Completions, Takeovers: m.Takeovers, Preempted: m.Preempted, Moves: m.Moves, Lent: m.Lent,
+		StateRequests: m.StateRequests, StateWrites: m.StateWrites, StateFailures: m.StateFailures,
+		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
+		FlowTasks: m.FlowTasks, FlowMachines: m.FlowMachines, Jobs: len(n.book.jobs), Calls: len(n.calls),
+		Times: map[string]timing{}}
+	for _, j := range n.book.jobs {
+		if !j.final() {
+			for p := range n.book.parts {
+				v.Waiting += j.waiting(api.PartID(p))
+			}
+		}
+	}
+	for what, h := range m.times {
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		v.Times[what] = timing{h.TotalCount(), ms(50), ms(95), ms(99), float64(h.Max()) / 1000}
+	}
+	return v
+}
--- a/control/node.go
+++ b/control/node.go
@@ -74,9 +74,16 @@
 	roundGap  time.Duration
 	syncGap   time.Duration
 	startedAt api.Time
+	metrics   metrics
+	since     map[ReqID]request // requests that wait for their answer
 	started   bool
 }
 
+type request struct {
+	kind string
+	at   api.Time
+}
+
 type paused struct {
 	at api.Time
 	do func()
@@ -103,7 +110,7 @@
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
-		sentTo: map[api.MachineID]redirected{},
+		sentTo: map[api.MachineID]redirected{}, since: map[ReqID]request{},
 	}
 	for _, t := range d.Teams {
 		n.teams[t.Name] = t
@@ -148,11 +155,16 @@
 	}
 	switch c := c.(type) {
 	case Submit:
+		n.since[c.Req] = request{"submit", n.now}
 		n.submit(c)
 	case Poll:
+		n.since[c.Req] = request{"poll", n.now}
 		n.poll(c)
 	case Cancel:
+		n.since[c.Req] = request{"cancel", n.now}
 		n.cancel(c)
+	case Spent:
+		n.metrics.took("step", c.Time)
 	case Ready:
 		n.ready(c)
 	case Checkin:
@@ -172,7 +184,15 @@
 	}
 }
 
-func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+func (n *Node) emit(e Effect) {
+	if r, ok := e.(Reply); ok {
+		if q, ok := n.since[r.Req]; ok {
+			delete(n.since, r.Req)
+			n.metrics.took(q.kind, n.now.Sub(q.at))
+		}
+	}
+	n.effects = append(n.effects, e)
+}
 
 func (n *Node) reply(req ReqID, status int, body any, retryAfter int) {
 	data, err := json.Marshal(body)
@@ -186,6 +206,7 @@
 	retry := 0
 	if status == 503 {
 		retry = 1
+		slog.Debug("refused for now", "why", why)
 	}
 	n.reply(req, status, api.ErrorBody{Error: why}, retry)
 }
@@ -203,7 +224,13 @@
 	var id CallID
 	id = n.callID(func(a any) {
 		ans := a.(StateAnswer)
-		delete(n.asked, id)
+		if at, ok := n.asked[id]; ok {
+			delete(n.asked, id)
+			n.metrics.took("state", n.now.Sub(at))
+		}
+		if ans.Status == 0 || ans.Status == 429 || ans.Status == 503 {
+			n.metrics.StateFailures++
+		}
 		if ans.Status == 0 || ans.Status == 503 {
 			n.stateOK = false
 		} else if ans.Status != 429 {
@@ -212,6 +239,10 @@
 		f(ans)
 	})
 	c.ID = id
+	n.metrics.StateRequests++
+	if c.Txn != nil {
+		n.metrics.StateWrites += uint64(len(c.Txn.Writes))
+	}
 	if c.Changes == nil || c.Changes.Wait == 0 {
 		n.asked[id] = n.now
 	}
--- a/control/part.go
+++ b/control/part.go
@@ -45,6 +45,7 @@
 	txn    api.Txn
 	starts []*Place // as they will be once durable
 	ends   map[*Place]bool
+	begun  api.Time
 }
 
 func (n *Node) beginPart(p api.PartID, term api.Revision) {
@@ -86,6 +87,7 @@
 			m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 		}
 	}
+	n.metrics.Takeovers++
 	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.onPart[p]))
 }
 
@@ -139,6 +141,7 @@
 	w.txn.If = append(w.txn.If, api.Condition{Key: slot, Version: n.book.vers[slot]},
 		api.Condition{Key: partKey(keyPart, t.part), Version: t.term})
 	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
+	w.begun = n.now
 	t.writing = w
 	n.write(t)
 }
@@ -211,10 +214,15 @@
 	t.writing = nil
 	t.next = n.now.Add(n.roundGap)
 	t.lastRev = max(t.lastRev, rev)
+	n.metrics.Rounds++
+	n.metrics.Starts += uint64(len(w.starts))
+	n.metrics.Ends += uint64(len(w.ends))
+	n.metrics.took("round", n.now.Sub(w.begun))
 	slot := w.txn.Writes[0].Put
 	n.book.vers[slot] = max(n.book.vers[slot], rev)
 	n.book.foldRecord(t.part, &w.rec)
 	for _, d := range w.rec.Jobs {
+		n.metrics.Completions += uint64(len(d.Done))
 		if j := n.book.jobs[d.Job]; j != nil && len(d.Done) > 0 && j.state() == api.JobDone {
 			slog.Info("job done", "job", d.Job, "class", j.Spec.Class, "tasks", j.Spec.Tasks, "estimate", j.Spec.Estimate,
 				"after", float64(n.wall-j.Accepted)/1000, "limits", n.limits(j.Spec))
@@ -436,6 +444,10 @@
 	if len(in.Jobs) == 0 {
 		return nil
 	}
+	n.metrics.FlowTasks, n.metrics.FlowMachines = 0, len(machines)
+	for i := range in.Jobs {
+		n.metrics.FlowTasks += len(in.Jobs[i].Pending)
+	}
 	var starts []*Place
 	placed := make([]int, len(jobs))
 	for _, pl := range sched.Round(in) {
@@ -677,6 +689,7 @@
 		return 1
 	})
 	for _, p := range best.victims {
+		n.metrics.Preempted++
 		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", j.ref)
 		n.stop(p)
 	}
--- a/control/user.go
+++ b/control/user.go
@@ -316,19 +316,18 @@
 	return count
 }
 
-// waiting counts the job's tasks in a part that are neither done nor placed.
+// waiting counts the job's tasks in a part that are neither done nor placed. It
+// does not look at each task: there may be very many.
 func (j *Job) waiting(p api.PartID) int {
 	c := 0
 	for _, r := range j.Split {
-		if r.Part != p {
-			continue
-		}
-		c += r.To - r.From
-		if j.doneN == 0 && len(j.places) == 0 {
-			continue
+		if r.Part == p {
+			c += r.To - r.From - j.done.count(r.From, r.To)
 		}
-		for i := r.From; i < r.To; i++ {
-			if j.done.has(i) || j.places[i] != nil {
+	}
+	if c > 0 {
+		for _, pl := range j.places {
+			if pl.Part == p && !j.done.has(pl.Task.Index) {
 				c--
 			}
 		}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -3,8 +3,6 @@
 // has no negative cycle. It knows nothing of tasks and machines.
 package flow
 
-import "container/heap"
-
 type edge struct {
 	to   int32
 	cap  int32
@@ -42,17 +40,43 @@
 	node int32
 }
 
+// queue is a binary heap of items. It is typed, since an interface would cost
+// an allocation for each of the many items of a round.
 type queue []item
 
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].dist < q[j].dist }
-func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)        { *q = append(*q, x.(item)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
+func (q *queue) push(x item) {
+	h := append(*q, x)
+	for i := len(h) - 1; i > 0; {
+		up := (i - 1) / 2
+		if h[up].dist <= h[i].dist {
+			break
+		}
+		h[up], h[i] = h[i], h[up]
+		i = up
+	}
+	*q = h
+}
+
+func (q *queue) pop() item {
+	h := *q
+	top, last := h[0], len(h)-1
+	h[0] = h[last]
+	h = h[:last]
+	for i := 0; ; {
+		least := i
+		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
+			if h[c].dist < h[least].dist {
+				least = c
+			}
+		}
+		if least == i {
+			break
+		}
+		h[i], h[least] = h[least], h[i]
+		i = least
+	}
+	*q = h
+	return top
 }
 
 // potentials finds shortest distances from s with negative costs allowed.
@@ -96,7 +120,7 @@
 		dist[s] = 0
 		q = append(q[:0], item{0, int32(s)})
 		for len(q) > 0 {
-			it := heap.Pop(&q).(item)
+			it := q.pop()
 			if it.dist > dist[it.node] {
 				continue
 			}
@@ -108,7 +132,7 @@
 				if d := it.dist + e.cost + pot[it.node] - pot[e.to]; d < dist[e.to] {
 					dist[e.to] = d
 					via[e.to] = id
-					heap.Push(&q, item{d, e.to})
+					q.push(item{d, e.to})
 				}
 			}
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -78,6 +78,7 @@
 	tick := time.NewTicker(control.Tick)
 	defer tick.Stop()
 	swept := time.Now()
+	var spent time.Duration
 	batch := make([]control.Command, 0, 64)
 	for {
 		batch = batch[:0]
@@ -99,10 +100,12 @@
 				break more
 			}
 		}
+		batch = append(batch, control.Spent{Time: spent})
 		now := time.Now()
 		for _, e := range n.owner.Step(api.Time(now.Sub(n.start)+1), api.Wall(now.UnixMilli()), batch) {
 			n.perform(ctx, e)
 		}
+		spent = time.Since(now)
 		if now.Sub(swept) > 5*time.Second {
 			swept = now
 			n.client.Sweep()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -142,7 +142,7 @@
 		return res.StatusCode, string(data)
 	}
 	for what, part := range map[string]string{"members": `"label":"stone-2"`, "parts": `"owner":"stone-1"`, "machines": `"type":"small"`,
-		"teams": `"team":"red"`, "jobs": `[`, "settings": `"drained"`} {
+		"teams": `"team":"red"`, "jobs": `[`, "settings": `"drained"`, "metrics": `"round":{"count":`} {
 		if code, got := call("GET", one+what, ""); code != 200 || !strings.Contains(got, part) {
 			t.Errorf("%s: %d %s lacks %s", what, code, got, part)
 		}
--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,122 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"basaltwall/api"
+)
+
+// crowd is a round with many machines, partly taken, and many waiting jobs.
+func crowd(machines, jobs int) *Input {
+	r := rand.New(rand.NewPCG(5, 6))
+	in := &Input{Largest: api.Resources{CPU: 16e6, Mem: 64e6}, Most: 1 << 20,
+		Left: map[api.Team]api.Resources{"red": {CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}}}
+	for i := range machines {
+		in.Machines = append(in.Machines, Machine{ID: api.MachineID(fmt.Sprintf("i-%d", i)), Type: "t", Zone: api.Zone(fmt.Sprint(i % 3)),
+			Free: api.Resources{CPU: api.Amount(r.IntN(17)) * 1e6, Mem: api.Amount(r.IntN(65)) * 1e6}, Fetch: 1})
+	}
+	for i := range jobs {
+		s := &api.JobSpec{Ref: api.JobRef(fmt.Sprintf("run-%d", i)), Team: "red", Kind: api.Array, Priority: api.Normal, Tasks: 1000,
+			CPUs: float64(1 + r.IntN(4)), MemGB: float64(1 + r.IntN(8)), Image: "img", ImageGB: 1}
+		j := Job{Spec: s, Demand: s.Demand(), Urgency: r.Float64()}
+		for t := range machines {
+			j.Pending = append(j.Pending, t)
+		}
+		in.Jobs = append(in.Jobs, j)
+	}
+	return in
+}
+
+func TestRoundKeepsItsBounds(t *testing.T) {
+	in := crowd(50, 60)
+	in.Left["red"] = api.Resources{CPU: 60e6, GPU: 1 << 50, Mem: 1 << 50}
+	plan := Round(in)
+	if len(plan) == 0 {
+		t.Fatal("nothing placed")
+	}
+	var cpu api.Amount
+	seen := map[int]bool{}
+	for _, p := range plan {
+		j, m := in.Jobs[p.Job], in.Machines[p.Machine]
+		cpu += j.Demand.CPU
+		if !j.Demand.Fits(m.Free) {
+			t.Errorf("%v does not fit %v", j.Demand, m.Free)
+		}
+		if seen[p.Machine] {
+			t.Errorf("machine %d twice in a round", p.Machine)
+		}
+		seen[p.Machine] = true
+	}
+	if cpu > 60e6 {
+		t.Errorf("%v CPUs placed, 60 left", cpu.Float())
+	}
+}
+
+func TestHigherPriorityFirst(t *testing.T) {
+	in := crowd(1, 3)
+	in.Machines[0].Free = in.Jobs[2].Demand
+	in.Jobs[2].Spec.Priority = api.Production
+	for i := range 2 {
+		in.Jobs[i].Demand = in.Jobs[2].Demand
+		in.Jobs[i].Urgency = 1
+	}
+	if plan := Round(in); len(plan) != 1 || plan[0].Job != 2 {
+		t.Errorf("placed %v", plan)
+	}
+}
+
+func TestGangWholeOrNot(t *testing.T) {
+	in := crowd(3, 1)
+	for i := range in.Machines {
+		in.Machines[i].Free = api.Resources{CPU: 8e6, Mem: 32e6}
+	}
+	s := in.Jobs[0].Spec
+	s.Kind, s.CPUs, s.MemGB = api.Gang, 4, 4
+	in.Jobs[0].Demand = s.Demand()
+	for tasks, want := range map[int]int{6: 6, 7: 0} {
+		in.Jobs[0].Pending = in.Jobs[0].Pending[:0]
+		for i := range tasks {
+			in.Jobs[0].Pending = append(in.Jobs[0].Pending, i)
+		}
+		if plan := Round(in); len(plan) != want {
+			t.Errorf("gang of %d: %d placed, expected %d", tasks, len(plan), want)
+		}
+	}
+	s.OneZone, in.Jobs[0].Pending = true, []int{0, 1}
+	zones := map[api.Zone]bool{}
+	for _, p := range Round(in) {
+		zones[in.Machines[p.Machine].Zone] = true
+	}
+	if len(zones) != 1 {
+		t.Errorf("a gang that must be together lies in %d zones", len(zones))
+	}
+}
+
+// A round's work is bounded whatever waits: the number of jobs it looks at
+// grows with the machines, not with the queue. The count of allocations stands
+// for work here, since it does not depend on the machine that runs the test.
+func TestRoundIsBounded(t *testing.T) {
+	few, many := crowd(50, 400), crowd(50, 4000)
+	a := testing.AllocsPerRun(3, func() { Round(few) })
+	b := testing.AllocsPerRun(3, func() { Round(many) })
+	if b > 1.2*a {
+		t.Errorf("%v allocations for 400 jobs, %v for 4000", a, b)
+	}
+	if most := 2000.0; b > most {
+		t.Errorf("%v allocations, more than %v", b, most)
+	}
+}
+
+func BenchmarkRound(b *testing.B) {
+	for _, size := range []int{1, 10, 100} {
+		in := crowd(16*size, 20*size)
+		b.Run(fmt.Sprintf("%dx", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Round(in)
+			}
+		})
+	}
+}
