--- a/control/fleet.go
+++ b/control/fleet.go
@@ -298,7 +298,7 @@
 	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 || n.now.Sub(t.since) < 3*time.Second {
 		return
 	}
-	f.rentNext = n.now.Add(time.Second)
+	f.rentNext = n.now.Add(n.rentGap)
 	type space struct {
 		offer
 		free   api.Resources
@@ -406,7 +406,7 @@
 	if f.short == 0 {
 		f.short = n.now
 	}
-	if n.now.Sub(f.short) < 2*time.Second {
+	if n.now.Sub(f.short) < time.Second {
 		return // what is about to be placed should be placed first
 	}
 	offers := slices.SortedFunc(maps.Keys(need), func(a, b offer) int {
--- a/control/node.go
+++ b/control/node.go
@@ -73,6 +73,7 @@
 	sentTo    map[api.MachineID]redirected
 	roundGap  time.Duration
 	syncGap   time.Duration
+	rentGap   time.Duration
 	startedAt api.Time
 	metrics   metrics
 	since     map[ReqID]request // requests that wait for their answer
@@ -123,6 +124,9 @@
 	nodes := float64(len(cfg.Peers) + 1)
 	n.roundGap = max(50*time.Millisecond, api.Seconds(float64(d.Size)/(d.State.WriteRPS*0.5)))
 	n.syncGap = max(40*time.Millisecond, api.Seconds(nodes*4/d.State.RPS))
+	// A third of the cloud's calls may be rentals: offers are refused one by
+	// one, and a burst should not wait for that.
+	n.rentGap = max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS))
 	n.fleet.init()
 	return n
 }
--- a/control/part.go
+++ b/control/part.go
@@ -366,17 +366,6 @@
 	return free
 }
 
-// steadyOn is the room on a machine that no service holds.
-func (n *Node) steadyOn(m *Machine) api.Resources {
-	room := n.types[m.typ].Capacity()
-	for p := range n.book.onHost[m.ID] {
-		if p.job.Spec.Kind == api.Service && !p.over {
-			room = room.Minus(p.job.demand)
-		}
-	}
-	return room
-}
-
 // usage is what a part's tasks take of each team's limit.
 func (n *Node) usage(p api.PartID) map[api.Team]api.Resources {
 	use := map[api.Team]api.Resources{}
@@ -412,8 +401,7 @@
 			continue
 		}
 		typ := n.types[m.typ]
-		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), Steady: n.steadyOn(m),
-			GPU: typ.GPUs > 0, Closed: m.closing,
+		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0, Closed: m.closing,
 			Fetch: typ.FetchRate, Images: map[api.Image]bool{}}
 		for img := range m.images {
 			sm.Images[img] = true
--- a/control/user.go
+++ b/control/user.go
@@ -230,15 +230,6 @@
 	if s.Whole() {
 		holds = n.partsHolding(s)
 	}
-	if s.Kind == api.Service {
-		// Services go together, so that the machines of other parts can be
-		// without any and be returned.
-		for i := range weight {
-			if weight[i] > 0 {
-				weight[i] = 1 + float64(n.servicesIn(api.PartID(i)))
-			}
-		}
-	}
 	if s.Whole() && len(holds) == 0 {
 		// Nobody has room: better wait, or make lower work give way, where
 		// there are machines for it at all.
@@ -308,17 +299,6 @@
 	return typ != nil && typ.GPUs > 0
 }
 
-// servicesIn counts the services of a part.
-func (n *Node) servicesIn(p api.PartID) int {
-	count := 0
-	for _, j := range n.book.jobs {
-		if j.Spec.Kind == api.Service && !j.final() && len(j.Split) > 0 && j.Split[0].Part == p {
-			count++
-		}
-	}
-	return count
-}
-
 // waitingIn counts tasks of a part that wait, in units of a demand.
 func (n *Node) waitingIn(p api.PartID, demand api.Resources) int {
 	count := 0
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -17,7 +17,6 @@
 	Zone   api.Zone
 	Spot   bool
 	Free   api.Resources
-	Steady api.Resources      // room that no service holds
 	GPU    bool               // the type has accelerators
 	Closed bool               // only for work that needs its accelerators
 	Speed  float64            // relative, 1 when unknown
@@ -90,28 +89,11 @@
 	return float64(a) / float64(of)
 }
 
-// fill is the paper's other heuristic, most-loaded: demand over room. It is
-// used for services, with the room that no service holds: work that lasts is
-// best packed, so that the machines without it can be returned.
-func fill(d, room api.Resources) float64 {
-	sum := 0.0
-	for _, p := range [3][2]api.Amount{{d.CPU, room.CPU}, {d.GPU, room.GPU}, {d.Mem, room.Mem}} {
-		if p[0] > 0 {
-			sum += min(1, share(p[0], p[1]))
-		}
-	}
-	return sum
-}
-
-// edgeCost is the paper's dot product, for services its most-loaded heuristic,
-// with the users' world added as terms.
+// edgeCost is the paper's dot product with the users' world added as terms.
 func edgeCost(in *Input, j *Job, m *Machine) int64 {
 	dp := share(j.Demand.CPU, in.Largest.CPU)*share(m.Free.CPU, in.Largest.CPU) +
 		share(j.Demand.GPU, in.Largest.GPU)*share(m.Free.GPU, in.Largest.GPU) +
 		share(j.Demand.Mem, in.Largest.Mem)*share(m.Free.Mem, in.Largest.Mem)
-	if j.Spec.Kind == api.Service {
-		dp = fill(j.Demand, m.Steady)
-	}
 	gain := dp + baseBonus + rankBonus*float64(j.Spec.Priority.Rank()) + urgencyBonus*j.Urgency
 	if j.Entitled {
 		gain += entitledBonus
@@ -270,7 +252,6 @@
 	for mi := range k {
 		g.Edge(n+mi, sink, 1, 0)
 	}
-	open := packing(in, order, free)
 	type link struct {
 		edge    flow.EdgeID
 		job, mi int
@@ -283,7 +264,7 @@
 		for mi := range in.Machines {
 			m := &in.Machines[mi]
 			// Work without an end would block an accelerator for good.
-			if j.Spec.Kind == api.Service && !open[mi] || !j.Demand.Fits(free[mi]) || j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
+			if !j.Demand.Fits(free[mi]) || j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
 				!ZoneOpen(j.Spec, j.Zones, m.Zone) {
 				continue
 			}
@@ -322,47 +303,3 @@
 	left := map[api.Team]api.Resources{s.Team: {CPU: plenty, GPU: plenty, Mem: plenty}}
 	return len(gang(in, 0, free, left)) == s.Tasks
 }
-
-// packing chooses the machines that this round's services may go to: the
-// fullest of those that any of them may use, and only as many as hold them all.
-// One task per machine and round would spread a burst of services over every
-// machine there is. A service that may go to none of the chosen ones opens more.
-func packing(in *Input, order []int, free []api.Resources) map[int]bool {
-	open := map[int]bool{}
-	room := map[int]api.Resources{}
-	for _, ji := range order {
-		j := &in.Jobs[ji]
-		if j.Spec.Kind != api.Service {
-			continue
-		}
-		var can []int
-		for mi := range in.Machines {
-			m := &in.Machines[mi]
-			if j.Demand.Fits(free[mi]) && !(j.Plain && m.GPU) && !j.AvoidedBy[m.ID] && Allowed(j.Spec, m.Type, m.Zone, m.Spot) &&
-				ZoneOpen(j.Spec, j.Zones, m.Zone) {
-				can = append(can, mi)
-			}
-		}
-		slices.SortStableFunc(can, func(a, b int) int {
-			return int(edgeCost(in, j, &in.Machines[a]) - edgeCost(in, j, &in.Machines[b]))
-		})
-		need := 1 // tasks of a service go one a round where each changes the zones
-		if !j.Spec.Spread && !j.Spec.OneZone {
-			need = len(j.Pending)
-		}
-		for _, mi := range can {
-			if need <= 0 {
-				break
-			}
-			if !open[mi] {
-				open[mi] = true
-				room[mi] = free[mi]
-			}
-			for need > 0 && j.Demand.Fits(room[mi]) {
-				room[mi] = room[mi].Minus(j.Demand)
-				need--
-			}
-		}
-	}
-	return open
-}
