--- a/control/part.go
+++ b/control/part.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// fail drops a part whose record can't be written any more.
+// deposed drops a part whose record can't be written any more.
 func (n *Node) deposed(t *turf) {
 	if n.turfs[t.part] == t {
 		delete(n.turfs, t.part)
