Keep accelerators by mean demand, rent them only when a queue would be too late

Cause: gangs have 100 s to start and start in 98 of 100 cases; machines at 5.85 an hour stood by for that.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -206,18 +206,18 @@
 	}
 }
 
-// watchUse notes how many machines with accelerators are in use, and which of the
-// others are more than were needed at any time lately. Work that goes round the
-// machines would otherwise keep all of them though it never needs them at once.
-// Those are the dear ones; of the others a few more do not matter, and rounds of
-// short tasks miss them (docs/measurements.md).
+// watchUse notes how many machines with accelerators have been wanted of late,
+// in use or waited for, and which of the idle ones are more than that on average.
+// Work that goes round the machines would otherwise keep all of them though it
+// never needs them at once. Those are the dear ones; of the others a few more do
+// not matter, and rounds of short tasks miss them (docs/measurements.md).
 func (n *Node) watchUse() {
 	f := &n.fleet
 	if n.now < f.useNext {
 		return
 	}
 	f.useNext = n.now.Add(time.Second)
-	busy, up := map[api.TypeName]int{}, map[api.TypeName]int{}
+	wanted, up := map[api.TypeName]int{}, map[api.TypeName]int{}
 	var idle []MachineNews
 	n.eachMachine(func(_ api.PartID, m *MachineNews) {
 		if !n.accelerated(m.Type) {
@@ -225,23 +225,36 @@
 		}
 		up[m.Type]++
 		if n.keeps(m.ID, m.Type) {
-			busy[m.Type]++
+			wanted[m.Type]++
 		} else {
 			idle = append(idle, *m)
 		}
 	})
+	for _, j := range n.book.jobs {
+		if j.final() || n.plain(j.Spec) {
+			continue
+		}
+		for _, typ := range slices.Sorted(maps.Keys(up)) {
+			if len(j.Spec.Types) == 0 || slices.Contains(j.Spec.Types, typ) {
+				for p := range n.book.parts {
+					wanted[typ] += j.waiting(api.PartID(p))
+				}
+				break
+			}
+		}
+	}
 	spare := map[api.TypeName]int{}
 	for typ, count := range up {
 		kept := f.use[typ][:0]
-		peak := 0
-		for _, u := range append(f.use[typ], usage{n.now, busy[typ]}) {
-			if n.now.Sub(u.at) <= n.hold(typ) {
+		sum := 0
+		for _, u := range append(f.use[typ], usage{n.now, wanted[typ]}) {
+			if n.now.Sub(u.at) <= 2*n.hold(typ) {
 				kept = append(kept, u)
-				peak = max(peak, u.count)
+				sum += u.count
 			}
 		}
 		f.use[typ] = kept
-		spare[typ] = count - peak
+		spare[typ] = count - (sum+len(kept)-1)/len(kept)
 	}
 	// All nodes choose alike: the dearest kind first, then the newest.
 	slices.SortFunc(idle, func(a, b MachineNews) int {
@@ -341,6 +354,7 @@
 	})
 	need := map[offer]int{}
 	budget := 5000 // tasks looked at
+	queued := 0    // tasks that wait for accelerators
 	for _, j := range jobs {
 		if j.final() || j.hold > n.now {
 			continue
@@ -367,6 +381,18 @@
 			}
 		}
 		all := waiting
+		if within := n.startAim(j.Spec.Class); within > 0 && !plain && waiting > 0 {
+			// Work that ends will make room; a machine is rented only when
+			// that comes too late.
+			if slots := n.slotsUp(j.Spec); slots > 0 {
+				queued += waiting
+				turn := j.Spec.Estimate + j.Spec.ImageGB/n.slowestFetch(j.Spec)
+				elapsed := max(0, float64(n.wall-j.Accepted)/1000)
+				if elapsed+float64(queued)/float64(slots)*turn < within {
+					continue
+				}
+			}
+		}
 		for i := range spaces {
 			s := &spaces[i]
 			if waiting == 0 {
@@ -434,6 +460,31 @@
 	})
 }
 
+// slotsUp counts how many of a job's tasks the machines that are up could hold
+// if they were empty.
+func (n *Node) slotsUp(s *api.JobSpec) int {
+	slots := 0
+	for _, c := range n.capacityByPart(s) {
+		slots += c
+	}
+	return slots
+}
+
+// slowestFetch is the lowest rate at which an allowed type fetches images.
+func (n *Node) slowestFetch(s *api.JobSpec) float64 {
+	rate := 0.0
+	for _, t := range n.types {
+		if t.FetchRate > 0 && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) && s.Demand().Fits(t.Capacity()) &&
+			(rate == 0 || t.FetchRate < rate) {
+			rate = t.FetchRate
+		}
+	}
+	if rate == 0 {
+		return 1
+	}
+	return rate
+}
+
 // cheapest finds the offer with the lowest price for one task of the job.
 func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int, zone api.Zone) (offer, bool) {
 	demand, plain := s.Demand(), n.plain(s)
