--- a/control/book.go
+++ b/control/book.go
@@ -223,7 +223,9 @@
 	fails    int
 	failedOn map[api.MachineID]bool
 	moved    api.Time
-	begun    bool // a start was planned here
+	begun    bool    // a start was planned here
+	ran      float64 // seconds that tasks took which were seen to complete
+	runs     int     // and how many they were
 }
 
 // state is what users are told. A job all of whose tasks are done is done even
--- a/control/machine.go
+++ b/control/machine.go
@@ -47,6 +47,7 @@
 	failed   map[api.JobRef]api.Time
 	sickTill api.Time
 	fullTill api.Time
+	pace     float64 // see learnPace
 }
 
 type cached struct {
@@ -259,6 +260,9 @@
 		n.cacheImage(m, j.Spec)
 		delete(m.failed, j.ref)
 		j.fails = 0
+		if p.running != 0 {
+			n.learnPace(m, j, n.now.Sub(p.running).Seconds())
+		}
 		n.end(t, p, true, "done")
 		return
 	case api.ReasonError:
@@ -277,6 +281,23 @@
 	n.end(t, p, false, string(tr.Reason))
 }
 
+// learnPace compares how long a task took with the others of its job: the same
+// work, so that what differs is the machine.
+func (n *Node) learnPace(m *Machine, j *Job, took float64) {
+	if j.Spec.Kind != api.Array {
+		return
+	}
+	if j.runs >= 2 && j.ran > 0 {
+		ratio := took / (j.ran / float64(j.runs))
+		if m.pace == 0 {
+			m.pace = 1
+		}
+		m.pace += 0.4 * (min(ratio, 4) - m.pace)
+	}
+	j.ran += took
+	j.runs++
+}
+
 // judge decides whether a failure speaks against the machine or the job.
 func (n *Node) judge(m *Machine, j *Job) {
 	recent := 0
--- a/control/part.go
+++ b/control/part.go
@@ -401,7 +401,7 @@
 			continue
 		}
 		typ := n.types[m.typ]
-		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0, Closed: m.closing,
+		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0, Closed: m.closing, Pace: m.pace,
 			Fetch: typ.FetchRate, Images: map[api.Image]bool{}}
 		for img := range m.images {
 			sm.Images[img] = true
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -19,7 +19,7 @@
 	Free   api.Resources
 	GPU    bool               // the type has accelerators
 	Closed bool               // only for work that needs its accelerators
-	Speed  float64            // relative, 1 when unknown
+	Pace   float64            // how much longer tasks take here than elsewhere; 0: not known
 	Images map[api.Image]bool // cached, as far as known
 	Fetch  float64            // GB per second
 }
@@ -79,6 +79,7 @@
 	entitledBonus = 4.0
 	urgencyBonus  = 2.0
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
+	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
 	imageWeight   = 0.2 // a fetch, as a share of what the task takes in all
 )
 
@@ -98,6 +99,9 @@
 	if j.Entitled {
 		gain += entitledBonus
 	}
+	if m.Pace > slowPace {
+		gain -= m.Pace - 1
+	}
 	if m.GPU && j.Plain {
 		gain -= scarcePenalty
 	}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -67,6 +67,41 @@
 	}
 }
 
+// Equal but for one thing: the quicker machine, the one with the image and the
+// plain one are preferred, and a service keeps off accelerators.
+func TestMachineIsChosenByItsTerms(t *testing.T) {
+	cases := map[string]func(other *Machine, j *Job){
+		"slow":        func(m *Machine, _ *Job) { m.Pace = 2 },
+		"no image":    func(m *Machine, j *Job) { m.Images = nil },
+		"accelerator": func(m *Machine, _ *Job) { m.GPU = true },
+		"less room":   func(m *Machine, _ *Job) { m.Free.CPU -= 4e6 },
+		"avoided":     func(m *Machine, j *Job) { j.AvoidedBy = map[api.MachineID]bool{m.ID: true} },
+		"other zone":  func(m *Machine, j *Job) { m.Zone, j.Spec.Zone = "x", "z" },
+		"spot":        func(m *Machine, _ *Job) { m.Spot = true },
+	}
+	for name, spoil := range cases {
+		for worse := range 2 {
+			in := crowd(2, 1)
+			for i := range in.Machines {
+				in.Machines[i].Free = api.Resources{CPU: 8e6, Mem: 32e6}
+				in.Machines[i].Zone = "z"
+				in.Machines[i].Images = map[api.Image]bool{"img": true}
+			}
+			in.Jobs[0].Pending, in.Jobs[0].Plain = []int{0}, true
+			spoil(&in.Machines[worse], &in.Jobs[0])
+			if plan := Round(in); len(plan) != 1 || plan[0].Machine == worse {
+				t.Errorf("%s: placed %v, the worse machine is %d", name, plan, worse)
+			}
+		}
+	}
+	in := crowd(1, 1)
+	in.Machines[0].Free, in.Machines[0].GPU = api.Resources{CPU: 8e6, Mem: 32e6}, true
+	in.Jobs[0].Plain, in.Jobs[0].Spec.Kind = true, api.Service
+	if plan := Round(in); len(plan) != 0 {
+		t.Errorf("a service on an accelerator machine: %v", plan)
+	}
+}
+
 func TestGangWholeOrNot(t *testing.T) {
 	in := crowd(3, 1)
 	for i := range in.Machines {
