--- a/control/gossip.go
+++ b/control/gossip.go
@@ -35,6 +35,11 @@
 		return
 	}
 	n.gossipAt = n.now.Add(gossipEvery)
+	for id, r := range n.sentTo {
+		if n.now.Sub(r.at) > returnTime {
+			delete(n.sentTo, id)
+		}
+	}
 	g := &Gossip{From: n.cfg.Label, StateOK: !n.unreachable()}
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		g.Parts = append(g.Parts, n.news(n.turfs[p]))
