A refused request's answer is not lost to a client that still sends

Seen as a flaky test on a clean clone: 413 and an immediate close reset the connection of a client in the middle of its body. The connection now lingers, bounded in time and bytes. Also: an answer not yet written was replaced by the next one when two requests had come at once (evio replaces unwritten output at a wake).

--- a/httpx/server.go
+++ b/httpx/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/tidwall/evio"
 )
@@ -25,12 +26,22 @@
 	busy    bool // a request is being worked on; its successor waits in in
 	closing bool // close after the answer
 	told    bool // 100 Continue was sent for the current request
+	refused bool // answered for good; what still comes is thrown away
+	thrown  int
 
 	mu  sync.Mutex
 	out []byte // written by Answer, taken by the loop
 	end bool   // the answer in out is complete
+	cut bool   // refused long enough ago to be closed
 }
 
+// A connection whose request was refused unread stays open for a while: to close
+// it on a client that still sends would take the answer away from it.
+const (
+	lingerTime  = 2 * time.Second
+	lingerBytes = 1 << 20
+)
+
 // Server is an HTTP server on evio with deferred answers.
 type Server struct {
 	maxBody, maxConns int
@@ -101,13 +112,31 @@
 		return nil, evio.Close
 	}
 	sc.mu.Lock()
+	if sc.refused {
+		sc.thrown += len(in)
+		over := sc.cut || sc.thrown > lingerBytes
+		sc.mu.Unlock()
+		if over {
+			return nil, evio.Close
+		}
+		return nil, evio.None
+	}
 	if sc.end {
 		out, sc.out, sc.end = sc.out, nil, false
 		sc.busy, sc.told = false, false
-		if sc.closing {
-			sc.mu.Unlock()
+		closing := sc.closing
+		sc.mu.Unlock()
+		if closing {
 			return out, evio.Close
 		}
+		// evio replaces output that it has not written yet by that of a
+		// later wake, so a request that has already come waits for a turn.
+		if sc.in = append(sc.in, in...); len(sc.in) > 0 {
+			c.Wake()
+		} else {
+			sc.in = nil
+		}
+		return out, evio.None
 	}
 	sc.mu.Unlock()
 	sc.in = append(sc.in, in...)
@@ -128,7 +157,14 @@
 		if errors.Is(err, ErrTooLarge) {
 			status = 413
 		}
-		return AppendResponse(out, status, []byte(`{"error":"`+err.Error()+`"}`), 0, true), evio.Close
+		sc.refused, sc.in = true, nil
+		time.AfterFunc(lingerTime, func() {
+			sc.mu.Lock()
+			sc.cut = true
+			sc.mu.Unlock()
+			c.Wake()
+		})
+		return AppendResponse(out, status, []byte(`{"error":"`+err.Error()+`"}`), 0, true), evio.None
 	}
 	if n == 0 {
 		if r.Expect && !sc.told {
--- a/httpx/server_test.go
+++ b/httpx/server_test.go
@@ -105,6 +105,7 @@
 		{"two at once", []string{"GET /a HTTP/1.1\r\n\r\n" + closing}, []string{"GET /a", "POST /b hi"}},
 		{"malformed", []string{"nonsense\r\n\r\n"}, []string{"HTTP/1.1 400"}},
 		{"too large", []string{"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"}, []string{"HTTP/1.1 413"}},
+		{"too large and still sending", []string{"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", strings.Repeat("x", 2500), strings.Repeat("x", 2500)}, []string{"HTTP/1.1 413"}},
 		{"asks before it sends", []string{"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", "x", closing}, []string{"100 Continue", "POST /a x"}},
 	}
 	for _, c := range cases {
