--- a/admin/admin.go
+++ b/admin/admin.go
@@ -96,7 +96,7 @@
 }
 
 func (c *Cmd) call(method, path string, body []byte) error {
-	r, err := httpx.NewClient(16<<20, 1).Do(context.Background(), c.Addr, method, Prefix+path, body, 10*time.Second)
+	r, err := httpx.NewClient(16<<20, 1, 1).Do(context.Background(), c.Addr, method, Prefix+path, body, 10*time.Second)
 	if err != nil {
 		return err
 	}
--- a/cmd/basaltwall/main.go
+++ b/cmd/basaltwall/main.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"syscall"
@@ -32,8 +34,15 @@
 	defer stop()
 	// The collector is told of the limit, so that it works harder rather than
 	// let the process be killed.
+	// Until then it runs seldom: memory is there to be used, processor time is not.
 	if mb := cfg.Deployment.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb * 0.7 * (1 << 20)))
+		debug.SetGCPercent(400)
+	}
+	// One thread waits in the kernel for the server's loop and must not hold up
+	// the owner; more than the cores could run only get in each other's way.
+	if share := cfg.Deployment.Limits.CPUShare; share > 0 {
+		runtime.GOMAXPROCS(max(2, int(math.Ceil(share))))
 	}
 	return node.New(cfg).Run(ctx)
 }
--- a/control/ask.go
+++ b/control/ask.go
@@ -71,7 +71,7 @@
 		Tasks   int          `json:"tasks"`
 		Waiting int          `json:"waiting"`
 	}
-	// MachineView is a machine, as this node or its owner's news tell.
+	// MachineView is a machine of a part that this node owns.
 	MachineView struct {
 		ID      api.MachineID `json:"machine"`
 		Part    api.PartID    `json:"part"`
@@ -192,7 +192,7 @@
 
 func (n *Node) viewMembers() []MemberView {
 	out := []MemberView{}
-	for _, l := range n.labels() {
+	for _, l := range n.all {
 		v := MemberView{Label: l, Live: n.live(l), Parts: []api.PartID{}, Self: l == n.cfg.Label}
 		for i, p := range n.book.parts {
 			if p.owner == l {
@@ -220,18 +220,15 @@
 
 func (n *Node) viewMachines() []MachineView {
 	out := []MachineView{}
-	n.eachMachine(func(p api.PartID, m *MachineNews) {
-		v := MachineView{ID: m.ID, Part: p, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Tasks: []string{}}
-		for _, pl := range n.placesOn(m.ID) {
-			v.Tasks = append(v.Tasks, pl.Task.String())
-		}
-		if own, t := n.machines[m.ID], n.turfs[p]; own != nil && t != nil {
-			v.Avoided = n.avoided(own, t)
-		} else if !m.Usable {
-			v.Avoided = "its owner does not use it"
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		for _, m := range n.machinesOf(p) {
+			v := MachineView{ID: m.ID, Part: p, Type: m.typ, Zone: m.zone, Spot: m.spot, Tasks: []string{}, Avoided: n.avoided(m, n.turfs[p])}
+			for _, pl := range n.book.on(m.ID) {
+				v.Tasks = append(v.Tasks, pl.Task.String())
+			}
+			out = append(out, v)
 		}
-		out = append(out, v)
-	})
+	}
 	return out
 }
 
@@ -328,14 +325,14 @@
 		return fmt.Sprintf("team %s has %.1f CPUs and %.1f GPUs of its limit left here", j.Spec.Team, left.CPU.Float(), left.GPU.Float())
 	}
 	allowed, usable, room := 0, 0, 0
-	n.eachMachine(func(q api.PartID, m *MachineNews) {
-		if q != p || !sched.Allowed(j.Spec, m.Type, m.Zone, m.Spot) {
+	n.eachRoom(func(q api.PartID, k Kind, free api.Resources, count int) {
+		if q != p || !sched.Allowed(j.Spec, k.Type, k.Zone, k.Spot) {
 			return
 		}
-		allowed++
-		if m.Usable && !(m.Closed && n.plain(j.Spec)) {
-			usable++
-			room += j.demand.Slots(m.Free)
+		allowed += count
+		if k.Usable && !(k.Closed && n.plain(j.Spec)) {
+			usable += count
+			room += count * j.demand.Slots(free)
 		}
 	})
 	return fmt.Sprintf("%d machines are allowed, %d usable, with room for %d tasks", allowed, usable, room)
--- a/control/book.go
+++ b/control/book.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"bytes"
+	"cmp"
+	"compress/flate"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"math/bits"
 	"slices"
@@ -29,8 +33,11 @@
 )
 
 // ringSize is how many round records a part keeps before their keys are used
-// again; a checkpoint must have covered a record by then.
-const ringSize = 32
+// again; a checkpoint must have covered a record by then. A checkpoint grows with
+// the tasks that run, a record with those that start or end, so checkpoints must
+// be much rarer than rounds, or they would use up the writes; what is read after
+// a crash stays some hundred records.
+const ringSize = 128
 
 func partKey(prefix string, p api.PartID) string { return prefix + strconv.Itoa(int(p)) }
 
@@ -217,15 +224,18 @@
 	doneN  int
 	doneBy map[api.PartID]*bitset
 	places map[int]*Place
+	placed map[api.PartID]int // how many places by part
+	overN  int                // places that are over but not yet recorded so
 
 	// Owner's working notes.
 	hold     api.Time // no new starts before, after failures
 	fails    int
 	failedOn map[api.MachineID]bool
 	moved    api.Time
-	begun    bool    // a start was planned here
-	ran      float64 // seconds that tasks took which were seen to complete
-	runs     int     // and how many they were
+	wayAt    api.Time // others are not made to give way before
+	begun    bool     // a start was planned here
+	ran      float64  // seconds that tasks took which were seen to complete
+	runs     int      // and how many they were
 }
 
 // state is what users are told. A job all of whose tasks are done is done even
@@ -255,15 +265,26 @@
 	parts    []partState
 	jobs     map[api.JobRef]*Job
 	onPart   []map[*Place]bool // places by part
-	onHost   map[api.MachineID]map[*Place]bool
+	onHost   map[api.MachineID]*hosted
+	open     map[api.JobRef]*Job // with tasks that wait
+	ended    map[api.JobRef]*Job // over, no place left, not yet put away
 	lent     map[api.MachineID]lent
+	lends    int // changes to lent, so that what follows from it can be kept
 	types    []api.MachineType
 	finals   map[api.JobRef]api.JobState
 	settings Settings
 	oldest   []api.JobRef // finals in the order they came, to bound them
 }
 
+// hosted is what a machine holds by the durable record, in order of task.
+type hosted struct {
+	places []*Place
+	need   api.Resources // of the places that are not over
+}
+
 type partState struct {
+	use   map[api.Team]api.Resources // of the places that are not over
+	ranks [4]int                     // places by priority, gangs' aside
 	owner api.Label
 	term  api.Revision
 	seq   uint64
@@ -277,11 +298,13 @@
 	b := &book{
 		vers: map[string]api.Revision{}, members: map[api.Label]memberValue{},
 		parts: make([]partState, parts), jobs: map[api.JobRef]*Job{},
-		onPart: make([]map[*Place]bool, parts), onHost: map[api.MachineID]map[*Place]bool{},
+		onPart: make([]map[*Place]bool, parts), onHost: map[api.MachineID]*hosted{},
+		open: map[api.JobRef]*Job{}, ended: map[api.JobRef]*Job{},
 		finals: map[api.JobRef]api.JobState{}, lent: map[api.MachineID]lent{},
 	}
 	for i := range b.parts {
 		b.parts[i].given = map[api.PartID]map[api.Team]api.Resources{}
+		b.parts[i].use = map[api.Team]api.Resources{}
 		b.onPart[i] = map[*Place]bool{}
 	}
 	return b
@@ -292,24 +315,96 @@
 	return api.Attempt(seq*uint64(len(b.parts)) + uint64(p) + 1)
 }
 
+// comparePlaces orders the places on a machine.
+func comparePlaces(a, b *Place) int {
+	return cmp.Or(strings.Compare(string(a.Task.Job), string(b.Task.Job)), cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Attempt, b.Attempt))
+}
+
 func (b *book) addPlace(p *Place) {
 	p.job.places[p.Task.Index] = p
+	p.job.placed[p.Part]++
 	b.onPart[p.Part][p] = true
-	if b.onHost[p.Machine] == nil {
-		b.onHost[p.Machine] = map[*Place]bool{}
+	h := b.onHost[p.Machine]
+	if h == nil {
+		h = &hosted{}
+		b.onHost[p.Machine] = h
+	}
+	i, _ := slices.BinarySearchFunc(h.places, p, comparePlaces)
+	h.places = slices.Insert(h.places, i, p)
+	b.weigh(p, 1)
+	if p.job.Spec.Kind != api.Gang {
+		b.parts[p.Part].ranks[p.job.Spec.Priority.Rank()]++
 	}
-	b.onHost[p.Machine][p] = true
+	b.index(p.job)
 }
 
 func (b *book) dropPlace(p *Place) {
+	b.setOver(p, true)
+	p.job.overN--
 	delete(p.job.places, p.Task.Index)
+	p.job.placed[p.Part]--
 	delete(b.onPart[p.Part], p)
 	if h := b.onHost[p.Machine]; h != nil {
-		delete(h, p)
-		if len(h) == 0 {
+		if i := slices.Index(h.places, p); i >= 0 {
+			h.places = slices.Delete(h.places, i, i+1)
+		}
+		if len(h.places) == 0 {
 			delete(b.onHost, p.Machine)
 		}
 	}
+	if p.job.Spec.Kind != api.Gang {
+		b.parts[p.Part].ranks[p.job.Spec.Priority.Rank()]--
+	}
+	b.index(p.job)
+}
+
+// weigh counts what a place takes, or no longer takes, of its machine and of
+// its team's limit.
+func (b *book) weigh(p *Place, n int) {
+	need := p.job.demand.Times(n)
+	if h := b.onHost[p.Machine]; h != nil {
+		h.need = h.need.Plus(need)
+	}
+	use := b.parts[p.Part].use
+	use[p.job.Spec.Team] = use[p.job.Spec.Team].Plus(need)
+}
+
+// setOver notes whether there is evidence that a place is over.
+func (b *book) setOver(p *Place, over bool) {
+	if p.over == over {
+		return
+	}
+	p.over = over
+	if over {
+		p.job.overN++
+		b.weigh(p, -1)
+	} else {
+		p.job.overN--
+		b.weigh(p, 1)
+	}
+	b.index(p.job)
+}
+
+// index keeps the sets of jobs by what is still to be done for them, so that
+// no round looks at the many that need nothing.
+func (b *book) index(j *Job) {
+	delete(b.open, j.ref)
+	delete(b.ended, j.ref)
+	switch {
+	case j.final() && len(j.places) == 0:
+		b.ended[j.ref] = j
+	case !j.final() && j.doneN+len(j.places)-j.overN < j.Spec.Tasks:
+		b.open[j.ref] = j
+	}
+}
+
+// on lists the places on a machine, in order.
+func (b *book) on(id api.MachineID) []*Place {
+	if h := b.onHost[id]; h != nil {
+		return h.places
+	}
+	return nil
 }
 
 func (j *Job) complete(part api.PartID, i int) {
@@ -360,6 +455,7 @@
 			b.addPlace(&Place{Task: api.TaskID{Job: d.Job, Index: s.Task}, Part: part, Machine: s.Machine,
 				Session: s.Session, Attempt: attempt, job: j})
 		}
+		b.index(j)
 	}
 }
 
@@ -412,6 +508,35 @@
 	return c
 }
 
+// pack makes a checkpoint small: it names the same jobs and machines over and
+// over, and the state service's writes are scarce.
+func pack(c checkpoint) ([]byte, error) {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("packing: %w", err)
+	}
+	if err := json.NewEncoder(w).Encode(c); err != nil {
+		return nil, fmt.Errorf("packing: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("packing: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func unpack(blob []byte) (checkpoint, error) {
+	var c checkpoint
+	text, err := io.ReadAll(flate.NewReader(bytes.NewReader(blob)))
+	if err != nil {
+		return c, fmt.Errorf("unpacking: %w", err)
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return c, fmt.Errorf("unpacking: %w", err)
+	}
+	return c, nil
+}
+
 func (b *book) setFinal(ref api.JobRef, s api.JobState) {
 	if _, known := b.finals[ref]; !known {
 		b.oldest = append(b.oldest, ref)
@@ -470,10 +595,11 @@
 		ref := api.JobRef(key[len(keyJob):])
 		j := b.jobs[ref]
 		if j == nil {
-			j = &Job{ref: ref, doneBy: map[api.PartID]*bitset{}, places: map[int]*Place{}}
+			j = &Job{ref: ref, doneBy: map[api.PartID]*bitset{}, places: map[int]*Place{}, placed: map[api.PartID]int{}}
 			b.jobs[ref] = j
 		}
 		j.jobValue, j.demand, j.ver = v, v.Spec.Demand(), ver
+		b.index(j)
 	case strings.HasPrefix(key, keyPart):
 		p, _, ok := partOf(key, keyPart, n)
 		var v partValue
@@ -501,6 +627,7 @@
 			return fmt.Errorf("key %s: %w", key, err)
 		}
 		b.lent[api.MachineID(key[len(keyLend):])] = lent{v.Part, ver}
+		b.lends++
 	case key == keySettings:
 		var v Settings
 		if err := json.Unmarshal(value, &v); err != nil {
@@ -531,6 +658,7 @@
 		delete(b.members, api.Label(key[len(keyMember):]))
 	case strings.HasPrefix(key, keyLend):
 		delete(b.lent, api.MachineID(key[len(keyLend):]))
+		b.lends++
 	case strings.HasPrefix(key, keyJob):
 		ref := api.JobRef(key[len(keyJob):])
 		if j := b.jobs[ref]; j != nil {
@@ -541,6 +669,8 @@
 				b.dropPlace(p)
 			}
 			delete(b.jobs, ref)
+			delete(b.open, ref)
+			delete(b.ended, ref)
 		}
 	}
 }
@@ -576,8 +706,8 @@
 				}
 				blob = append(blob, chunk...)
 			}
-			var c checkpoint
-			if err := json.Unmarshal(blob, &c); err != nil {
+			c, err := unpack(blob)
+			if err != nil {
 				return fmt.Errorf("checkpoint of part %d: %w", i, err)
 			}
 			ps.seq = c.Seq
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -24,8 +25,8 @@
 	listNext api.Time
 
 	useNext api.Time
-	use     map[api.TypeName][]usage // machines in use, of late
-	surplus map[api.MachineID]bool   // idle, and more than were needed of late
+	stocks  map[api.TypeName]*stock
+	surplus map[api.MachineID]bool // idle, and more than were needed of late
 
 	typesBusy bool
 	typesNext api.Time
@@ -36,6 +37,28 @@
 	refused  map[offer]api.Time // until when not to ask again
 	rented   map[api.MachineID]rental
 	short    api.Time // since when tasks have lacked room
+
+	spotSeconds, spotTaken float64 // how long spot machines were seen up, and how many were taken
+	spotAt                 api.Time
+}
+
+// spotLossRate is how often a spot machine is taken, per second, as seen so far.
+// One loss an hour is supposed to begin with, and counts as much as an hour seen.
+func (f *fleet) spotLossRate() float64 { return (f.spotTaken + 1) / (f.spotSeconds + 3600) }
+
+// countSpot keeps the account of spot machines.
+func (n *Node) countSpot() {
+	f := &n.fleet
+	if since := n.now.Sub(f.spotAt); f.spotAt != 0 && since > 0 {
+		for p := range n.turfs {
+			for _, m := range n.machinesOf(p) {
+				if m.spot && m.heard != 0 {
+					f.spotSeconds += since.Seconds()
+				}
+			}
+		}
+	}
+	f.spotAt = n.now
 }
 
 // offer is something the cloud may rent.
@@ -53,11 +76,11 @@
 func (f *fleet) init() {
 	f.gone, f.hosts = map[api.MachineID]api.Time{}, map[api.MachineID]api.Host{}
 	f.refused, f.rented = map[offer]api.Time{}, map[api.MachineID]rental{}
-	f.use = map[api.TypeName][]usage{}
+	f.stocks = map[api.TypeName]*stock{}
 }
 
 const (
-	listEvery  = 4 * time.Second
+	listEvery  = 4 * time.Second // at least; see listPage
 	typesEvery = time.Minute
 
 	// A machine usually boots within 1.5 times its type's boot time. After
@@ -73,7 +96,6 @@
 	}
 	n.readList()
 	n.watchUse()
-	n.useList()
 	if t := n.turfs[0]; t != nil {
 		n.rent(t)
 	}
@@ -127,7 +149,10 @@
 			return
 		}
 		f.hosts, f.busy, f.listed = f.reading, false, n.now
-		f.listNext = n.now.Add(listEvery)
+		// A third of the cloud's calls may be for lists, however many pages
+		// they have and nodes read them.
+		pages := float64(len(f.hosts)/pageSize + 1)
+		f.listNext = n.now.Add(max(listEvery, api.Seconds(3*pages*float64(len(n.all))/n.cfg.Deployment.Cloud.RPS)))
 		for id, at := range f.gone {
 			if _, there := f.hosts[id]; !there && n.now.Sub(at) > 5*time.Minute {
 				delete(f.gone, id)
@@ -138,9 +163,13 @@
 				delete(f.rented, id)
 			}
 		}
+		n.useList()
 	})
 }
 
+// pageSize is how many machines a page of the list holds.
+const pageSize = 500
+
 func (n *Node) listedRunning(m *Machine) bool {
 	return n.fleet.hosts[m.ID].State == api.MachineRunning
 }
@@ -172,118 +201,201 @@
 			}
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
-		m := n.machines[id]
-		t := n.turfs[n.partOf(id)]
-		_, listed := f.hosts[id]
-		busy := len(n.book.onHost[id]) > 0
-		if n.keeps(m.ID, m.typ) {
-			m.idle, m.closing = n.now, false
-		}
-		if t == nil {
-			if n.now.Sub(max(m.heard, m.found)) > time.Minute {
-				delete(n.machines, id)
-			}
-			continue
-		}
-		hold, unused := n.hold(m.typ), n.now.Sub(m.idle)
-		idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || f.surplus[id] && unused > hold/3)
-		m.closing = idle && n.accelerated(m.typ)
-		if m.deleting || busy {
-			continue
-		}
-		if !listed && m.heard == 0 && n.now.Sub(m.found) > time.Minute {
-			delete(n.machines, id)
-			continue
+}
+
+// keepOrReturn decides whether a machine is still wanted. It is called for each
+// in turn.
+func (n *Node) keepOrReturn(m *Machine, t *turf) {
+	f := &n.fleet
+	if len(n.types) == 0 {
+		return
+	}
+	if n.keeps(m.ID, m.typ) {
+		m.idle, m.closing = n.now, false
+	}
+	if t == nil {
+		if n.now.Sub(max(m.heard, m.found)) > time.Minute {
+			n.forget(m.ID)
 		}
-		if m.sickTill > n.now && m.heard != 0 {
-			n.remove(m, t, "sick")
+		return
+	}
+	hold, unused := n.hold(m.typ), n.now.Sub(m.idle)
+	idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || f.surplus[m.ID] && unused > hold/3)
+	if st := f.stocks[m.typ]; st != nil && st.ahead != nil && !f.surplus[m.ID] {
+		idle = false
+	}
+	m.closing = idle && n.accelerated(m.typ)
+	if m.deleting || len(n.book.on(m.ID)) > 0 {
+		return
+	}
+	_, listed := f.hosts[m.ID]
+	switch {
+	case !listed && m.heard == 0 && n.now.Sub(m.found) > time.Minute:
+		n.forget(m.ID)
+	case m.sickTill > n.now && m.heard != 0:
+		n.remove(m, t, "sick")
+	case idle && t.writing == nil && len(m.tasks) == 0:
+		n.remove(m, t, idleWhy)
+	}
+}
+
+// Count says how many machines of a type with accelerators are up, and how many
+// of these have work that they are kept for.
+type Count struct{ Up, Busy int }
+
+// countAccelerated counts a part's machines with accelerators by type.
+func (n *Node) countAccelerated(p api.PartID) map[api.TypeName]Count {
+	counts := map[api.TypeName]Count{}
+	for _, m := range n.machinesOf(p) {
+		if m.heard == 0 || m.deleting || !n.accelerated(m.typ) {
 			continue
 		}
-		if idle && t.writing == nil && len(m.tasks) == 0 {
-			n.remove(m, t, idleWhy)
+		c := counts[m.typ]
+		c.Up++
+		if n.keeps(m.ID, m.typ) {
+			c.Busy++
 		}
+		counts[m.typ] = c
 	}
+	return counts
+}
+
+// stock is what is known of the need for a type with accelerators.
+type stock struct {
+	wanted []usage      // machines that work wanted, of late
+	ahead  *api.JobSpec // work of a class that should start sooner than a machine boots, if any
+	target int          // how many machines should be up
+}
+
+type usage struct {
+	at    api.Time
+	count int
 }
 
-// watchUse notes how many machines with accelerators have been wanted of late,
-// in use or waited for, and which of the idle ones are more than that on average.
-// Work that goes round the machines would otherwise keep all of them though it
-// never needs them at once. Those are the dear ones; of the others a few more do
-// not matter, and rounds of short tasks miss them (docs/measurements.md).
+// deviations is how far above the load the stock of machines is held that work
+// needs sooner than one boots. The number of jobs at a time that come by chance
+// varies by about the root of its mean; with two such deviations few find none.
+const deviations = 2
+
+// watchUse reckons once a second how many machines with accelerators are wanted
+// and which of the idle ones are more than that. Work that goes round the
+// machines would otherwise keep all of them though it never needs them at once.
+// Those are the dear ones; of the others a few more do not matter, and rounds of
+// short tasks miss them (docs/measurements.md).
 func (n *Node) watchUse() {
 	f := &n.fleet
 	if n.now < f.useNext {
 		return
 	}
 	f.useNext = n.now.Add(time.Second)
-	wanted, up := map[api.TypeName]int{}, map[api.TypeName]int{}
-	var idle []MachineNews
-	n.eachMachine(func(_ api.PartID, m *MachineNews) {
-		if !n.accelerated(m.Type) {
-			return
-		}
-		up[m.Type]++
-		if n.keeps(m.ID, m.Type) {
-			wanted[m.Type]++
-		} else {
-			idle = append(idle, *m)
-		}
-	})
+	n.countSpot()
+	wanted := map[api.TypeName]int{}
 	for _, j := range n.book.jobs {
 		if j.final() || n.plain(j.Spec) {
 			continue
 		}
-		for _, typ := range slices.Sorted(maps.Keys(up)) {
-			if len(j.Spec.Types) == 0 || slices.Contains(j.Spec.Types, typ) {
-				for p := range n.book.parts {
-					wanted[typ] += j.waiting(api.PartID(p))
-				}
-				break
-			}
+		typ := n.bestType(j.Spec)
+		if typ == nil {
+			continue
+		}
+		slots := max(1, j.demand.Slots(typ.Capacity()))
+		wanted[typ.Name] += (j.Spec.Tasks - j.doneN + slots - 1) / slots
+		st := f.stocks[typ.Name]
+		if st == nil {
+			st = &stock{}
+			f.stocks[typ.Name] = st
+		}
+		// Booting takes up to half as long again as the type's time.
+		if within := n.startAim(j.Spec.Class); within > 0 && within < lateBoot*typ.Boot && (st.ahead == nil || st.ahead.Spot && !j.Spec.Spot) {
+			st.ahead = j.Spec
 		}
 	}
-	spare := map[api.TypeName]int{}
-	for typ, count := range up {
-		kept := f.use[typ][:0]
+	parts := n.countsByPart()
+	f.surplus = map[api.MachineID]bool{}
+	for name, typ := range n.types {
+		if typ.GPUs == 0 {
+			continue
+		}
+		st := f.stocks[name]
+		if st == nil {
+			st = &stock{}
+			f.stocks[name] = st
+		}
+		kept := st.wanted[:0]
 		sum := 0
-		for _, u := range append(f.use[typ], usage{n.now, wanted[typ]}) {
-			if n.now.Sub(u.at) <= 2*n.hold(typ) {
+		for _, u := range append(st.wanted, usage{n.now, wanted[name]}) {
+			if n.now.Sub(u.at) <= 2*n.hold(name) {
 				kept = append(kept, u)
 				sum += u.count
 			}
 		}
-		f.use[typ] = kept
-		spare[typ] = count - (sum+len(kept)-1)/len(kept)
-	}
-	// All nodes choose alike: the dearest kind first, then the newest.
-	slices.SortFunc(idle, func(a, b MachineNews) int {
-		if a.Spot != b.Spot {
-			if b.Spot {
-				return -1
-			}
-			return 1
+		st.wanted = kept
+		st.target = (sum + len(kept) - 1) / len(kept)
+		if st.ahead != nil {
+			load := float64(max(st.target, wanted[name]))
+			st.target = int(math.Ceil(load + deviations*math.Sqrt(load)))
 		}
-		return cmp.Compare(b.ID, a.ID)
-	})
-	f.surplus = map[api.MachineID]bool{}
-	for _, m := range idle {
-		if spare[m.Type] > 0 {
-			spare[m.Type]--
-			f.surplus[m.ID] = true
+		var all Count
+		for _, counts := range parts {
+			all.Up += counts[name].Up
+			all.Busy += counts[name].Busy
 		}
+		n.markSurplus(name, all.Up-st.target, all.Up-all.Busy, parts)
 	}
 }
 
-type usage struct {
-	at    api.Time
-	count int
+// bestType is the cheapest type that can take a job's tasks.
+func (n *Node) bestType(s *api.JobSpec) *api.MachineType {
+	var best *api.MachineType
+	for _, name := range slices.Sorted(maps.Keys(n.types)) {
+		t := n.types[name]
+		if s.Demand().Fits(t.Capacity()) && (len(s.Types) == 0 || slices.Contains(s.Types, name)) && (best == nil || t.Price < best.Price) {
+			best = t
+		}
+	}
+	return best
+}
+
+// markSurplus chooses our share of the idle machines that are more than needed.
+// Every owner reckons alike from the same counts, so that together they return
+// about as many as there are too many.
+func (n *Node) markSurplus(typ api.TypeName, spare, idle int, parts map[api.PartID]map[api.TypeName]Count) {
+	if spare <= 0 || idle <= 0 {
+		return
+	}
+	spare = min(spare, idle)
+	before := 0
+	for _, p := range slices.Sorted(maps.Keys(parts)) {
+		c := parts[p][typ]
+		take := spare*(before+c.Up-c.Busy)/idle - spare*before/idle
+		before += c.Up - c.Busy
+		if n.turfs[p] == nil {
+			continue
+		}
+		// The dearest kind first, then the newest.
+		ms := slices.Clone(n.machinesOf(p))
+		slices.SortStableFunc(ms, func(a, b *Machine) int {
+			if a.spot != b.spot {
+				if b.spot {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(b.ID, a.ID)
+		})
+		for _, m := range ms {
+			if take > 0 && m.typ == typ && m.heard != 0 && !m.deleting && !n.keeps(m.ID, typ) {
+				n.fleet.surplus[m.ID] = true
+				take--
+			}
+		}
+	}
 }
 
 // keeps reports whether a machine has work that it is kept for: any, but on
 // one with accelerators only such as needs them.
 func (n *Node) keeps(id api.MachineID, typ api.TypeName) bool {
-	for p := range n.book.onHost[id] {
+	for _, p := range n.book.on(id) {
 		if !n.accelerated(typ) || !n.plain(p.job.Spec) {
 			return true
 		}
@@ -318,27 +430,45 @@
 		closed bool
 	}
 	var spaces []space
-	seen := map[api.MachineID]bool{}
-	n.eachMachine(func(_ api.PartID, m *MachineNews) {
-		seen[m.ID] = true
-		if m.Usable {
-			spaces = append(spaces, space{offer{m.Type, m.Zone, m.Spot}, m.Free, m.Closed})
+	up := map[api.MachineID]bool{}
+	n.eachRoom(func(_ api.PartID, k Kind, free api.Resources, count int) {
+		if !k.Usable {
+			return
+		}
+		for range count {
+			spaces = append(spaces, space{offer{k.Type, k.Zone, k.Spot}, free, k.Closed})
 		}
 	})
-	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
-		h := f.hosts[id]
-		if typ := n.types[h.Type]; typ != nil && !seen[id] && h.State == api.MachineBooting && f.gone[id] == 0 {
-			seen[id] = true
-			if h.Age > lateBoot*typ.Boot {
-				continue // not to be counted on any more
+	for id, h := range f.hosts {
+		if h.State != api.MachineBooting {
+			up[id] = true
+		} else if m := n.machines[id]; m != nil && m.heard != 0 {
+			up[id] = true // the list lags
+		}
+	}
+	for _, pn := range n.othersNews() {
+		for _, id := range pn.Fresh {
+			up[id] = true
+		}
+	}
+	coming := map[offer]int{}
+	for id, h := range f.hosts {
+		if typ := n.types[h.Type]; typ != nil && !up[id] && f.gone[id] == 0 && h.Age <= lateBoot*typ.Boot {
+			coming[offer{h.Type, h.Zone, h.Spot}]++ // one that is late is not counted on any more
+		}
+	}
+	for id, r := range f.rented {
+		if _, listed := f.hosts[id]; !listed && !up[id] && f.gone[id] == 0 {
+			if m := n.machines[id]; m == nil || m.heard == 0 {
+				coming[r.offer]++
 			}
-			spaces = append(spaces, space{offer{h.Type, h.Zone, h.Spot}, typ.Capacity(), false})
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(f.rented)) {
-		r := f.rented[id]
-		if typ := n.types[r.typ]; typ != nil && !seen[id] && f.gone[id] == 0 {
-			spaces = append(spaces, space{r.offer, typ.Capacity(), false})
+	for _, o := range slices.SortedFunc(maps.Keys(coming), compareOffers) {
+		if typ := n.types[o.typ]; typ != nil {
+			for range coming[o] {
+				spaces = append(spaces, space{o, typ.Capacity(), false})
+			}
 		}
 	}
 	left := map[api.Team]api.Resources{}
@@ -346,17 +476,17 @@
 	for name, team := range n.teams {
 		left[name] = limitOf(team).Minus(use[name])
 	}
-	jobs := slices.SortedFunc(maps.Values(n.book.jobs), func(a, b *Job) int {
+	jobs := slices.SortedFunc(maps.Values(n.book.open), func(a, b *Job) int {
 		if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
 			return d
 		}
 		return cmp.Compare(a.ref, b.ref)
 	})
 	need := map[offer]int{}
-	budget := 5000 // tasks looked at
-	queued := 0    // tasks that wait for accelerators
+	budget := 20000 // tasks looked at
+	queued := 0     // tasks that wait for accelerators
 	for _, j := range jobs {
-		if j.final() || j.hold > n.now {
+		if j.hold > n.now {
 			continue
 		}
 		waiting := 0
@@ -366,6 +496,9 @@
 		waiting = min(waiting, j.demand.Slots(left[j.Spec.Team]), budget)
 		budget -= waiting
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(waiting))
+		if waiting <= 0 {
+			continue
+		}
 		plain := n.plain(j.Spec)
 		var zone api.Zone
 		if j.Spec.OneZone && waiting > 0 {
@@ -425,6 +558,7 @@
 			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k)), false})
 		}
 	}
+	n.rentAhead(need, coming)
 	if len(need) == 0 {
 		f.short = 0
 		return
@@ -436,11 +570,11 @@
 		return // what is about to be placed should be placed first
 	}
 	offers := slices.SortedFunc(maps.Keys(need), func(a, b offer) int {
-		return cmp.Or(need[b]-need[a], cmp.Compare(a.typ, b.typ), cmp.Compare(a.zone, b.zone))
+		return cmp.Or(need[b]-need[a], compareOffers(a, b))
 	})
 	o := offers[0]
 	f.count++
-	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(need[o], 8)}
+	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(need[o], maxRent)}
 	f.renting = true
 	n.cloud(CloudCall{Rent: r}, func(a CloudAnswer) {
 		f.renting = false
@@ -460,6 +594,46 @@
 	})
 }
 
+// rentAhead adds the machines that should be up before the work comes that will
+// need them.
+func (n *Node) rentAhead(need, coming map[offer]int) {
+	counts := n.countsByPart()
+	for _, name := range slices.Sorted(maps.Keys(n.fleet.stocks)) {
+		st := n.fleet.stocks[name]
+		if st.ahead == nil {
+			continue
+		}
+		missing := st.target
+		for _, c := range counts {
+			missing -= c[name].Up
+		}
+		for _, byOffer := range []map[offer]int{need, coming} {
+			for o, k := range byOffer {
+				if o.typ == name {
+					missing -= k
+				}
+			}
+		}
+		for ; missing > 0; missing-- {
+			o, ok := n.cheapest(st.ahead, need, "")
+			if !ok {
+				break
+			}
+			need[o]++
+		}
+	}
+}
+
+func compareOffers(a, b offer) int {
+	spot := func(o offer) int {
+		if o.spot {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.typ, b.typ), cmp.Compare(a.zone, b.zone), spot(a)-spot(b))
+}
+
 // slotsUp counts how many of a job's tasks the machines that are up could hold
 // if they were empty.
 func (n *Node) slotsUp(s *api.JobSpec) int {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -11,24 +11,51 @@
 	"basaltwall/sched"
 )
 
-// news describes one of our parts to the others.
+// news describes one of our parts to the others: machines that are alike are
+// counted, since there may be very many.
 func (n *Node) news(t *turf) PartNews {
-	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack}
-	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
-		m := n.machines[id]
-		if n.partOf(id) != t.part || m.heard == 0 || m.deleting {
+	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
+		Accelerated: n.countAccelerated(t.part)}
+	kinds := map[Kind]int{}
+	rooms := map[Room]int{}
+	for _, m := range n.machinesOf(t.part) {
+		if m.heard == 0 || m.deleting {
 			continue
 		}
-		mn := MachineNews{ID: id, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session,
-			Silent: n.now.Sub(m.heard), Usable: n.usable(m, t), Closed: m.closing, Images: slices.Sorted(maps.Keys(m.images))}
-		if mn.Usable {
-			mn.Free = n.freeOn(m, t)
+		if n.now.Sub(m.heard) > n.silentAfter() {
+			if len(pn.Silent) < maxSilent {
+				pn.Silent = append(pn.Silent, m.ID)
+			}
+		}
+		if n.now.Sub(m.upAt) < time.Minute && len(pn.Fresh) < maxSilent {
+			pn.Fresh = append(pn.Fresh, m.ID)
+		}
+		k := n.kindOf(m, t)
+		i, ok := kinds[k]
+		if !ok {
+			i = len(pn.Kinds)
+			kinds[k] = i
+			pn.Kinds = append(pn.Kinds, k)
 		}
-		pn.Machines = append(pn.Machines, mn)
+		r := Room{Kind: i}
+		if k.Usable {
+			r.Free = n.freeOn(m, t)
+		}
+		at, ok := rooms[r]
+		if !ok {
+			at = len(pn.Rooms)
+			rooms[r] = at
+			pn.Rooms = append(pn.Rooms, r)
+		}
+		pn.Rooms[at].Count++
 	}
 	return pn
 }
 
+func (n *Node) kindOf(m *Machine, t *turf) Kind {
+	return Kind{m.typ, m.zone, m.spot, n.usable(m, t), m.closing}
+}
+
 // gossip tells every peer about our parts.
 func (n *Node) gossip() {
 	if n.now < n.gossipAt {
@@ -75,21 +102,44 @@
 	}
 }
 
-// eachMachine visits the machines of all parts, others' as their owners tell.
-func (n *Node) eachMachine(visit func(api.PartID, *MachineNews)) {
+// eachRoom visits the machines of all parts by what is free on them: others' as
+// their owners tell, a number that are alike at once.
+func (n *Node) eachRoom(visit func(p api.PartID, k Kind, free api.Resources, count int)) {
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
-		pn := n.news(n.turfs[p])
-		for i := range pn.Machines {
-			visit(p, &pn.Machines[i])
+		t := n.turfs[p]
+		for _, m := range n.machinesOf(p) {
+			if m.heard == 0 || m.deleting {
+				continue
+			}
+			k := n.kindOf(m, t)
+			var free api.Resources
+			if k.Usable {
+				free = n.freeOn(m, t)
+			}
+			visit(p, k, free, 1)
 		}
 	}
 	for _, pn := range n.othersNews() {
-		for i := range pn.Machines {
-			visit(pn.Part, &pn.Machines[i])
+		for _, r := range pn.Rooms {
+			if r.Kind >= 0 && r.Kind < len(pn.Kinds) {
+				visit(pn.Part, pn.Kinds[r.Kind], r.Free, r.Count)
+			}
 		}
 	}
 }
 
+// countsByPart is what is known of all parts' machines with accelerators.
+func (n *Node) countsByPart() map[api.PartID]map[api.TypeName]Count {
+	out := map[api.PartID]map[api.TypeName]Count{}
+	for p := range n.turfs {
+		out[p] = n.countAccelerated(p)
+	}
+	for _, pn := range n.othersNews() {
+		out[pn.Part] = pn.Accelerated
+	}
+	return out
+}
+
 // othersNews is what the owners of parts that are not ours have lately told.
 func (n *Node) othersNews() []PartNews {
 	var out []PartNews
@@ -166,15 +216,20 @@
 		return
 	}
 	t.moveAt = n.now.Add(gossipEvery)
-	for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
-		j := n.book.jobs[ref]
-		if j.final() || j.hold > n.now || n.now.Sub(j.moved) < 3*gossipEvery && j.moved != 0 {
+	looks := maxMoveLooks
+	for _, ref := range t.turn(slices.Sorted(maps.Keys(n.book.open))) {
+		j := n.book.open[ref]
+		if j.hold > n.now || n.now.Sub(j.moved) < 3*gossipEvery && j.moved != 0 {
 			continue
 		}
 		waiting := j.waiting(t.part)
 		if waiting == 0 {
 			continue
 		}
+		if looks--; looks < 0 {
+			return
+		}
+		t.looked = ref
 		room := n.roomByPart(j.Spec)
 		if room[t.part] > 0 && j.Spec.Kind == api.Array {
 			continue // it will be placed here
@@ -235,6 +290,15 @@
 	}
 }
 
+// maxMoveLooks bounds the jobs that are looked at at once for moving elsewhere.
+const maxMoveLooks = 16
+
+// turn puts the jobs after the one last looked at first.
+func (t *turf) turn(refs []api.JobRef) []api.JobRef {
+	i, _ := slices.BinarySearch(refs, t.looked)
+	return slices.Concat(refs[i:], refs[:i])
+}
+
 // maxRanges bounds how finely a job may be split.
 const maxRanges = 64
 
@@ -279,10 +343,14 @@
 
 // partsHolding finds the parts that have room for all of a job's tasks.
 func (n *Node) partsHolding(s *api.JobSpec) map[api.PartID]bool {
+	demand, plain := s.Demand(), n.plain(s)
 	machines := map[api.PartID][]sched.Machine{}
-	n.eachMachine(func(p api.PartID, m *MachineNews) {
-		if m.Usable {
-			machines[p] = append(machines[p], sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free})
+	n.eachRoom(func(p api.PartID, k Kind, free api.Resources, count int) {
+		if !k.Usable || plain && n.accelerated(k.Type) || !demand.Fits(free) || !sched.Allowed(s, k.Type, k.Zone, k.Spot) {
+			return
+		}
+		for range min(count, s.Tasks) { // more of a kind are never needed
+			machines[p] = append(machines[p], sched.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot, Free: free})
 		}
 	})
 	out := map[api.PartID]bool{}
@@ -300,9 +368,9 @@
 		return ""
 	}
 	room := map[api.Zone]int{}
-	n.eachMachine(func(_ api.PartID, m *MachineNews) {
-		if m.Usable && sched.Allowed(s, m.Type, m.Zone, m.Spot) {
-			room[m.Zone] += s.Demand().Slots(m.Free)
+	n.eachRoom(func(_ api.PartID, k Kind, free api.Resources, count int) {
+		if k.Usable && sched.Allowed(s, k.Type, k.Zone, k.Spot) {
+			room[k.Zone] += count * s.Demand().Slots(free)
 		}
 	})
 	return most(room)
@@ -321,28 +389,46 @@
 
 // lend gives a free machine to a part that can't hold a job whole. The write
 // raises the token under which the machine is commanded, so nothing that this
-// part has sent it can take effect any more.
+// part has sent it can take effect any more. Where none is free, one is cleared
+// of lower work first.
 func (n *Node) lend(t *turf) {
-	if t.lending || t.leaving || t.writing != nil || n.now < t.lendAt || t.waiting > 0 {
+	if t.lending || t.leaving || t.writing != nil || n.now < t.lendAt {
 		return
 	}
 	t.lendAt = n.now.Add(2 * gossipEvery)
 	for _, pn := range n.newsBesides(t) {
 		for _, l := range pn.Lack {
-			if l.Spec == nil {
-				continue
+			if l.Spec == nil || len(t.lack) > 0 && pn.Part > t.part {
+				continue // of two that lack something, one must give
+			}
+			plain := n.plain(l.Spec)
+			if plain && t.waiting > 0 {
+				continue // our own tasks can use what is free
 			}
-			for _, id := range slices.Sorted(maps.Keys(n.machines)) {
-				m := n.machines[id]
-				if n.partOf(id) != t.part || !n.usable(m, t) || len(n.book.onHost[id]) > 0 || len(m.tasks) > 0 || m.calling {
+			var best way
+			for _, m := range n.machinesOf(t.part) {
+				if kept := n.keptFor(m); kept != "" && kept != l.Spec.Ref || !n.usable(m, t) || m.calling || l.Zone != "" && m.zone != l.Zone ||
+					n.accelerated(m.typ) && plain || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) {
 					continue
 				}
-				if l.Zone != "" && m.zone != l.Zone || n.accelerated(m.typ) && n.plain(l.Spec) || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) ||
-					!l.Spec.Demand().Fits(n.freeOn(m, t)) {
+				if len(n.book.on(m.ID)) == 0 && len(m.tasks) == 0 {
+					if l.Spec.Demand().Fits(n.freeOn(m, t)) {
+						n.lendTo(t, m.ID, pn.Part, l.Spec.Ref)
+						return
+					}
 					continue
 				}
-				n.lendTo(t, id, pn.Part, l.Spec.Ref)
-				return
+				if plain {
+					continue
+				}
+				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks)
+				if w.tasks > 0 && len(w.victims) == len(n.book.on(m.ID)) && (best.m == nil || w.loss < best.loss) {
+					best = w
+				}
+			}
+			if best.m != nil {
+				best.m.kept, best.m.keptTill = l.Spec.Ref, n.now.Add(keepTime)
+				n.clear(best, l.Spec.Ref)
 			}
 		}
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/sched"
 )
 
 type taskKey struct {
@@ -31,9 +32,12 @@
 	cmd     api.Token // the one we command it with; 0: none yet
 	doubt   api.Token // direct commands up to this token may still arrive
 	heard   api.Time  // last newer report
+	upAt    api.Time  // first report
 	found   api.Time  // first known to us
 	notice  bool
 	tasks   map[taskKey]api.TaskReport
+	extra   api.Resources // what tasks on it take that the book does not know
+	strange bool          // a task of an unknown job is on it
 
 	calling  bool
 	callNext api.Time
@@ -43,16 +47,13 @@
 	deleting bool
 	idle     api.Time // since when it has had nothing that it is kept for
 	closing  bool     // idle for long: nothing that could go elsewhere starts on it
-	images   map[api.Image]cached
+	images   map[api.Image]sched.Cached
 	failed   map[api.JobRef]api.Time
 	sickTill api.Time
 	fullTill api.Time
-	pace     float64 // see learnPace
-}
-
-type cached struct {
-	gb   float64
-	used api.Time
+	pace     float64    // see learnPace
+	kept     api.JobRef // others made way for this job here
+	keptTill api.Time
 }
 
 // hashPart says which part a machine belongs to unless it was lent. Names are
@@ -86,8 +87,9 @@
 	m := n.machines[id]
 	if m == nil {
 		m = &Machine{ID: id, found: n.now, idle: n.now, tasks: map[taskKey]api.TaskReport{},
-			images: map[api.Image]cached{}, failed: map[api.JobRef]api.Time{}}
+			images: map[api.Image]sched.Cached{}, failed: map[api.JobRef]api.Time{}}
 		n.machines[id] = m
+		n.sorted = nil
 	}
 	return m
 }
@@ -129,11 +131,52 @@
 			n.reply(c.Req, 421, api.Redirect{ReportTo: n.cfg.Label}, 0)
 			return
 		}
-		m.kick = true
+		n.kick(m)
+	} else {
+		m.kick = false // the answer carries all that a direct call would
 	}
 	n.reply(c.Req, 200, api.Orders{Token: m.cmd, Orders: n.orders(m, t)}, 0)
 }
 
+// kick has a machine told its orders at once.
+func (n *Node) kick(m *Machine) {
+	if !m.kick {
+		m.kick = true
+		n.kicked = append(n.kicked, m)
+	}
+}
+
+// forget drops a machine of which nothing is left to know.
+func (n *Node) forget(id api.MachineID) {
+	delete(n.machines, id)
+	n.sorted = nil
+}
+
+// arrange lists the machines in order, all and by part, anew when some came or
+// went or changed parts.
+func (n *Node) arrange() {
+	if n.sorted != nil && n.sortedAt == n.book.lends {
+		return
+	}
+	n.sortedAt = n.book.lends
+	n.sorted = make([]*Machine, 0, len(n.machines))
+	for _, m := range n.machines {
+		n.sorted = append(n.sorted, m)
+	}
+	slices.SortFunc(n.sorted, func(a, b *Machine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	n.byPart = make([][]*Machine, len(n.book.parts))
+	for _, m := range n.sorted {
+		p := n.partOf(m.ID)
+		n.byPart[p] = append(n.byPart[p], m)
+	}
+}
+
+// machinesOf lists a part's machines that are known here, in order.
+func (n *Node) machinesOf(p api.PartID) []*Machine {
+	n.arrange()
+	return n.byPart[p]
+}
+
 // returnTime is how soon a worker comes back that was sent to a node which
 // does not answer, and perhaps to another like it.
 const returnTime = 20 * time.Second
@@ -145,10 +188,8 @@
 		return false
 	}
 	for _, pn := range p.gossip.Parts {
-		for _, m := range pn.Machines {
-			if m.ID == id {
-				return m.Silent > n.cfg.ReportEvery()*5/4+time.Second
-			}
+		if slices.Contains(pn.Silent, id) {
+			return true
 		}
 	}
 	return false
@@ -195,6 +236,9 @@
 	if !n.usable(m, t) {
 		t.dirty = true // it may be from now on
 	}
+	if m.heard == 0 {
+		m.upAt = n.now
+	}
 	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, n.now
 	m.addr, m.typ, m.zone, m.spot, m.notice = r.Address, r.Type, r.Zone, r.Spot, r.Notice != nil
 	if r.Token > m.doubt {
@@ -208,7 +252,7 @@
 		}
 		m.tasks[taskKey{id, tr.Attempt}] = tr
 	}
-	for _, p := range n.placesOn(m.ID) {
+	for _, p := range n.book.on(m.ID) {
 		if p.Part != t.part || p.over {
 			continue
 		}
@@ -239,19 +283,35 @@
 			p.reported, p.state = true, tr.State
 		}
 	}
-	n.minds(m, t)
+	n.weighStrangers(m)
 }
 
-// minds asks for a direct call when the worker should hear something sooner
-// than in an answer to its next report.
-func (n *Node) minds(m *Machine, t *turf) {
-	for _, o := range n.orders(m, t) {
-		if o.Op == api.OpStart {
-			m.kick = true
+// weighStrangers notes what a machine's tasks take that the book has no place
+// for: they must be stopped, and until they are gone they hold their room.
+func (n *Node) weighStrangers(m *Machine) {
+	m.extra, m.strange = api.Resources{}, false
+	for k, tr := range m.tasks {
+		if tr.State == api.TaskExited || n.placeOn(m.ID, k) != nil {
+			continue
+		}
+		if j := n.book.jobs[k.id.Job]; j != nil {
+			m.extra = m.extra.Plus(j.demand)
+		} else {
+			m.strange = true
 		}
 	}
 }
 
+// placeOn finds the place of an attempt on a machine.
+func (n *Node) placeOn(id api.MachineID, k taskKey) *Place {
+	for _, p := range n.book.on(id) {
+		if p.Task == k.id && p.Attempt == k.attempt {
+			return p
+		}
+	}
+	return nil
+}
+
 // exited handles a task that ended on its machine.
 func (n *Node) exited(t *turf, m *Machine, p *Place, tr api.TaskReport) {
 	j := p.job
@@ -322,41 +382,27 @@
 
 // cacheImage notes that a machine holds an image and what it must have dropped.
 func (n *Node) cacheImage(m *Machine, s *api.JobSpec) {
-	m.images[s.Image] = cached{s.ImageGB, n.now}
+	m.images[s.Image] = sched.Cached{GB: s.ImageGB, Used: n.now}
 	typ := n.types[m.typ]
 	if typ == nil {
 		return
 	}
 	total := 0.0
 	for _, c := range m.images {
-		total += c.gb
+		total += c.GB
 	}
 	for total > typ.CacheGB && len(m.images) > 1 {
 		var oldest api.Image
 		for _, img := range slices.Sorted(maps.Keys(m.images)) {
-			if oldest == "" || m.images[img].used < m.images[oldest].used {
+			if oldest == "" || m.images[img].Used < m.images[oldest].Used {
 				oldest = img
 			}
 		}
-		total -= m.images[oldest].gb
+		total -= m.images[oldest].GB
 		delete(m.images, oldest)
 	}
 }
 
-func (n *Node) placesOn(id api.MachineID) []*Place {
-	out := make([]*Place, 0, len(n.book.onHost[id]))
-	for p := range n.book.onHost[id] {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *Place) int {
-		if a.Task.Job != b.Task.Job {
-			return strings.Compare(string(a.Task.Job), string(b.Task.Job))
-		}
-		return a.Task.Index - b.Task.Index
-	})
-	return out
-}
-
 // orders are the commands a machine should have now, by the durable record and
 // its last report. Composing them again is harmless.
 func (n *Node) orders(m *Machine, t *turf) []api.Order {
@@ -364,14 +410,9 @@
 	if m.token < n.base(t, m.ID) {
 		return out // the term is announced first
 	}
-	known := map[taskKey]bool{}
 	var launch []api.Order
-	for _, p := range n.placesOn(m.ID) {
-		if p.Part != t.part {
-			continue
-		}
-		known[taskKey{p.Task, p.Attempt}] = true
-		if p.over || p.Session != m.session {
+	for _, p := range n.book.on(m.ID) {
+		if p.Part != t.part || p.over || p.Session != m.session {
 			continue
 		}
 		_, there := m.tasks[taskKey{p.Task, p.Attempt}]
@@ -393,13 +434,16 @@
 	// a newer token has killed such commands would let it start anew.
 	settled := !m.calling && m.doubt == 0
 	for _, k := range sortedTasks(m.tasks) {
-		if known[k] {
+		tr := m.tasks[k]
+		if tr.State == api.TaskExited && !settled {
+			continue
+		}
+		if p := n.placeOn(m.ID, k); p != nil && p.Part == t.part {
 			continue
 		}
-		tr := m.tasks[k]
 		if tr.State != api.TaskExited {
 			out = append(out, api.Order{Op: api.OpStop, Task: tr.Task, Attempt: tr.Attempt})
-		} else if settled {
+		} else {
 			out = append(out, api.Order{Op: api.OpForget, Task: tr.Task, Attempt: tr.Attempt})
 		}
 	}
@@ -418,40 +462,91 @@
 	})
 }
 
-// tend does what is due for one machine.
-func (n *Node) tend(m *Machine) {
-	t := n.turfs[n.partOf(m.ID)]
-	if t == nil || m.deleting {
+// sweepEvery is how often each machine is looked at when nothing calls for it.
+const sweepEvery = time.Second
+
+// tendMachines calls those that are to be told something, and looks at a share
+// of the others each time, so that every one gets its turn and no step looks at
+// all of them.
+func (n *Node) tendMachines() {
+	n.arrange()
+	kicked := n.kicked
+	n.kicked = nil
+	for _, m := range kicked {
+		if !m.kick || n.machines[m.ID] != m {
+			continue
+		}
+		m.kick = false
+		t := n.turfs[n.partOf(m.ID)]
+		if t == nil || m.deleting {
+			continue
+		}
+		if m.calling || n.now < m.callNext || n.directs >= n.maxDirects {
+			n.kick(m) // a little later
+			continue
+		}
+		n.tend(m, t, true)
+	}
+	due := int(int64(len(n.sorted)) * int64(min(n.now.Sub(n.sweptAt), sweepEvery)) / int64(sweepEvery))
+	if due == 0 && n.now.Sub(n.sweptAt) < sweepEvery {
 		return
 	}
+	n.sweptAt = n.now
+	for range min(max(due, 1), len(n.sorted)) {
+		n.arrange()
+		if len(n.sorted) == 0 {
+			return
+		}
+		if n.sweep >= len(n.sorted) {
+			n.sweep = 0
+		}
+		m := n.sorted[n.sweep]
+		n.sweep++
+		t := n.turfs[n.partOf(m.ID)]
+		if t != nil && !m.deleting {
+			n.tend(m, t, false)
+		}
+		n.keepOrReturn(m, t)
+	}
+}
+
+// tend does what is due for one machine.
+func (n *Node) tend(m *Machine, t *turf, kicked bool) {
 	m.cmd = max(m.cmd, n.base(t, m.ID))
 	if m.doubt != 0 && m.cmd <= m.doubt {
 		if api.Token(t.lastRev) > m.doubt {
-			m.cmd, m.kick = api.Token(t.lastRev), true
+			m.cmd, kicked = api.Token(t.lastRev), true
 		} else {
 			t.wantRev = true
 		}
 	}
 	unannounced := m.token < n.base(t, m.ID)
-	silent := n.now.Sub(m.heard) > n.cfg.ReportEvery()*5/4+time.Second
-	if !m.calling && m.addr != "" && n.now >= m.callNext && (m.kick || unannounced || silent) {
+	silent := n.now.Sub(m.heard) > n.silentAfter()
+	// Calls on suspicion leave half of the calls to those that are known to
+	// answer, or a cut would hold up every start.
+	if !m.calling && m.addr != "" && n.now >= m.callNext &&
+		(kicked && n.directs < n.maxDirects || (unannounced || silent) && n.directs < n.maxDirects/2) {
 		n.direct(m, t)
 	}
 	n.checkSilence(m, t)
 }
 
+// silentAfter is how long no report may come before a machine is asked.
+func (n *Node) silentAfter() time.Duration { return n.cfg.ReportEvery()*5/4 + time.Second }
+
 // direct sends a machine its orders without waiting for its report.
 func (n *Node) direct(m *Machine, t *turf) {
-	m.kick = false
 	o := api.Orders{Token: m.cmd, Session: max(m.session, 1), Orders: n.orders(m, t)}
 	launches := false
 	for _, x := range o.Orders {
 		launches = launches || x.Op == api.OpStart
 	}
 	m.calling = true
+	n.directs++
 	m.callNext = n.now.Add(100 * time.Millisecond)
 	n.worker(m.addr, o, func(a WorkerAnswer) {
 		m.calling = false
+		n.directs--
 		if a.Report != nil && a.Report.Machine != m.ID {
 			a.Status, a.Report = 0, nil // the address belongs to another machine now
 		}
@@ -472,6 +567,12 @@
 			return
 		}
 		n.process(m, a.Report, t)
+		for _, o := range n.orders(m, t) {
+			if o.Op == api.OpStart {
+				n.kick(m) // decided meanwhile
+				break
+			}
+		}
 	})
 }
 
@@ -495,64 +596,129 @@
 	if quiet <= patience || m.missed < 2 && m.addr != "" {
 		return
 	}
-	if m.heard == 0 && !n.listedRunning(m) && len(n.book.onHost[m.ID]) == 0 {
+	if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
 		return // still booting, as far as we know
 	}
-	zone, zoneMute, all, allMute := 0, 0, 0, 0
-	for _, o := range n.machines {
-		if n.turfs[n.partOf(o.ID)] == nil || o.heard == 0 {
-			continue
-		}
-		mute := 0
-		// One that is only heard by way of peers speaks for a cut as well.
-		if o.missed > 0 || n.now.Sub(o.heard) > n.cfg.ReportEvery()+2*time.Second {
-			mute = 1
-		}
-		all, allMute = all+1, allMute+mute
-		if o.zone == m.zone {
-			zone, zoneMute = zone+1, zoneMute+mute
-		}
-	}
-	network := zoneMute >= 2 && zoneMute*3 >= zone || allMute >= 2 && allMute*2 >= all
+	network := n.networkAtFault(m.zone)
 	if network && quiet < n.cfg.WorkerLease()+n.cfg.ReportEvery()+2*time.Second {
 		return
 	}
-	n.remove(m, t, "not reachable")
+	n.remove(m, t, unreachableWhy)
 }
 
-// remove has the cloud delete a machine; its answer proves the tasks over. That
-// the part is still ours is read first: a deposed owner, cut off perhaps, must
-// not delete what another has put to use.
+// muteCount counts machines that are heard of and those that are silent.
+type muteCount struct{ all, mute int }
+
+// networkAtFault reports whether so many machines of a zone, or of all, are
+// silent that the network is at fault more likely than they.
+func (n *Node) networkAtFault(zone api.Zone) bool {
+	if n.muteZones == nil || n.now.Sub(n.mutedAt) > sweepEvery/2 {
+		n.mutedAt, n.muteZones, n.muteAll = n.now, map[api.Zone]muteCount{}, muteCount{}
+		for p := range n.turfs {
+			for _, o := range n.machinesOf(p) {
+				if o.heard == 0 {
+					continue
+				}
+				z := n.muteZones[o.zone]
+				z.all++
+				n.muteAll.all++
+				// One that is only heard by way of peers speaks for a cut as well.
+				if o.missed > 0 || n.now.Sub(o.heard) > n.cfg.ReportEvery()+2*time.Second {
+					z.mute++
+					n.muteAll.mute++
+				}
+				n.muteZones[o.zone] = z
+			}
+		}
+	}
+	z := n.muteZones[zone]
+	return z.mute >= 2 && z.mute*3 >= z.all || n.muteAll.mute >= 2 && n.muteAll.mute*2 >= n.muteAll.all
+}
+
+// remove has the cloud delete a machine; its answer proves the tasks over.
 func (n *Node) remove(m *Machine, t *turf, why string) {
 	m.deleting = true
-	keep := func() {
-		m.deleting = false
-		m.callNext = n.now.Add(time.Second)
+	n.doomed = append(n.doomed, doomed{m, t, why})
+}
+
+// doomed is a machine that is to be deleted.
+type doomed struct {
+	m   *Machine
+	t   *turf
+	why string
+}
+
+// deleteDoomed deletes what is to be deleted, many by one call. That the parts
+// are still ours is read first: a deposed owner, cut off perhaps, must not delete
+// what another has put to use.
+func (n *Node) deleteDoomed() {
+	if n.removing || len(n.doomed) == 0 || n.now < n.removeNext {
+		return
+	}
+	n.removing = true
+	batch := slices.Clone(n.doomed[:min(len(n.doomed), maxDelete)])
+	n.doomed = slices.Clone(n.doomed[len(batch):])
+	settle := func() {
+		n.removing, n.removeNext = false, n.now.Add(n.rentGap)
+	}
+	keep := func(d doomed) {
+		d.m.deleting = false
+		d.m.callNext = n.now.Add(time.Second)
 	}
 	n.current(func() {
-		if n.turfs[t.part] != t || n.partOf(m.ID) != t.part || why == idleWhy && len(n.book.onHost[m.ID]) > 0 {
-			keep()
+		var ids []api.MachineID
+		var sure []doomed
+		for _, d := range batch {
+			if n.turfs[d.t.part] != d.t || n.partOf(d.m.ID) != d.t.part || d.why == idleWhy && len(n.book.on(d.m.ID)) > 0 {
+				keep(d)
+				continue
+			}
+			slog.Info("deleting a machine", "machine", d.m.ID, "why", d.why, "tasks", len(n.book.on(d.m.ID)))
+			ids, sure = append(ids, d.m.ID), append(sure, d)
+		}
+		if len(ids) == 0 {
+			settle()
 			return
 		}
-		slog.Info("deleting a machine", "machine", m.ID, "why", why, "tasks", len(n.book.onHost[m.ID]))
-		n.cloud(CloudCall{Delete: []api.MachineID{m.ID}}, func(a CloudAnswer) {
-			if a.Status != 200 {
-				keep()
-				return
-			}
-			n.fleet.gone[m.ID] = n.now
-			n.unlend(t, m.ID)
-			if n.turfs[t.part] == t {
-				for _, p := range n.placesOn(m.ID) {
-					if p.Part == t.part && !p.over {
-						n.end(t, p, false, "machine deleted")
+		n.cloud(CloudCall{Delete: ids}, func(a CloudAnswer) {
+			settle()
+			for _, d := range sure {
+				if a.Status != 200 {
+					keep(d)
+					continue
+				}
+				n.fleet.gone[d.m.ID] = n.now
+				if d.m.spot && (d.why == unreachableWhy || d.m.notice) {
+					n.fleet.spotTaken++
+				}
+				n.unlend(d.t, d.m.ID)
+				if n.turfs[d.t.part] == d.t {
+					for _, p := range n.book.on(d.m.ID) {
+						if p.Part == d.t.part && !p.over {
+							n.end(d.t, p, false, "machine deleted")
+						}
 					}
+					d.t.dirty = true
 				}
-				t.dirty = true
+				n.forget(d.m.ID)
 			}
-			delete(n.machines, m.ID)
 		})
-	}, keep)
+	}, func() {
+		settle()
+		for _, d := range batch {
+			keep(d)
+		}
+	})
 }
 
-const idleWhy = "idle"
+// The protocol's bounds on names in a deletion and on machines in a rental.
+const (
+	maxDelete = 100
+	maxRent   = 50
+)
+
+// Why a machine is deleted.
+const (
+	idleWhy        = "idle"
+	unreachableWhy = "not reachable"
+)
--- a/control/messages.go
+++ b/control/messages.go
@@ -180,14 +180,37 @@
 
 // PartNews describes a part to the nodes that do not own it.
 type PartNews struct {
-	Part     api.PartID
-	Machines []MachineNews
-	Want     map[api.Team]api.Resources // share it could use
-	Spare    map[api.Team]api.Resources // share it does not use
-	Waiting  int                        // tasks that found no room
-	Lack     []Lack                     // jobs that this part can't hold whole
+	Part        api.PartID
+	Kinds       []Kind // that Rooms refer to
+	Rooms       []Room
+	Accelerated map[api.TypeName]Count
+	Silent      []api.MachineID            // that do not report to their owner
+	Fresh       []api.MachineID            // that have come up lately
+	Want        map[api.Team]api.Resources // share it could use
+	Spare       map[api.Team]api.Resources // share it does not use
+	Waiting     int                        // tasks that found no room
+	Lack        []Lack                     // jobs that this part can't hold whole
 }
 
+// Kind is what machines may have in common.
+type Kind struct {
+	Type   api.TypeName
+	Zone   api.Zone
+	Spot   bool
+	Usable bool // gets new tasks
+	Closed bool // only for work that needs its accelerators
+}
+
+// Room is what is free on a number of machines that are alike.
+type Room struct {
+	Kind  int
+	Free  api.Resources
+	Count int
+}
+
+// maxSilent bounds the machines that a part names.
+const maxSilent = 500
+
 // Lack is a job whose tasks must lie in one part, and don't fit there.
 type Lack struct {
 	Spec  *api.JobSpec
@@ -197,18 +220,3 @@
 
 // maxLack bounds the lacks a part tells of.
 const maxLack = 4
-
-// MachineNews describes a machine.
-type MachineNews struct {
-	ID      api.MachineID
-	Addr    string
-	Type    api.TypeName
-	Zone    api.Zone
-	Spot    bool
-	Session api.Session
-	Silent  time.Duration // since its last report
-	Usable  bool
-	Closed  bool // only for work that needs its accelerators
-	Free    api.Resources
-	Images  []api.Image
-}
--- a/control/node.go
+++ b/control/node.go
@@ -47,6 +47,8 @@
 	watching  bool
 	watchNext api.Time
 	syncing   bool
+	syncNext  api.Time
+	wantedAt  api.Time // when a current read was last wanted
 	waiters   []syncWaiter
 	stateOK   bool                // its last answer was one
 	asked     map[CallID]api.Time // calls to it that should be answered at once
@@ -61,9 +63,26 @@
 	claimAfter map[api.PartID]api.Time
 
 	machines map[api.MachineID]*Machine
+	sorted   []*Machine   // all of them in order; nil: to be listed anew
+	byPart   [][]*Machine // the same by part
+	sortedAt int
+	kicked   []*Machine // to be called at once
+	sweep    int        // the next machine to look at
+	sweptAt  api.Time
+
+	directs, maxDirects int // direct calls under way, and at most
+
+	doomed     []doomed
+	removing   bool
+	removeNext api.Time
+	mutedAt    api.Time
+	muteZones  map[api.Zone]muteCount
+	muteAll    muteCount
+
 	turfs    map[api.PartID]*turf
 	peers    map[api.Label]*peerNews
 	gossipAt api.Time
+	all      []api.Label // controllers, in order: a part's home is the one at its number
 	teams    map[api.Team]config.Team
 	largest  api.Resources
 	types    map[api.TypeName]*api.MachineType
@@ -123,10 +142,20 @@
 	// and members; likewise for watches among the requests.
 	nodes := float64(len(cfg.Peers) + 1)
 	n.roundGap = max(50*time.Millisecond, api.Seconds(float64(d.Size)/(d.State.WriteRPS*0.5)))
-	n.syncGap = max(40*time.Millisecond, api.Seconds(nodes*4/d.State.RPS))
+	n.syncGap = max(40*time.Millisecond, api.Seconds(nodes*3/d.State.RPS))
 	// A third of the cloud's calls may be rentals: offers are refused one by
 	// one, and a burst should not wait for that.
 	n.rentGap = max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS))
+	// Sockets are for workers' and users' connections in the first place.
+	n.maxDirects = 32
+	if fds := d.Limits.FDLimit; fds > 0 {
+		n.maxDirects = max(4, min(n.maxDirects, fds/16))
+	}
+	n.all = []api.Label{cfg.Label}
+	for _, p := range cfg.Peers {
+		n.all = append(n.all, p.Label)
+	}
+	slices.Sort(n.all)
 	n.fleet.init()
 	return n
 }
@@ -312,9 +341,8 @@
 			n.runPart(t)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
-		n.tend(n.machines[id])
-	}
+	n.tendMachines()
+	n.deleteDoomed()
 	n.gossip()
 }
 
@@ -460,9 +488,13 @@
 	n.waiters = nil
 }
 
-// follow keeps a watch open and serves those who wait for a current read.
+// follow reads the changes. While current reads are wanted all the time, as many
+// users' polls do, those reads carry the changes and no watch is opened beside
+// them; each serves all who came since the one before. Both are spaced so that
+// all nodes together stay well within the state service's limit.
 func (n *Node) follow() {
-	if !n.watching && n.now >= n.watchNext {
+	reading := n.now.Sub(n.wantedAt) < time.Second && n.wantedAt != 0
+	if !n.watching && !reading && n.now >= n.watchNext {
 		n.watching = true
 		since := n.book.rev
 		n.state(StateCall{Changes: &ChangesAsk{Since: since, Wait: watchWait}, Timeout: watchWait + 2*time.Second}, func(a StateAnswer) {
@@ -471,23 +503,30 @@
 			n.changesAnswer(a, since)
 		})
 	}
-	if len(n.waiters) > 0 && !n.syncing {
-		n.syncing = true
-		now := n.waiters
-		n.waiters = nil
-		since := n.book.rev
-		n.state(StateCall{Changes: &ChangesAsk{Since: since}}, func(a StateAnswer) {
-			n.syncing = false
-			ok := n.changesAnswer(a, since)
-			for _, w := range now {
-				if ok {
-					w.ok()
-				} else {
-					w.fail()
-				}
-			}
-		})
+	if n.syncing || n.now < n.syncNext || len(n.waiters) == 0 && !reading {
+		return
 	}
+	n.syncing, n.syncNext = true, n.now.Add(n.syncGap)
+	now := n.waiters
+	n.waiters = nil
+	since := n.book.rev
+	n.state(StateCall{Changes: &ChangesAsk{Since: since}}, func(a StateAnswer) {
+		n.syncing = false
+		ok := n.changesAnswer(a, since)
+		if !ok {
+			n.syncNext = n.now.Add(n.syncGap)
+			if len(now) == 0 {
+				n.wantedAt = 0 // a watch outlasts an outage, such reads do not
+			}
+		}
+		for _, w := range now {
+			if ok {
+				w.ok()
+			} else {
+				w.fail()
+			}
+		}
+	})
 }
 
 func (n *Node) changesAnswer(a StateAnswer, since api.Revision) bool {
@@ -513,6 +552,7 @@
 		return
 	}
 	n.waiters = append(n.waiters, syncWaiter{ok, fail})
+	n.wantedAt = n.now
 }
 
 func (n *Node) learnTypes(types []api.MachineType) {
@@ -524,20 +564,8 @@
 	}
 }
 
-// labels of all controllers, in order: a part's home is the one at its number.
-func (n *Node) labels() []api.Label {
-	l := []api.Label{n.cfg.Label}
-	for p := range n.peers {
-		l = append(l, p)
-	}
-	slices.Sort(l)
-	return l
-}
-
-func (n *Node) home(p api.PartID) api.Label {
-	l := n.labels()
-	return l[int(p)%len(l)]
-}
+// home is the controller that owns a part when all live.
+func (n *Node) home(p api.PartID) api.Label { return n.all[int(p)%len(n.all)] }
 
 func (n *Node) live(l api.Label) bool {
 	_, ok := n.book.members[l]
--- a/control/part.go
+++ b/control/part.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -37,6 +39,8 @@
 	lendAt  api.Time
 	lack    []Lack
 	moveAt  api.Time
+	looked  api.JobRef                      // the job last looked at for moving
+	coming  map[api.MachineID]api.Resources // what the round in flight starts, by machine
 }
 
 // writing is a round's record on its way to the state service.
@@ -53,7 +57,8 @@
 		gaveAt: map[api.PartID]api.Time{}}
 	n.turfs[p] = t
 	for pl := range n.book.onPart[p] {
-		pl.over, pl.stop, pl.sent, pl.reported = false, false, 0, false
+		n.book.setOver(pl, false)
+		pl.stop, pl.sent, pl.reported = false, 0, false
 		if pl.since == 0 {
 			pl.since = n.now
 		}
@@ -63,29 +68,8 @@
 			n.end(t, pl, false, "machine deleted")
 		}
 	}
-	// What others told of the machines spares waiting for their reports.
-	for _, peer := range n.peers {
-		for _, news := range peer.gossip.Parts {
-			if news.Part != p {
-				continue
-			}
-			for _, mn := range news.Machines {
-				if n.fleet.gone[mn.ID] != 0 {
-					continue
-				}
-				if m := n.machine(mn.ID); m.addr == "" {
-					m.addr, m.typ, m.zone, m.spot, m.session = mn.Addr, mn.Type, mn.Zone, mn.Spot, mn.Session
-					for _, img := range mn.Images {
-						m.images[img] = cached{0, n.now}
-					}
-				}
-			}
-		}
-	}
-	for _, m := range n.machines {
-		if n.partOf(m.ID) == p {
-			m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
-		}
+	for _, m := range n.machinesOf(p) {
+		m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 	}
 	n.metrics.Takeovers++
 	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.onPart[p]))
@@ -96,7 +80,7 @@
 	if p.over {
 		return
 	}
-	p.over = true
+	n.book.setOver(p, true)
 	t.ends[p] = done
 	t.dirty = true
 	if !done {
@@ -142,7 +126,10 @@
 		api.Condition{Key: partKey(keyPart, t.part), Version: t.term})
 	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
 	w.begun = n.now
-	t.writing = w
+	t.writing, t.coming = w, map[api.MachineID]api.Resources{}
+	for _, s := range w.starts {
+		t.coming[s.Machine] = t.coming[s.Machine].Plus(s.job.demand)
+	}
 	n.write(t)
 }
 
@@ -203,7 +190,7 @@
 		n.durable(t, n.book.vers[w.txn.Writes[0].Put])
 		return
 	}
-	t.writing = nil
+	t.writing, t.coming = nil, nil
 	maps.Copy(t.ends, w.ends)
 	t.dirty = true
 }
@@ -211,7 +198,7 @@
 // durable acts on a record that has been written: only now are starts sent.
 func (n *Node) durable(t *turf, rev api.Revision) {
 	w := t.writing
-	t.writing = nil
+	t.writing, t.coming = nil, nil
 	t.next = n.now.Add(n.roundGap)
 	t.lastRev = max(t.lastRev, rev)
 	n.metrics.Rounds++
@@ -233,7 +220,8 @@
 			p.since = n.now
 		}
 		if m := n.machines[s.Machine]; m != nil {
-			m.kick, m.idle = true, n.now
+			m.idle = n.now
+			n.kick(m)
 		}
 	}
 	t.dirty = true
@@ -338,48 +326,19 @@
 	if typ == nil {
 		return api.Resources{}
 	}
-	free := typ.Capacity()
-	known := map[taskKey]bool{}
-	for p := range n.book.onHost[m.ID] {
-		known[taskKey{p.Task, p.Attempt}] = true
-		if !p.over {
-			free = free.Minus(p.job.demand)
-		}
+	if m.strange {
+		return api.Resources{} // something unknown runs there
 	}
-	if t.writing != nil {
-		for _, s := range t.writing.starts {
-			if s.Machine == m.ID {
-				free = free.Minus(s.job.demand)
-			}
-		}
-	}
-	for k, tr := range m.tasks {
-		if tr.State == api.TaskExited || known[k] {
-			continue
-		}
-		j := n.book.jobs[k.id.Job]
-		if j == nil {
-			return api.Resources{} // something unknown runs there
-		}
-		free = free.Minus(j.demand)
+	free := typ.Capacity().Minus(m.extra).Minus(t.coming[m.ID])
+	if h := n.book.onHost[m.ID]; h != nil {
+		free = free.Minus(h.need)
 	}
 	return free
 }
 
-// usage is what a part's tasks take of each team's limit.
-func (n *Node) usage(p api.PartID) map[api.Team]api.Resources {
-	use := map[api.Team]api.Resources{}
-	for pl := range n.book.onPart[p] {
-		if !pl.over {
-			use[pl.job.Spec.Team] = use[pl.job.Spec.Team].Plus(pl.job.demand)
-		}
-	}
-	return use
-}
-
 // leftOf is what each team may still start in the part.
 func (n *Node) leftOf(p api.PartID) map[api.Team]api.Resources {
-	use := n.usage(p)
+	use := n.book.parts[p].use
 	left := map[api.Team]api.Resources{}
 	for name, team := range n.teams {
 		limit := limitOf(team)
@@ -392,36 +351,51 @@
 
 // schedule runs a round over the part's pending tasks.
 func (n *Node) schedule(t *turf, w *writing, most int) []*Place {
+	t.want, t.lack, t.waiting = map[api.Team]api.Resources{}, nil, 0
+	var jobs []*Job
+	var least api.Resources
+	for _, ref := range slices.Sorted(maps.Keys(n.book.open)) {
+		j := n.book.open[ref]
+		waiting := j.waiting(t.part)
+		if j.hold > n.now {
+			t.dirty = t.dirty || waiting > 0
+			continue
+		}
+		if waiting == 0 && j.overN == 0 {
+			continue
+		}
+		t.waiting += waiting
+		if len(jobs) == 0 {
+			least = j.demand
+		}
+		least = api.Resources{CPU: min(least.CPU, j.demand.CPU), GPU: min(least.GPU, j.demand.GPU), Mem: min(least.Mem, j.demand.Mem)}
+		jobs = append(jobs, j)
+	}
+	if len(jobs) == 0 {
+		return nil
+	}
 	in := &sched.Input{Largest: n.largest, Left: n.leftOf(t.part), Most: most}
-	var machines []*Machine
-	cpus := 0.0
-	for _, id := range slices.Sorted(maps.Keys(n.machines)) {
-		m := n.machines[id]
-		if n.partOf(id) != t.part || !n.usable(m, t) {
+	var machines []*Machine // with room for something
+	cpus, usable := 0.0, 0
+	for _, m := range n.machinesOf(t.part) {
+		if !n.usable(m, t) {
 			continue
 		}
 		typ := n.types[m.typ]
-		sm := sched.Machine{ID: id, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: n.freeOn(m, t), GPU: typ.GPUs > 0, Closed: m.closing, Pace: m.pace,
-			Fetch: typ.FetchRate, Images: map[api.Image]bool{}}
-		for img := range m.images {
-			sm.Images[img] = true
-		}
-		in.Machines = append(in.Machines, sm)
 		cpus += typ.CPUs
+		usable++
+		free := n.freeOn(m, t)
+		if !least.Fits(free) {
+			continue
+		}
+		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
+			Closed: m.closing, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
-	var jobs []*Job
-	t.waiting = 0
-	for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
-		j := n.book.jobs[ref]
-		if j.final() || j.hold > n.now {
-			if j.hold > n.now {
-				t.dirty = true
-			}
-			continue
-		}
-		pending := n.pending(t, j, w, max(len(machines), 1))
+	kept := jobs[:0]
+	for _, j := range jobs {
+		pending := n.pending(t, j, w, max(usable, 1))
 		if len(pending) == 0 {
 			continue
 		}
@@ -429,21 +403,16 @@
 		if !known && (j.Spec.OneZone || j.Spec.Spread) {
 			continue // where its other tasks are is not known yet
 		}
-		t.waiting += j.waiting(t.part)
 		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
 			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn,
-			Plain: n.plain(j.Spec)}
-		if len(j.failedOn)*2 > len(machines) {
+			Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
+		if len(j.failedOn)*2 > usable {
 			sj.AvoidedBy = nil
 		}
 		in.Jobs = append(in.Jobs, sj)
-		jobs = append(jobs, j)
-	}
-	t.want = map[api.Team]api.Resources{}
-	t.lack = nil
-	if len(in.Jobs) == 0 {
-		return nil
+		kept = append(kept, j)
 	}
+	jobs = kept
 	n.metrics.FlowTasks, n.metrics.FlowMachines = 0, len(machines)
 	for i := range in.Jobs {
 		n.metrics.FlowTasks += len(in.Jobs[i].Pending)
@@ -535,6 +504,27 @@
 	return false
 }
 
+// spotRisk is how much a job would suffer from losing a task with its machine:
+// the chance of that while a task runs, as spot machines were seen to be taken,
+// or nearly certain harm when no time would be left to run the task again.
+func (n *Node) spotRisk(j *Job) float64 {
+	if !j.Spec.Spot || j.Spec.Kind == api.Service {
+		return 0
+	}
+	chance := min(1, n.fleet.spotLossRate()*j.Spec.Estimate)
+	limits := n.limits(j.Spec)
+	if len(limits) == 0 {
+		return chance
+	}
+	left := limits[0] - max(0, float64(n.wall-j.Accepted)/1000)
+	if left < j.Spec.Estimate {
+		return chance // late as it is
+	}
+	// Of many tasks one loss is enough to make the job late.
+	chance = 1 - math.Pow(1-chance, float64(j.Spec.Tasks-j.doneN))
+	return chance * min(1, 2*j.Spec.Estimate/left)
+}
+
 func (n *Node) startAim(c api.Class) float64 {
 	for _, o := range n.cfg.Deployment.Objectives {
 		if o.Kind == "wait" && o.Class == c {
@@ -587,7 +577,7 @@
 func (n *Node) totalUsage() map[api.Team]api.Resources {
 	total := map[api.Team]api.Resources{}
 	for p := range n.book.parts {
-		for team, u := range n.usage(api.PartID(p)) {
+		for team, u := range n.book.parts[p].use {
 			total[team] = total[team].Plus(u)
 		}
 	}
@@ -608,6 +598,7 @@
 // lower priority must make way.
 func (n *Node) unplaced(t *turf, in *sched.Input, jobs []*Job, placed []int) {
 	left := n.leftOf(t.part)
+	searches := maxPreempt
 	for i, j := range jobs {
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(placed[i]))
 	}
@@ -627,70 +618,153 @@
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
 			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec)})
 		}
-		if placed[i] == 0 {
-			n.preempt(t, in, &in.Jobs[i], j)
+		if placed[i] == 0 && searches > 0 && n.now >= j.wayAt && n.anyBelow(t.part, j.Spec.Priority.Rank()) {
+			searches--
+			j.wayAt = n.now.Add(time.Second) // what was stopped takes a while to end
+			n.preempt(t, &in.Jobs[i], j, missing)
 		}
 	}
 }
 
-// preempt makes room for a job of higher priority by stopping lower work, the
-// machine where that costs least first. One machine a round is enough: the
-// room is taken as soon as evidence shows it free.
-func (n *Node) preempt(t *turf, in *sched.Input, sj *sched.Job, j *Job) {
-	rank := j.Spec.Priority.Rank()
-	type choice struct {
-		victims []*Place
-		loss    float64
+// maxPreempt bounds the jobs of a round for which others are made to give way.
+const maxPreempt = 8
+
+// anyBelow reports whether a part runs anything that could give way.
+func (n *Node) anyBelow(p api.PartID, rank int) bool {
+	for _, count := range n.book.parts[p].ranks[:rank] {
+		if count > 0 {
+			return true
+		}
 	}
-	var choices []choice
-	for _, sm := range in.Machines {
-		if !sched.Allowed(j.Spec, sm.Type, sm.Zone, sm.Spot) || sj.AvoidedBy[sm.ID] || sm.GPU && sj.Plain {
+	return false
+}
+
+// keepTime is how long a machine is kept for a job for which others made way:
+// time enough for a stop to be heard, its evidence to be recorded, and a machine
+// of another part to be lent.
+const keepTime = 15 * time.Second
+
+// keptFor is the job that a machine is kept for, if any.
+func (n *Node) keptFor(m *Machine) api.JobRef {
+	if m.kept == "" || n.now >= m.keptTill {
+		return ""
+	}
+	if j := n.book.jobs[m.kept]; j == nil || j.final() || j.doneN+len(j.places)-j.overN >= j.Spec.Tasks {
+		m.kept = ""
+	}
+	return m.kept
+}
+
+// way is what stopping lower work on a machine would bring.
+type way struct {
+	m       *Machine
+	tasks   int // of the job that could start there then
+	victims []*Place
+	loss    float64
+}
+
+// wayOn finds how up to most of a job's tasks could come to fit on a machine.
+func (n *Node) wayOn(m *Machine, t *turf, s *api.JobSpec, most int) way {
+	rank, demand := s.Priority.Rank(), s.Demand()
+	coming := n.freeOn(m, t)
+	var lower []*Place
+	for _, p := range n.book.on(m.ID) {
+		if p.over {
 			continue
 		}
-		if j.Spec.Spread && sj.Zones[sm.Zone] >= (j.Spec.Tasks+1)/2 {
+		if p.stop || p.job.final() {
+			coming = coming.Plus(p.job.demand)
+		} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang {
+			lower = append(lower, p)
+		}
+	}
+	w := way{m: m, tasks: min(most, demand.Slots(coming))}
+	slices.SortStableFunc(lower, func(a, b *Place) int { return cmp.Compare(b.since, a.since) })
+	loss := 0.0
+	for k, p := range lower {
+		if w.tasks == most {
+			break
+		}
+		coming = coming.Plus(p.job.demand)
+		loss += n.now.Sub(p.since).Seconds()*p.job.demand.CPU.Float() + 1
+		if slots := min(most, demand.Slots(coming)); slots > w.tasks {
+			w.tasks, w.victims, w.loss = slots, lower[:k+1], loss
+		}
+	}
+	return w
+}
+
+// preempt makes room for a job of higher priority by stopping lower work, where
+// that costs least: a machine for each task that waits or, for a gang, as many as
+// all of it needs, in one zone if its tasks must be together. The room is kept for
+// the job, or the work that made way would win it back before the rest is free.
+func (n *Node) preempt(t *turf, sj *sched.Job, j *Job, need int) {
+	gang, each := j.Spec.Kind == api.Gang, 1
+	if gang {
+		each = need
+	}
+	within := n.startAim(j.Spec.Class)
+	byZone := map[api.Zone][]way{}
+	for _, m := range n.machinesOf(t.part) {
+		if kept := n.keptFor(m); kept != "" && kept != j.ref || !n.usable(m, t) || !sched.Allowed(j.Spec, m.typ, m.zone, m.spot) ||
+			sj.AvoidedBy[m.ID] || sj.Plain && n.accelerated(m.typ) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
 			continue
 		}
-		m := n.machines[sm.ID]
-		free := n.freeOn(m, t)
-		coming := free
-		var lower []*Place
-		for _, p := range n.placesOn(sm.ID) {
-			if p.over {
-				continue
-			}
-			if p.stop || p.job.final() {
-				coming = coming.Plus(p.job.demand)
-			} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang {
-				lower = append(lower, p)
-			}
+		w := n.wayOn(m, t, j.Spec, each)
+		if w.tasks == 0 {
+			continue
 		}
-		if j.demand.Fits(coming) {
-			return // room is on its way already
+		if _, has := m.images[j.Spec.Image]; !has && within > 0 && !gang {
+			// A fetch that takes the time in which the task should start weighs
+			// like a minute of work lost.
+			w.loss += 60 * j.demand.CPU.Float() * min(1, j.Spec.ImageGB/max(n.types[m.typ].FetchRate, 1e-3)/within)
+		}
+		zone := m.zone
+		if !j.Spec.OneZone && !j.Spec.Spread {
+			zone = ""
+		}
+		byZone[zone] = append(byZone[zone], w)
+	}
+	byLoss := func(a, b way) int { return cmp.Compare(a.loss/float64(a.tasks), b.loss/float64(b.tasks)) }
+	var best []way
+	bestLoss := 0.0
+	var any []way
+	for _, z := range slices.Sorted(maps.Keys(byZone)) {
+		ways := byZone[z]
+		slices.SortStableFunc(ways, byLoss)
+		if !gang {
+			if j.Spec.Spread {
+				ways = ways[:min(len(ways), (j.Spec.Tasks+1)/2-sj.Zones[z])]
+			}
+			any = append(any, ways...)
+			continue
 		}
-		slices.SortStableFunc(lower, func(a, b *Place) int { return int(b.since - a.since) })
-		var c choice
-		for _, p := range lower {
-			c.victims = append(c.victims, p)
-			c.loss += n.now.Sub(p.since).Seconds()*p.job.demand.CPU.Float() + 1
-			coming = coming.Plus(p.job.demand)
-			if j.demand.Fits(coming) {
-				choices = append(choices, c)
+		got, loss := 0, 0.0
+		for k, w := range ways {
+			got, loss = got+w.tasks, loss+w.loss
+			if got >= need {
+				if best == nil || loss < bestLoss {
+					best, bestLoss = ways[:k+1], loss
+				}
 				break
 			}
 		}
 	}
-	if len(choices) == 0 {
-		return
+	if !gang {
+		slices.SortStableFunc(any, byLoss)
+		best = any[:min(len(any), need)]
 	}
-	best := slices.MinFunc(choices, func(a, b choice) int {
-		if a.loss < b.loss {
-			return -1
-		}
-		return 1
-	})
-	for _, p := range best.victims {
+	for _, w := range best {
+		w.m.kept, w.m.keptTill = j.ref, n.now.Add(keepTime)
+		n.clear(w, j.ref)
+	}
+}
+
+// clear stops what must make way.
+func (n *Node) clear(w way, ref api.JobRef) {
+	for _, p := range w.victims {
 		n.metrics.Preempted++
-		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", j.ref)
+		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", ref)
 		n.stop(p)
 	}
 }
@@ -705,7 +779,7 @@
 		p.grace = p.job.Spec.Save + 1
 	}
 	if m := n.machines[p.Machine]; m != nil {
-		m.kick = true
+		n.kick(m)
 	}
 }
 
@@ -717,7 +791,7 @@
 		return
 	}
 	c := n.book.checkpointOf(t.part)
-	blob, err := json.Marshal(c)
+	blob, err := pack(c)
 	if err != nil {
 		slog.Error("checkpoint not written", "err", err)
 		return
@@ -780,9 +854,9 @@
 		return
 	}
 	var tx api.Txn
-	for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
-		j := n.book.jobs[ref]
-		if !j.final() || len(j.places) > 0 || len(j.Split) == 0 || j.Split[0].Part != t.part {
+	for _, ref := range slices.Sorted(maps.Keys(n.book.ended)) {
+		j := n.book.ended[ref]
+		if len(j.Split) == 0 || j.Split[0].Part != t.part {
 			continue
 		}
 		if len(tx.Writes)+2 > n.cfg.Deployment.State.TxnOps {
--- a/control/user.go
+++ b/control/user.go
@@ -271,9 +271,9 @@
 	room := make([]int, len(n.book.parts))
 	demand := s.Demand()
 	plain := n.plain(s)
-	n.eachMachine(func(p api.PartID, m *MachineNews) {
-		if m.Usable && !(plain && m.Closed) && sched.Allowed(s, m.Type, m.Zone, m.Spot) {
-			room[p] += demand.Slots(m.Free)
+	n.eachRoom(func(p api.PartID, k Kind, free api.Resources, count int) {
+		if k.Usable && !(plain && k.Closed) && sched.Allowed(s, k.Type, k.Zone, k.Spot) {
+			room[p] += count * demand.Slots(free)
 		}
 	})
 	return room
@@ -284,10 +284,10 @@
 func (n *Node) capacityByPart(s *api.JobSpec) []int {
 	out := make([]int, len(n.book.parts))
 	demand, plain := s.Demand(), n.plain(s)
-	n.eachMachine(func(p api.PartID, m *MachineNews) {
-		typ := n.types[m.Type]
-		if m.Usable && typ != nil && sched.Allowed(s, m.Type, m.Zone, m.Spot) && !(plain && typ.GPUs > 0) {
-			out[p] += demand.Slots(typ.Capacity())
+	n.eachRoom(func(p api.PartID, k Kind, _ api.Resources, count int) {
+		typ := n.types[k.Type]
+		if k.Usable && typ != nil && sched.Allowed(s, k.Type, k.Zone, k.Spot) && !(plain && typ.GPUs > 0) {
+			out[p] += count * demand.Slots(typ.Capacity())
 		}
 	})
 	return out
@@ -302,8 +302,8 @@
 // waitingIn counts tasks of a part that wait, in units of a demand.
 func (n *Node) waitingIn(p api.PartID, demand api.Resources) int {
 	count := 0
-	for _, j := range n.book.jobs {
-		if j.final() || demand.GPU > 0 && j.demand.GPU == 0 {
+	for _, j := range n.book.open {
+		if demand.GPU > 0 && j.demand.GPU == 0 {
 			continue
 		}
 		if w := j.waiting(p); w > 0 {
@@ -319,20 +319,16 @@
 // waiting counts the job's tasks in a part that are neither done nor placed. It
 // does not look at each task: there may be very many.
 func (j *Job) waiting(p api.PartID) int {
+	if j.doneN+len(j.places) >= j.Spec.Tasks {
+		return 0
+	}
 	c := 0
 	for _, r := range j.Split {
 		if r.Part == p {
 			c += r.To - r.From - j.done.count(r.From, r.To)
 		}
 	}
-	if c > 0 {
-		for _, pl := range j.places {
-			if pl.Part == p && !j.done.has(pl.Task.Index) {
-				c--
-			}
-		}
-	}
-	return c
+	return max(0, c-j.placed[p])
 }
 
 func (n *Node) cancel(c Cancel) {
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -124,6 +124,9 @@
 			if it.dist > dist[it.node] {
 				continue
 			}
+			if int(it.node) == t {
+				break // what is farther needs no exact distance, see below
+			}
 			for _, id := range g.adj[it.node] {
 				e := g.edges[id]
 				if e.cap == 0 || pot[e.to] >= far {
@@ -139,11 +142,11 @@
 		if dist[t] >= far {
 			return sent, cost
 		}
+		// Nodes at least as far as the sink move with it: reduced costs stay
+		// above zero, and the search can end at the sink.
 		for i := range pot {
-			if dist[i] < far {
-				pot[i] += dist[i]
-			} else if pot[i] < far {
-				pot[i] += dist[t]
+			if pot[i] < far {
+				pot[i] += min(dist[i], dist[t])
 			}
 		}
 		push := int32(limit - sent)
--- a/httpx/client.go
+++ b/httpx/client.go
@@ -11,11 +11,12 @@
 
 // Client is a pool of connections to other servers. Every call has a deadline.
 type Client struct {
-	maxBody, maxIdle int
-	dialer           net.Dialer
+	maxBody, maxIdle, maxAll int
+	dialer                   net.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]idleConn
+	kept int // unused connections in all
 }
 
 type idleConn struct {
@@ -27,9 +28,9 @@
 const idleFor = 20 * time.Second
 
 // NewClient returns a pool that accepts bodies up to maxBody and keeps up to
-// maxIdle unused connections to each address.
-func NewClient(maxBody, maxIdle int) *Client {
-	return &Client{maxBody: maxBody, maxIdle: maxIdle, idle: map[string][]idleConn{}}
+// maxIdle unused connections to each address and maxAll to all together.
+func NewClient(maxBody, maxIdle, maxAll int) *Client {
+	return &Client{maxBody: maxBody, maxIdle: maxIdle, maxAll: maxAll, idle: map[string][]idleConn{}}
 }
 
 func (c *Client) take(addr string) net.Conn {
@@ -42,6 +43,7 @@
 		} else {
 			c.idle[addr] = l[:len(l)-1]
 		}
+		c.kept--
 		if time.Since(conn.since) < idleFor {
 			return conn.Conn
 		}
@@ -53,10 +55,11 @@
 func (c *Client) give(addr string, conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= c.maxIdle {
+	if len(c.idle[addr]) >= c.maxIdle || c.kept >= c.maxAll {
 		conn.Close()
 		return
 	}
+	c.kept++
 	c.idle[addr] = append(c.idle[addr], idleConn{conn, time.Now()})
 }
 
@@ -70,6 +73,7 @@
 			if time.Since(conn.since) < idleFor {
 				kept = append(kept, conn)
 			} else {
+				c.kept--
 				conn.Close()
 			}
 		}
--- a/httpx/server.go
+++ b/httpx/server.go
@@ -44,17 +44,19 @@
 
 // Server is an HTTP server on evio with deferred answers.
 type Server struct {
-	maxBody, maxConns int
-	handle            Handler
-	stop              context.Context
+	maxBody  []int // by listener
+	maxConns int
+	handle   Handler
+	stop     context.Context
 
 	mu    sync.Mutex
 	conns map[ConnID]*serverConn
 	last  ConnID
 }
 
-// NewServer returns a server that gives its requests to handle.
-func NewServer(maxBody, maxConns int, handle Handler) *Server {
+// NewServer returns a server that gives its requests to handle; maxBody bounds
+// them, for each of the addresses that it will listen on.
+func NewServer(maxBody []int, maxConns int, handle Handler) *Server {
 	return &Server{maxBody: maxBody, maxConns: maxConns, handle: handle, conns: map[ConnID]*serverConn{}}
 }
 
@@ -142,7 +144,7 @@
 	sc.in = append(sc.in, in...)
 	if sc.busy {
 		// Requests are never pipelined; a client that floods is cut off.
-		if len(sc.in) > maxHead+s.maxBody {
+		if len(sc.in) > maxHead+s.maxBody[c.AddrIndex()] {
 			return nil, evio.Close
 		}
 		return out, evio.None
@@ -151,7 +153,7 @@
 		sc.in = nil
 		return out, evio.None
 	}
-	r, n, err := ParseRequest(sc.in, s.maxBody)
+	r, n, err := ParseRequest(sc.in, s.maxBody[c.AddrIndex()])
 	if err != nil {
 		status := 400
 		if errors.Is(err, ErrTooLarge) {
--- a/httpx/server_test.go
+++ b/httpx/server_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	addr := freeAddr(t)
 	var s *Server
-	s = NewServer(1000, maxConns, func(id ConnID, _ int, r Request) {
+	s = NewServer([]int{1000}, maxConns, func(id ConnID, _ int, r Request) {
 		go s.Answer(id, 200, []byte(r.Method+" "+r.Path+" "+string(r.Body)), 0)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -50,7 +50,7 @@
 
 func TestManyCallsAtOnce(t *testing.T) {
 	addr := serve(t, 100)
-	c := NewClient(10_000, 4)
+	c := NewClient(10_000, 4, 100)
 	var wg sync.WaitGroup
 	for g := range 8 {
 		wg.Go(func() {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 
 const (
 	maxRequest  = 64 << 10
+	maxPeer     = 4 << 20  // news of a part with very many machines
 	maxResponse = 64 << 20 // a watch's answer has no stated limit
 	listenAPI   = 0
 	listenPeer  = 1
@@ -53,12 +54,14 @@
 func New(cfg *config.Config) *Node {
 	n := &Node{cfg: cfg, queue: make(chan control.Command, queueLength), start: time.Now(), reqs: map[control.ReqID]origin{}}
 	n.owner = control.New(cfg, n.start.UnixNano())
-	conns := cfg.Deployment.Limits.FDLimit / 2
-	if conns == 0 {
-		conns = 1000
+	// Workers and users come first: one controller alone may have to carry all
+	// of them. An eighth of the sockets is kept for calls under way.
+	fds := cfg.Deployment.Limits.FDLimit
+	if fds == 0 {
+		fds = 1024
 	}
-	n.server = httpx.NewServer(maxRequest, conns, n.receive)
-	n.client = httpx.NewClient(maxResponse, 4)
+	n.server = httpx.NewServer([]int{listenAPI: maxRequest, listenPeer: maxPeer}, fds*3/4, n.receive)
+	n.client = httpx.NewClient(maxResponse, 4, fds/8)
 	return n
 }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -4,6 +4,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 
 	"basaltwall/api"
@@ -17,11 +18,32 @@
 	Zone   api.Zone
 	Spot   bool
 	Free   api.Resources
-	GPU    bool               // the type has accelerators
-	Closed bool               // only for work that needs its accelerators
-	Pace   float64            // how much longer tasks take here than elsewhere; 0: not known
-	Images map[api.Image]bool // cached, as far as known
-	Fetch  float64            // GB per second
+	GPU    bool    // the type has accelerators
+	Closed bool    // only for work that needs its accelerators
+	Pace   float64 // how much longer tasks take here than elsewhere; 0: not known
+	Images map[api.Image]Cached
+	Fetch  float64    // GB per second
+	Kept   api.JobRef // only for this job, for which others made way
+}
+
+// Cached is an image that a machine holds, as far as is known.
+type Cached struct {
+	GB   float64
+	Used api.Time
+}
+
+// open reports whether a job may use the machine at all: it may be kept for
+// another, be allowed to none but work that needs its accelerators, or have seen
+// the job fail. Work without an end would block an accelerator for good.
+func (m *Machine) open(j *Job) bool {
+	return (m.Kept == "" || m.Kept == j.Spec.Ref) && !(j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service)) &&
+		!j.AvoidedBy[m.ID] && Allowed(j.Spec, m.Type, m.Zone, m.Spot)
+}
+
+// Has reports whether the machine holds an image.
+func (m *Machine) Has(img api.Image) bool {
+	_, ok := m.Images[img]
+	return ok
 }
 
 // Job is a job with pending tasks.
@@ -34,7 +56,8 @@
 	Entitled  bool             // within its team's guarantee
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
 	AvoidedBy map[api.MachineID]bool
-	Plain     bool // some type without accelerators can take its tasks
+	Plain     bool    // some type without accelerators can take its tasks
+	SpotRisk  float64 // how much it would suffer from being taken with a spot machine, between 0 and 1
 }
 
 // Input is everything a round looks at.
@@ -78,6 +101,8 @@
 	rankBonus     = 16.0 // a higher priority outweighs every other term
 	entitledBonus = 4.0
 	urgencyBonus  = 2.0
+	spotPenalty   = 1.0 // a loss for certain weighs as much as a fetch that takes all the time there is
+	spotBonus     = 0.3 // what loses little there leaves the other machines to what would lose much
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
 	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
 	imageWeight   = 0.2 // a fetch, as a share of what the task takes in all
@@ -91,10 +116,10 @@
 }
 
 // edgeCost is the paper's dot product with the users' world added as terms.
-func edgeCost(in *Input, j *Job, m *Machine) int64 {
-	dp := share(j.Demand.CPU, in.Largest.CPU)*share(m.Free.CPU, in.Largest.CPU) +
-		share(j.Demand.GPU, in.Largest.GPU)*share(m.Free.GPU, in.Largest.GPU) +
-		share(j.Demand.Mem, in.Largest.Mem)*share(m.Free.Mem, in.Largest.Mem)
+func edgeCost(in *Input, j *Job, m *Machine, free api.Resources) int64 {
+	dp := share(j.Demand.CPU, in.Largest.CPU)*share(free.CPU, in.Largest.CPU) +
+		share(j.Demand.GPU, in.Largest.GPU)*share(free.GPU, in.Largest.GPU) +
+		share(j.Demand.Mem, in.Largest.Mem)*share(free.Mem, in.Largest.Mem)
 	gain := dp + baseBonus + rankBonus*float64(j.Spec.Priority.Rank()) + urgencyBonus*j.Urgency
 	if j.Entitled {
 		gain += entitledBonus
@@ -105,7 +130,10 @@
 	if m.GPU && j.Plain {
 		gain -= scarcePenalty
 	}
-	if !m.Images[j.Spec.Image] && m.Fetch > 0 {
+	if m.Spot {
+		gain += spotBonus - spotPenalty*j.SpotRisk
+	}
+	if m.Fetch > 0 && !m.Has(j.Spec.Image) {
 		fetch := j.Spec.ImageGB / m.Fetch
 		if j.Within > 0 {
 			gain -= min(1, fetch/j.Within)
@@ -168,12 +196,15 @@
 	}
 	// Machines with the image first, and those with least to spare: whole
 	// pieces stay whole.
-	order := make([]int, len(in.Machines))
-	for i := range order {
-		order[i] = i
+	var order []int
+	for mi := range in.Machines {
+		m := &in.Machines[mi]
+		if j.Demand.Fits(free[mi]) && m.open(j) {
+			order = append(order, mi)
+		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		ia, ib := in.Machines[a].Images[j.Spec.Image], in.Machines[b].Images[j.Spec.Image]
+		ia, ib := in.Machines[a].Has(j.Spec.Image), in.Machines[b].Has(j.Spec.Image)
 		if ia != ib {
 			if ia {
 				return -1
@@ -200,7 +231,7 @@
 		var got []Placement
 		for _, mi := range order {
 			m := &in.Machines[mi]
-			if zone != "" && m.Zone != zone || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) {
+			if zone != "" && m.Zone != zone {
 				continue
 			}
 			room := free[mi]
@@ -221,78 +252,152 @@
 	return nil
 }
 
-// flowRound places tasks by min-cost flow, one per machine. Tasks of one job
-// are alike, so a job is one node with as many units of supply: the optimum is
-// that of one node per task.
+// link is an edge from a job, or from a job's tasks of one zone, to a machine.
+type link struct {
+	cost int64
+	mi   int
+	job  int
+	edge flow.EdgeID
+}
+
+// flowNode is a node that tasks flow through: a job, or what a job that is
+// spread may still have in one zone.
+type flowNode struct {
+	supply int
+	parent int // the job's node, or -1 for a job's own
+	links  []link
+}
+
+// flowRound places tasks by min-cost flow, one per machine. Tasks of one job are
+// alike, so a job is one node with as many units of supply: the optimum is that
+// of one node per task.
+//
+// At most as many tasks are placed as the round may start. A node then needs no
+// more than that many of its cheapest machines: were one beyond them used, one
+// among them would be free, and no dearer. So the other edges are left out and
+// the optimum stays the same.
 func flowRound(in *Input, order []int, free []api.Resources, left map[api.Team]api.Resources, most int) []Placement {
 	if most <= 0 || len(in.Machines) == 0 {
 		return nil
 	}
-	type node struct{ job, supply int }
-	var nodes []node
+	var nodes []flowNode
 	total := 0
 	for _, ji := range order {
 		j := &in.Jobs[ji]
 		if j.Spec.Kind == api.Gang {
 			continue
 		}
-		supply := min(len(j.Pending), len(in.Machines), j.Demand.Slots(left[j.Spec.Team]), most)
-		if j.Spec.Spread || j.Spec.OneZone {
-			supply = min(supply, 1) // each of its starts changes where the next may go
+		supply := min(len(j.Pending), j.Demand.Slots(left[j.Spec.Team]), most)
+		if j.Spec.OneZone && !occupied(j.Zones) {
+			supply = min(supply, 1) // the first start decides where the others may go
+		}
+		if supply <= 0 {
+			continue
+		}
+		added := jobNodes(in, ji, free, supply, most, len(nodes))
+		reach := 0
+		for i := range added {
+			reach += len(added[i].links)
 		}
+		supply = min(supply, reach)
 		if supply == 0 {
 			continue
 		}
+		added[0].supply = supply
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(supply))
-		nodes = append(nodes, node{ji, supply})
-		if total += supply; total >= 4*len(in.Machines)+64 {
-			break // enough to fill every machine this round
+		nodes = append(nodes, added...)
+		if total += supply; total >= 4*min(most, len(in.Machines))+64 {
+			break // enough to fill the round; the others come after these
 		}
 	}
-	n, k := len(nodes), len(in.Machines)
-	g := flow.New(n + k + 3)
-	source, unscheduled, sink := n+k, n+k+1, n+k+2
-	g.Edge(unscheduled, sink, total, 0)
-	for mi := range k {
-		g.Edge(n+mi, sink, 1, 0)
-	}
-	type link struct {
-		edge    flow.EdgeID
-		job, mi int
+	if total == 0 {
+		return nil
 	}
-	var links []link
-	for i, nd := range nodes {
-		j := &in.Jobs[nd.job]
-		g.Edge(source, i, nd.supply, 0)
-		g.Edge(i, unscheduled, nd.supply, 0)
-		for mi := range in.Machines {
-			m := &in.Machines[mi]
-			// Work without an end would block an accelerator for good.
-			if !j.Demand.Fits(free[mi]) || j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service) || j.AvoidedBy[m.ID] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
-				!ZoneOpen(j.Spec, j.Zones, m.Zone) {
-				continue
+	// Machines without an edge need no node.
+	at := make(map[int]int)
+	for i := range nodes {
+		for _, l := range nodes[i].links {
+			if _, ok := at[l.mi]; !ok {
+				at[l.mi] = len(nodes) + len(at)
 			}
-			room := *m
-			room.Free = free[mi]
-			links = append(links, link{g.Edge(i, n+mi, 1, edgeCost(in, j, &room)), nd.job, mi})
 		}
 	}
-	if len(links) == 0 {
-		return nil
+	n := len(nodes) + len(at)
+	g := flow.New(n + 3)
+	source, unscheduled, sink := n, n+1, n+2
+	g.Edge(unscheduled, sink, total, 0)
+	for node := len(nodes); node < n; node++ {
+		g.Edge(node, sink, 1, 0)
+	}
+	for i := range nodes {
+		nd := &nodes[i]
+		if nd.parent < 0 {
+			g.Edge(source, i, nd.supply, 0)
+			g.Edge(i, unscheduled, nd.supply, 0)
+		} else {
+			g.Edge(nd.parent, i, nd.supply, 0)
+		}
+		for k := range nd.links {
+			l := &nd.links[k]
+			l.edge = g.Edge(i, at[l.mi], 1, l.cost)
+		}
 	}
-	g.Run(source, sink, total)
+	g.Run(source, sink, min(total, most))
 	var plan []Placement
 	next := map[int]int{}
-	for _, l := range links {
-		if g.Flow(l.edge) > 0 && len(plan) < most {
-			j := &in.Jobs[l.job]
-			plan = append(plan, Placement{l.job, j.Pending[next[l.job]], l.mi})
-			next[l.job]++
+	for i := range nodes {
+		for _, l := range nodes[i].links {
+			if g.Flow(l.edge) > 0 {
+				j := &in.Jobs[l.job]
+				plan = append(plan, Placement{l.job, j.Pending[next[l.job]], l.mi})
+				next[l.job]++
+			}
 		}
 	}
 	return plan
 }
 
+func occupied(zones map[api.Zone]int) bool {
+	for _, n := range zones {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// jobNodes are the nodes of one job, its own first. A job that is spread has one
+// more for each zone, with as much capacity as the zone may still take: so
+// several of its tasks can be placed in a round and the bound still holds.
+func jobNodes(in *Input, ji int, free []api.Resources, supply, most, base int) []flowNode {
+	j := &in.Jobs[ji]
+	nodes := []flowNode{{supply: supply, parent: -1}}
+	byZone := map[api.Zone]int{}
+	for mi := range in.Machines {
+		m := &in.Machines[mi]
+		if !j.Demand.Fits(free[mi]) || !m.open(j) || !ZoneOpen(j.Spec, j.Zones, m.Zone) {
+			continue
+		}
+		to := 0
+		if j.Spec.Spread {
+			var ok bool
+			if to, ok = byZone[m.Zone]; !ok {
+				to = len(nodes)
+				byZone[m.Zone] = to
+				nodes = append(nodes, flowNode{supply: min(supply, (j.Spec.Tasks+1)/2-j.Zones[m.Zone]), parent: base})
+			}
+		}
+		nodes[to].links = append(nodes[to].links, link{cost: edgeCost(in, j, m, free[mi]), mi: mi, job: ji})
+	}
+	for i := range nodes {
+		if l := nodes[i].links; len(l) > most {
+			slices.SortStableFunc(l, func(a, b link) int { return cmp.Compare(a.cost, b.cost) })
+			nodes[i].links = l[:most]
+		}
+	}
+	return nodes
+}
+
 // Holds reports whether the machines have room for all of a job's tasks
 // together, by first fit.
 func Holds(machines []Machine, s *api.JobSpec) bool {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -85,7 +85,7 @@
 			for i := range in.Machines {
 				in.Machines[i].Free = api.Resources{CPU: 8e6, Mem: 32e6}
 				in.Machines[i].Zone = "z"
-				in.Machines[i].Images = map[api.Image]bool{"img": true}
+				in.Machines[i].Images = map[api.Image]Cached{"img": {}}
 			}
 			in.Jobs[0].Pending, in.Jobs[0].Plain = []int{0}, true
 			spoil(&in.Machines[worse], &in.Jobs[0])
