--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -9,7 +9,7 @@
 //	limit TEAM CPUS                     a team's limit on CPUs
 //	machines N [spot]                   machines that are up at the start
 //	capacity N                          machines the cloud has in all
-//	submit AT REF KIND key=value...     a job; see jobOf for the keys
+//	submit AT REF KIND key=value...     a job; see submit for the keys
 //	cancel AT REF
 //	ask AT REF                          a poll for a job nobody submitted
 //	crash AT NODE|all BACK              a controller ends and returns after BACK seconds
@@ -27,7 +27,10 @@
 //	random SEED FROM TO                 faults drawn by chance
 //	end AT
 //	expect REF done|aborted|pending|running [by AT]
+//	expect all done [by AT]             all arrays and gangs
 //	starts MIN MAX                      task starts in all
+//	most WHAT N                         state-rps, state-writes, cloud-rps (a second, on
+//	                                    average), value (bytes) or direct-calls a start, at most
 package scenario
 
 import (
@@ -90,6 +93,8 @@
 	end     time.Duration
 	min     int
 	max     int
+	refs    []api.JobRef // of work that ends
+	most    map[string]float64
 }
 
 // Result is what a scenario came to.
@@ -134,7 +139,7 @@
 			}
 		}
 	}
-	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, most: map[string]float64{}}
 	r.w.Cloud.Types = []api.MachineType{
 		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
 		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
@@ -158,7 +163,27 @@
 	r.w.StartAll()
 	r.w.Run(r.end)
 	res := Result{Problems: r.w.Check.Broken, World: r.w}
-	for _, e := range r.expects {
+	seconds := r.end.Seconds()
+	counts := map[string]float64{"state-rps": float64(r.w.State.Requests) / seconds, "state-writes": float64(r.w.State.Writes) / seconds,
+		"cloud-rps": float64(r.w.Cloud.Calls) / seconds, "value": float64(r.w.State.Largest),
+		"direct-calls": float64(r.w.Direct) / float64(max(1, r.w.Check.Starts))}
+	for what, most := range r.most {
+		got, ok := counts[what]
+		if !ok {
+			return Result{}, fmt.Errorf("most %s: no such count", what)
+		}
+		if got > most {
+			res.Problems = append(res.Problems, fmt.Sprintf("%s: %.2f, expected %.2f at most", what, got, most))
+		}
+	}
+	for i := 0; i < len(r.expects); i++ {
+		e := r.expects[i]
+		if e.ref == "all" {
+			for _, ref := range r.refs {
+				r.expects = append(r.expects, expectation{ref, e.state, e.by})
+			}
+			continue
+		}
 		got := r.w.Check.Known(e.ref)
 		at, done := r.w.Users.DoneAt[e.ref]
 		switch {
@@ -202,7 +227,7 @@
 	rest := l[1:]
 	forms := map[string]string{"limit": "sn", "capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
 		"cut": "ddsss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds",
-		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn"}
+		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -258,6 +283,8 @@
 		r.random(uint64(ns[0]), ds[0], ds[1])
 	case "end":
 		r.end = ds[0]
+	case "most":
+		r.most[ss[0]] = ns[0]
 	case "starts":
 		r.min, r.max = int(ns[0]), int(ns[1])
 	case "expect":
@@ -326,8 +353,9 @@
 }
 
 // submit reads a job: tasks, cpus, gpus, run (seconds), team, priority, types,
-// zone, deadline, checkpoint, save, at (a node) with =, and the words together,
-// scatter and spot.
+// zone, deadline, checkpoint, save, at (a node), times and every (so many like it,
+// with the numbers that follow, so many seconds apart) with =, and the words
+// together, scatter and spot.
 func (r *runner) submit(rest []string) error {
 	if len(rest) < 3 {
 		return fmt.Errorf("not understood")
@@ -343,6 +371,7 @@
 		return fmt.Errorf("no such kind")
 	}
 	run, node := 10.0, ""
+	times, every := 1, 0.0
 	for _, x := range rest[3:] {
 		k, v, _ := strings.Cut(x, "=")
 		f, ferr := strconv.ParseFloat(v, 64)
@@ -356,6 +385,10 @@
 			s.GPUs = f
 		case "run":
 			run = f
+		case "times":
+			times = int(f)
+		case "every":
+			every = f
 		case "deadline":
 			s.Deadline = &f
 		case "checkpoint":
@@ -396,7 +429,18 @@
 	if s.Kind != api.Service {
 		s.Estimate = run
 	}
-	r.w.After(api.Seconds(at), func() { r.w.Users.Submit(s, api.Seconds(run), node) })
+	number, err := strconv.Atoi(strings.TrimPrefix(rest[1], "run-"))
+	if err != nil {
+		return err
+	}
+	for i := range times {
+		one := *s
+		one.Ref = api.JobRef(fmt.Sprintf("run-%d", number+i))
+		if one.Kind != api.Service {
+			r.refs = append(r.refs, one.Ref)
+		}
+		r.w.After(api.Seconds(at+float64(i)*every), func() { r.w.Users.Submit(&one, api.Seconds(run), node) })
+	}
 	return nil
 }
 
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/url"
 	"sort"
+	"strconv"
 	"time"
 
 	"basaltwall/api"
@@ -26,6 +27,7 @@
 	answers  map[string][]api.MachineID
 	last     int
 	Down     bool
+	Calls    int // requests so far
 	// Lag is how old the list is.
 	Lag time.Duration
 }
@@ -52,6 +54,7 @@
 
 // Serve answers a request.
 func (c *Cloud) Serve(method, target string, body []byte) (int, []byte) {
+	c.Calls++
 	if c.Down {
 		return 503, []byte(`{"error":"trouble"}`)
 	}
@@ -73,6 +76,13 @@
 			}
 		}
 		sort.Slice(l.Machines, func(i, j int) bool { return l.Machines[i].ID < l.Machines[j].ID })
+		limit, err := strconv.Atoi(u.Query().Get("limit"))
+		if err != nil || limit > 500 {
+			return 400, nil
+		}
+		if l.More = len(l.Machines) > limit; l.More {
+			l.Machines = l.Machines[:limit]
+		}
 		out = l
 	case method == "POST" && u.Path == api.PathHosts:
 		var r api.RentRequest
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -34,8 +34,10 @@
 	ttl     map[api.LeaseID]time.Duration
 	last    api.LeaseID
 	watches []*watch
-	out     bool            // nobody is served
-	refused map[string]bool // these nodes are not served
+	out     bool // nobody is served
+	// Requests and Writes count what was asked, Largest is the largest value.
+	Requests, Writes, Largest int
+	refused                   map[string]bool // these nodes are not served
 }
 
 func newState(w *World) *State {
@@ -102,8 +104,9 @@
 
 func (s *State) since(under string, rev api.Revision) []api.Change {
 	var out []api.Change
-	for _, c := range s.log {
-		if c.Version > rev && (strings.HasPrefix(c.Put, under) && c.Put != "" || strings.HasPrefix(c.Drop, under) && c.Drop != "") {
+	from := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > rev })
+	for _, c := range s.log[from:] {
+		if strings.HasPrefix(c.Put, under) && c.Put != "" || strings.HasPrefix(c.Drop, under) && c.Drop != "" {
 			out = append(out, c)
 		}
 	}
@@ -136,6 +139,7 @@
 
 // Serve answers a request, a watch possibly later.
 func (s *State) Serve(node, method, target string, body []byte, answer func(int, []byte)) {
+	s.Requests++
 	if s.out || s.refused[node] {
 		answer(503, []byte(`{"error":"trouble"}`))
 		return
@@ -206,7 +210,9 @@
 		answer(400, []byte(`{"error":"malformed"}`))
 		return
 	}
+	s.Writes += len(t.Writes)
 	for _, w := range t.Writes {
+		s.Largest = max(s.Largest, len(w.Value))
 		if float64(len(w.Value)) > cfg.ValueKB*1024 {
 			answer(400, []byte(`{"error":"too large"}`))
 			return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -77,6 +77,7 @@
 		}
 	}
 	w.workers[h.ID] = wk
+	w.byAddr[wk.addr] = wk
 	w.OnWorker(wk)
 	wk.tick()
 }
@@ -92,6 +93,7 @@
 		wk.forget(t)
 	}
 	delete(w.workers, id)
+	delete(w.byAddr, wk.addr)
 }
 
 // Kill makes a machine fail silently; the list shows it as running for a while.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -79,6 +79,7 @@
 	State   *State
 	Cloud   *Cloud
 	workers map[api.MachineID]*Worker
+	byAddr  map[string]*Worker
 	Users   *Users
 
 	// LoseAnswers makes that share of the state service's answers get lost
@@ -86,6 +87,9 @@
 	// arrive seconds late, after their sender has given up.
 	LoseAnswers, DelayState float64
 
+	// Direct counts direct calls that reached a worker.
+	Direct int
+
 	// Deliver carries a worker's or user's request to a controller; Address
 	// names a new machine's address and OnWorker is told when it is up.
 	Deliver  func(name, method, path string, body []byte, answer func(int, []byte))
@@ -111,7 +115,7 @@
 func NewWorld(seed uint64, cfgs []*config.Config) *World {
 	w := &World{
 		rand: rand.New(rand.NewPCG(seed, 7)), cfgs: map[string]*config.Config{}, nodes: map[string]*host{},
-		cuts: map[cutKey]*cut{}, workers: map[api.MachineID]*Worker{}, gangs: map[gangKey]*gang{},
+		cuts: map[cutKey]*cut{}, workers: map[api.MachineID]*Worker{}, byAddr: map[string]*Worker{}, gangs: map[gangKey]*gang{},
 		saved: map[api.JobRef]time.Duration{},
 	}
 	w.Check = NewChecker(cfgs[0])
@@ -241,11 +245,9 @@
 		_, _, body, err := worker.Request(e)
 		w.must(err)
 		w.call(h, SideWorkers, 0, e.Timeout, func(answer func(int, []byte)) {
-			for _, wk := range w.workers {
-				if wk.addr == e.Addr {
-					wk.commands(body, answer)
-					return
-				}
+			w.Direct++
+			if wk := w.byAddr[e.Addr]; wk != nil {
+				wk.commands(body, answer)
 			}
 		}, func(r httpx.Response, err error) control.Command { return worker.Answer(e, r, err) })
 	case control.PeerCall:
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"basaltwall/api"
+	"basaltwall/flow"
 )
 
 // crowd is a round with many machines, partly taken, and many waiting jobs.
@@ -155,3 +156,78 @@
 		})
 	}
 }
+
+// A node keeps only as many of its cheapest edges as the round may start tasks.
+// The plan must cost what a flow over all edges costs, found here on its own.
+func TestCutEdgesKeepTheOptimum(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		in := crowd(30+r.IntN(40), 2+r.IntN(6))
+		in.Most = 3 + r.IntN(12)
+		supply := 0
+		for i := range in.Jobs {
+			in.Jobs[i].Pending = in.Jobs[i].Pending[:1+r.IntN(8)]
+			in.Jobs[i].Urgency = float64(r.IntN(3)) / 2
+			supply += len(in.Jobs[i].Pending)
+		}
+		n, k := len(in.Jobs), len(in.Machines)
+		g := flow.New(n + k + 2)
+		for i := range in.Jobs {
+			j := &in.Jobs[i]
+			g.Edge(n+k, i, len(j.Pending), 0)
+			for mi := range in.Machines {
+				if m := &in.Machines[mi]; j.Demand.Fits(m.Free) {
+					g.Edge(i, n+mi, 1, edgeCost(in, j, m, m.Free))
+				}
+			}
+		}
+		for mi := range in.Machines {
+			g.Edge(n+mi, n+k+1, 1, 0)
+		}
+		sent, want := g.Run(n+k, n+k+1, min(supply, in.Most))
+		plan := Round(in)
+		got := int64(0)
+		for _, p := range plan {
+			got += edgeCost(in, &in.Jobs[p.Job], &in.Machines[p.Machine], in.Machines[p.Machine].Free)
+		}
+		if len(plan) != sent || got != want {
+			t.Fatalf("seed %d: %d placed at %d, all edges give %d at %d", seed, len(plan), got, sent, want)
+		}
+	}
+}
+
+// Several tasks of a job that is spread start in one round, within its bound.
+func TestSpreadInOneRound(t *testing.T) {
+	in := crowd(30, 1)
+	for i := range in.Machines {
+		in.Machines[i].Free = api.Resources{CPU: 8e6, Mem: 32e6}
+	}
+	j := &in.Jobs[0]
+	j.Spec.Spread, j.Spec.Kind, j.Spec.Tasks = true, api.Service, 9
+	j.Pending = []int{2, 3, 4, 5, 6, 7, 8}
+	j.Zones = map[api.Zone]int{"0": 2}
+	zones := map[api.Zone]int{"0": 2}
+	for i := range in.Machines {
+		if in.Machines[i].Zone == "0" {
+			in.Machines[i].Free.CPU += 4e6 // all would rather be there
+		}
+	}
+	plan := Round(in)
+	for _, p := range plan {
+		zones[in.Machines[p.Machine].Zone]++
+	}
+	if len(plan) != 7 || zones["0"] != 5 {
+		t.Errorf("%d of 7 placed, by zone %v; at most 5 may be in one", len(plan), zones)
+	}
+}
+
+// A machine that others made way on is left to the job it is kept for.
+func TestKeptMachine(t *testing.T) {
+	in := crowd(1, 2)
+	in.Machines[0].Free = api.Resources{CPU: 16e6, Mem: 64e6}
+	in.Machines[0].Kept = in.Jobs[1].Spec.Ref
+	in.Jobs[0].Spec.Priority = api.Production
+	if plan := Round(in); len(plan) != 1 || plan[0].Job != 1 {
+		t.Errorf("placed %v on a machine kept for job 1", plan)
+	}
+}
