--- a/control/ask.go
+++ b/control/ask.go
@@ -325,14 +325,14 @@
 		return fmt.Sprintf("team %s has %.1f CPUs and %.1f GPUs of its limit left here", j.Spec.Team, left.CPU.Float(), left.GPU.Float())
 	}
 	allowed, usable, room := 0, 0, 0
-	n.eachRoom(func(q api.PartID, k Kind, free api.Resources, count int) {
+	n.eachRoom(func(q api.PartID, k Kind, r Room) {
 		if q != p || !sched.Allowed(j.Spec, k.Type, k.Zone, k.Spot) {
 			return
 		}
-		allowed += count
+		allowed += r.Count
 		if k.Usable && !(k.Closed && n.plain(j.Spec)) {
-			usable += count
-			room += count * j.demand.Slots(free)
+			usable += r.Count
+			room += r.Count * j.demand.Slots(r.Free)
 		}
 	})
 	return fmt.Sprintf("%d machines are allowed, %d usable, with room for %d tasks", allowed, usable, room)
--- a/control/book.go
+++ b/control/book.go
@@ -95,11 +95,13 @@
 // lendValue is the key of a machine that was given to another part.
 type lendValue struct {
 	Part api.PartID `json:"part"`
+	For  api.JobRef `json:"for,omitempty"`
 }
 
 type lent struct {
 	part api.PartID
 	rev  api.Revision
+	ref  api.JobRef // for whom
 }
 
 // startEntry is a durable start: the task, its machine and that machine's session.
@@ -626,7 +628,7 @@
 		if err := json.Unmarshal(value, &v); err != nil || v.Part < 0 || int(v.Part) >= n {
 			return fmt.Errorf("key %s: %w", key, err)
 		}
-		b.lent[api.MachineID(key[len(keyLend):])] = lent{v.Part, ver}
+		b.lent[api.MachineID(key[len(keyLend):])] = lent{v.Part, ver, v.For}
 		b.lends++
 	case key == keySettings:
 		var v Settings
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -431,12 +431,12 @@
 	}
 	var spaces []space
 	up := map[api.MachineID]bool{}
-	n.eachRoom(func(_ api.PartID, k Kind, free api.Resources, count int) {
+	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
 		if !k.Usable {
 			return
 		}
-		for range count {
-			spaces = append(spaces, space{offer{k.Type, k.Zone, k.Spot}, free, k.Closed})
+		for range r.Count {
+			spaces = append(spaces, space{offer{k.Type, k.Zone, k.Spot}, r.Free, k.Closed})
 		}
 	})
 	for id, h := range f.hosts {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -39,7 +39,7 @@
 		}
 		r := Room{Kind: i}
 		if k.Usable {
-			r.Free = n.freeOn(m, t)
+			r.Free, r.Could = n.freeOn(m, t), n.couldOn(m, t)
 		}
 		at, ok := rooms[r]
 		if !ok {
@@ -52,6 +52,22 @@
 	return pn
 }
 
+// urgentRank is the rank from which on work has the rest make way when parts
+// are compared.
+var urgentRank = api.High.Rank()
+
+// couldOn is what would be free on a machine if all work below urgentRank made
+// way.
+func (n *Node) couldOn(m *Machine, t *turf) api.Resources {
+	could := n.freeOn(m, t)
+	for _, p := range n.book.on(m.ID) {
+		if !p.over && p.job.Spec.Kind != api.Gang && p.job.Spec.Priority.Rank() < urgentRank {
+			could = could.Plus(p.job.demand)
+		}
+	}
+	return could
+}
+
 func (n *Node) kindOf(m *Machine, t *turf) Kind {
 	return Kind{m.typ, m.zone, m.spot, n.usable(m, t), m.closing}
 }
@@ -104,25 +120,24 @@
 
 // eachRoom visits the machines of all parts by what is free on them: others' as
 // their owners tell, a number that are alike at once.
-func (n *Node) eachRoom(visit func(p api.PartID, k Kind, free api.Resources, count int)) {
+func (n *Node) eachRoom(visit func(p api.PartID, k Kind, r Room)) {
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		t := n.turfs[p]
 		for _, m := range n.machinesOf(p) {
 			if m.heard == 0 || m.deleting {
 				continue
 			}
-			k := n.kindOf(m, t)
-			var free api.Resources
+			k, r := n.kindOf(m, t), Room{Count: 1}
 			if k.Usable {
-				free = n.freeOn(m, t)
+				r.Free, r.Could = n.freeOn(m, t), n.couldOn(m, t)
 			}
-			visit(p, k, free, 1)
+			visit(p, k, r)
 		}
 	}
 	for _, pn := range n.othersNews() {
 		for _, r := range pn.Rooms {
 			if r.Kind >= 0 && r.Kind < len(pn.Kinds) {
-				visit(pn.Part, pn.Kinds[r.Kind], r.Free, r.Count)
+				visit(pn.Part, pn.Kinds[r.Kind], r)
 			}
 		}
 	}
@@ -252,18 +267,25 @@
 				}
 			}
 		}
-		if most == 0 {
-			continue
-		}
 		if j.Spec.Whole() {
-			holds := n.partsHolding(j.Spec)
+			holds, could := n.partsHolding(j.Spec)
 			if holds[t.part] {
 				continue
 			}
+			if len(holds) == 0 {
+				if could[t.part] {
+					continue // others will make way here
+				}
+				holds = could
+			}
 			if len(holds) > 0 && !holds[best] {
 				best = slices.Min(slices.Collect(maps.Keys(holds)))
+				most = j.Spec.Tasks
 			}
 		}
+		if most == 0 {
+			continue
+		}
 		split, ok := moved(j, t.part, best, most)
 		if !ok {
 			continue
@@ -341,25 +363,36 @@
 	return nil, false
 }
 
-// partsHolding finds the parts that have room for all of a job's tasks.
-func (n *Node) partsHolding(s *api.JobSpec) map[api.PartID]bool {
+// partsHolding finds the parts that have room for all of a job's tasks: now, or
+// if others made way where the job is urgent enough for that.
+func (n *Node) partsHolding(s *api.JobSpec) (now, could map[api.PartID]bool) {
 	demand, plain := s.Demand(), n.plain(s)
-	machines := map[api.PartID][]sched.Machine{}
-	n.eachRoom(func(p api.PartID, k Kind, free api.Resources, count int) {
-		if !k.Usable || plain && n.accelerated(k.Type) || !demand.Fits(free) || !sched.Allowed(s, k.Type, k.Zone, k.Spot) {
+	urgent := s.Priority.Rank() >= urgentRank
+	free, cleared := map[api.PartID][]sched.Machine{}, map[api.PartID][]sched.Machine{}
+	n.eachRoom(func(p api.PartID, k Kind, r Room) {
+		if !k.Usable || plain && n.accelerated(k.Type) || !sched.Allowed(s, k.Type, k.Zone, k.Spot) {
 			return
 		}
-		for range min(count, s.Tasks) { // more of a kind are never needed
-			machines[p] = append(machines[p], sched.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot, Free: free})
+		m := sched.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot}
+		for range min(r.Count, s.Tasks) { // more of a kind are never needed
+			if m.Free = r.Free; demand.Fits(m.Free) {
+				free[p] = append(free[p], m)
+			}
+			if m.Free = r.Could; urgent && demand.Fits(m.Free) {
+				cleared[p] = append(cleared[p], m)
+			}
 		}
 	})
-	out := map[api.PartID]bool{}
-	for p, ms := range machines {
-		if sched.Holds(ms, s) {
-			out[p] = true
+	holding := func(machines map[api.PartID][]sched.Machine) map[api.PartID]bool {
+		out := map[api.PartID]bool{}
+		for p, ms := range machines {
+			if sched.Holds(ms, s) {
+				out[p] = true
+			}
 		}
+		return out
 	}
-	return out
+	return holding(free), holding(cleared)
 }
 
 // zoneFor is the zone with most room for a job whose tasks must be together.
@@ -368,9 +401,10 @@
 		return ""
 	}
 	room := map[api.Zone]int{}
-	n.eachRoom(func(_ api.PartID, k Kind, free api.Resources, count int) {
+	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
 		if k.Usable && sched.Allowed(s, k.Type, k.Zone, k.Spot) {
-			room[k.Zone] += count * s.Demand().Slots(free)
+			// Room that is free at once counts for more.
+			room[k.Zone] += r.Count * (2*s.Demand().Slots(r.Free) + s.Demand().Slots(r.Could))
 		}
 	})
 	return most(room)
@@ -411,7 +445,7 @@
 					n.accelerated(m.typ) && plain || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) {
 					continue
 				}
-				if len(n.book.on(m.ID)) == 0 && len(m.tasks) == 0 {
+				if len(n.book.on(m.ID)) == 0 && !m.strange && m.extra == (api.Resources{}) {
 					if l.Spec.Demand().Fits(n.freeOn(m, t)) {
 						n.lendTo(t, m.ID, pn.Part, l.Spec.Ref)
 						return
@@ -437,7 +471,7 @@
 func (n *Node) lendTo(t *turf, id api.MachineID, to api.PartID, ref api.JobRef) {
 	t.lending = true
 	key := keyLend + string(id)
-	v, _ := json.Marshal(lendValue{Part: to})
+	v, _ := json.Marshal(lendValue{Part: to, For: ref})
 	tx := api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}, {Key: key, Version: n.book.vers[key]}},
 		Writes: []api.Write{{Put: key, Value: v}}}
 	// No round is planned before the outcome is known: a late write must not
--- a/control/machine.go
+++ b/control/machine.go
@@ -54,6 +54,7 @@
 	pace     float64    // see learnPace
 	kept     api.JobRef // others made way for this job here
 	keptTill api.Time
+	lentAt   api.Revision
 }
 
 // hashPart says which part a machine belongs to unless it was lent. Names are
@@ -168,6 +169,10 @@
 	for _, m := range n.sorted {
 		p := n.partOf(m.ID)
 		n.byPart[p] = append(n.byPart[p], m)
+		if l := n.book.lent[m.ID]; l.rev != m.lentAt {
+			// It came for a job: until that has it, it is no one else's.
+			m.lentAt, m.kept, m.keptTill = l.rev, l.ref, n.now.Add(keepTime)
+		}
 	}
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -201,10 +201,12 @@
 	Closed bool // only for work that needs its accelerators
 }
 
-// Room is what is free on a number of machines that are alike.
+// Room is what is free on a number of machines that are alike, and what would be
+// if all work made way that urgent work may stop.
 type Room struct {
 	Kind  int
 	Free  api.Resources
+	Could api.Resources
 	Count int
 }
 
--- a/control/user.go
+++ b/control/user.go
@@ -228,7 +228,10 @@
 	best := 0
 	holds := map[api.PartID]bool{}
 	if s.Whole() {
-		holds = n.partsHolding(s)
+		var could map[api.PartID]bool
+		if holds, could = n.partsHolding(s); len(holds) == 0 {
+			holds = could
+		}
 	}
 	if s.Whole() && len(holds) == 0 {
 		// Nobody has room: better wait, or make lower work give way, where
@@ -271,9 +274,9 @@
 	room := make([]int, len(n.book.parts))
 	demand := s.Demand()
 	plain := n.plain(s)
-	n.eachRoom(func(p api.PartID, k Kind, free api.Resources, count int) {
+	n.eachRoom(func(p api.PartID, k Kind, r Room) {
 		if k.Usable && !(plain && k.Closed) && sched.Allowed(s, k.Type, k.Zone, k.Spot) {
-			room[p] += count * demand.Slots(free)
+			room[p] += r.Count * demand.Slots(r.Free)
 		}
 	})
 	return room
@@ -284,10 +287,10 @@
 func (n *Node) capacityByPart(s *api.JobSpec) []int {
 	out := make([]int, len(n.book.parts))
 	demand, plain := s.Demand(), n.plain(s)
-	n.eachRoom(func(p api.PartID, k Kind, _ api.Resources, count int) {
+	n.eachRoom(func(p api.PartID, k Kind, r Room) {
 		typ := n.types[k.Type]
 		if k.Usable && typ != nil && sched.Allowed(s, k.Type, k.Zone, k.Spot) && !(plain && typ.GPUs > 0) {
-			out[p] += count * demand.Slots(typ.Capacity())
+			out[p] += r.Count * demand.Slots(typ.Capacity())
 		}
 	})
 	return out
