A zone cut off: its work is replaced when its leases end, not later

Its tasks were dead by their own lease, but the machines were deleted only a report and two seconds after that, in any order; meanwhile starts went to the zone, machines were rented in it, and each part judged by its few machines alone.

Silent machines are counted by zone over all parts; a mute zone gets no starts and no rentals; at the end of the lease what holds work is deleted, services and gangs first; what holds none is waited for. When all are silent the fault is our own.

--- a/control/ask.go
+++ b/control/ask.go
@@ -253,6 +253,10 @@
 		return "our term has not been announced to it"
 	case n.now.Sub(m.heard) >= 2*n.cfg.ReportEvery()+2*time.Second:
 		return "is silent"
+	case m.missed > 0 && n.now.Sub(m.heard) > time.Second:
+		return "does not answer"
+	case n.zoneMute(m.zone) && n.now.Sub(m.heard) > n.cfg.ReportEvery()*5/4:
+		return "its zone is cut off"
 	}
 	return ""
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -677,7 +677,7 @@
 		for _, z := range zones {
 			for _, spot := range []bool{true, false} {
 				o := offer{name, z, spot}
-				if zone != "" && z != zone || !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now {
+				if zone != "" && z != zone || !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now || n.zoneMute(z) {
 					continue
 				}
 				price := typ.Price
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -15,7 +15,7 @@
 // counted, since there may be very many.
 func (n *Node) news(t *turf) PartNews {
 	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
-		Accelerated: n.countAccelerated(t.part)}
+		Accelerated: n.countAccelerated(t.part), Mute: n.muteOf(t)}
 	kinds := map[Kind]int{}
 	rooms := map[Room]int{}
 	for _, m := range n.machinesOf(t.part) {
--- a/control/machine.go
+++ b/control/machine.go
@@ -604,40 +604,73 @@
 	if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
 		return // still booting, as far as we know
 	}
-	network := n.networkAtFault(m.zone)
-	if network && quiet < n.cfg.WorkerLease()+n.cfg.ReportEvery()+2*time.Second {
+	lease := n.cfg.WorkerLease()
+	switch busy := len(n.book.on(m.ID)) > 0; {
+	case n.allMute() && quiet < 2*lease:
+		return // it is we who do not hear, as it seems
+	case n.zoneMute(m.zone) && (quiet < lease || !busy && quiet < 3*lease):
+		// The zone is cut off. As long as its leases last its tasks may run on;
+		// after that they are lost for certain, so that no more is lost by a
+		// deletion, which alone proves them over. What holds no tasks may as
+		// well be waited for.
 		return
 	}
 	n.remove(m, t, unreachableWhy)
 }
 
-// muteCount counts machines that are heard of and those that are silent.
-type muteCount struct{ all, mute int }
+// countMute counts anew, now and then, which machines are silent.
+func (n *Node) countMute() {
+	if n.muteZones != nil && n.now.Sub(n.mutedAt) <= sweepEvery/2 {
+		return
+	}
+	n.mutedAt, n.muteZones, n.muteAll = n.now, map[api.Zone]Mute{}, Mute{}
+	add := func(zone api.Zone, c Mute) {
+		z := n.muteZones[zone]
+		n.muteZones[zone] = Mute{z.All + c.All, z.Silent + c.Silent}
+	}
+	for p := range n.turfs {
+		for zone, c := range n.muteOf(n.turfs[p]) {
+			add(zone, c)
+			n.muteAll = Mute{n.muteAll.All + c.All, n.muteAll.Silent + c.Silent}
+		}
+	}
+	for _, pn := range n.othersNews() {
+		for zone, c := range pn.Mute {
+			add(zone, c)
+		}
+	}
+}
 
-// networkAtFault reports whether so many machines of a zone, or of all, are
-// silent that the network is at fault more likely than they.
-func (n *Node) networkAtFault(zone api.Zone) bool {
-	if n.muteZones == nil || n.now.Sub(n.mutedAt) > sweepEvery/2 {
-		n.mutedAt, n.muteZones, n.muteAll = n.now, map[api.Zone]muteCount{}, muteCount{}
-		for p := range n.turfs {
-			for _, o := range n.machinesOf(p) {
-				if o.heard == 0 {
-					continue
-				}
-				z := n.muteZones[o.zone]
-				z.all++
-				n.muteAll.all++
-				// One that is only heard by way of peers speaks for a cut as well.
-				if o.missed > 0 || n.now.Sub(o.heard) > n.cfg.ReportEvery()+2*time.Second {
-					z.mute++
-					n.muteAll.mute++
-				}
-				n.muteZones[o.zone] = z
-			}
+// muteOf counts a part's machines by zone.
+func (n *Node) muteOf(t *turf) map[api.Zone]Mute {
+	zones := map[api.Zone]Mute{}
+	for _, m := range n.machinesOf(t.part) {
+		if m.heard == 0 {
+			continue
+		}
+		z := zones[m.zone]
+		z.All++
+		// One that is only heard by way of peers speaks for a cut as well.
+		if m.missed > 0 || n.now.Sub(max(m.heard, t.since)) > n.cfg.ReportEvery()+2*time.Second {
+			z.Silent++
 		}
+		zones[m.zone] = z
 	}
+	return zones
+}
+
+// zoneMute reports whether so many machines of a zone are silent that the
+// network is at fault more likely than they.
+func (n *Node) zoneMute(zone api.Zone) bool {
+	n.countMute()
 	z := n.muteZones[zone]
-	return z.mute >= 2 && z.mute*3 >= z.all || n.muteAll.mute >= 2 && n.muteAll.mute*2 >= n.muteAll.all
+	return z.Silent >= 2 && z.Silent*3 >= z.All
+}
+
+// allMute reports the same of all machines.
+func (n *Node) allMute() bool {
+	n.countMute()
+	return n.muteAll.Silent >= 2 && n.muteAll.Silent*2 >= n.muteAll.All
 }
 
 // remove has the cloud delete a machine; its answer proves the tasks over.
@@ -661,6 +694,8 @@
 		return
 	}
 	n.removing = true
+	// Work that should never stop or that others of its gang wait for first.
+	slices.SortStableFunc(n.doomed, func(a, b doomed) int { return n.lasting(b.m) - n.lasting(a.m) })
 	batch := slices.Clone(n.doomed[:min(len(n.doomed), maxDelete)])
 	n.doomed = slices.Clone(n.doomed[len(batch):])
 	settle := func() {
@@ -716,6 +751,17 @@
 	})
 }
 
+// lasting counts the tasks on a machine that are not of an array.
+func (n *Node) lasting(m *Machine) int {
+	count := 0
+	for _, p := range n.book.on(m.ID) {
+		if p.job.Spec.Kind != api.Array && !p.job.final() {
+			count++
+		}
+	}
+	return count
+}
+
 // The protocol's bounds on names in a deletion and on machines in a rental.
 const (
 	maxDelete = 100
--- a/control/messages.go
+++ b/control/messages.go
@@ -184,6 +184,7 @@
 	Kinds       []Kind // that Rooms refer to
 	Rooms       []Room
 	Accelerated map[api.TypeName]Count
+	Mute        map[api.Zone]Mute
 	Silent      []api.MachineID            // that do not report to their owner
 	Fresh       []api.MachineID            // that have come up lately
 	Want        map[api.Team]api.Resources // share it could use
@@ -201,6 +202,9 @@
 	Closed bool // only for work that needs its accelerators
 }
 
+// Mute counts machines, and those of them that are silent.
+type Mute struct{ All, Silent int }
+
 // Room is what is free on a number of machines that are alike, and what would be
 // if all work made way that urgent work may stop.
 type Room struct {
--- a/control/node.go
+++ b/control/node.go
@@ -76,8 +76,8 @@
 	removing   bool
 	removeNext api.Time
 	mutedAt    api.Time
-	muteZones  map[api.Zone]muteCount
-	muteAll    muteCount
+	muteZones  map[api.Zone]Mute
+	muteAll    Mute
 
 	turfs    map[api.PartID]*turf
 	peers    map[api.Label]*peerNews
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -15,6 +15,7 @@
 //	crash AT NODE|all BACK              a controller ends and returns after BACK seconds
 //	roll AT EVERY                       all controllers restart one after the other
 //	cut AT FOR NODE SIDE hold|drop      SIDE: state, workers, peers, cloud, users or all
+//	cutzone AT FOR ZONE hold|drop       a zone's machines are cut off
 //	outage AT FOR                       the state service is down
 //	refuse AT FOR NODE                  the state service refuses one node
 //	lose AT FOR SHARE                   answers of the state service get lost
@@ -29,6 +30,7 @@
 //	expect REF done|aborted|pending|running [by AT]
 //	expect all done [by AT]             all arrays and gangs
 //	starts MIN MAX                      task starts in all
+//	deleted MIN MAX                     machines deleted by the controllers
 //	most WHAT N                         state-rps, state-writes, cloud-rps (a second, on
 //	                                    average), value (bytes) or direct-calls a start, at most
 package scenario
@@ -93,6 +95,8 @@
 	end     time.Duration
 	min     int
 	max     int
+	delMin  int
+	delMax  int
 	refs    []api.JobRef // of work that ends
 	most    map[string]float64
 }
@@ -139,7 +143,7 @@
 			}
 		}
 	}
-	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, most: map[string]float64{}}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, most: map[string]float64{}}
 	r.w.Cloud.Types = []api.MachineType{
 		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
 		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
@@ -196,6 +200,9 @@
 	if n := r.w.Check.Starts; n < r.min || n > r.max {
 		res.Problems = append(res.Problems, fmt.Sprintf("%d starts, expected %d to %d", n, r.min, r.max))
 	}
+	if n := r.w.Cloud.Deleted; n < r.delMin || n > r.delMax {
+		res.Problems = append(res.Problems, fmt.Sprintf("%d machines deleted, expected %d to %d", n, r.delMin, r.delMax))
+	}
 	return res, nil
 }
 
@@ -226,8 +233,8 @@
 	w := r.w
 	rest := l[1:]
 	forms := map[string]string{"limit": "sn", "capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
-		"cut": "ddsss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds",
-		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn", "most": "sn"}
+		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds",
+		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -258,6 +265,8 @@
 		}
 	case "cut":
 		w.After(ds[0], func() { r.cut(ss[0], ss[1], ds[1], ss[2] == "hold") })
+	case "cutzone":
+		w.After(ds[0], func() { w.CutZone(api.Zone(ss[0]), ds[1], ss[1] == "hold") })
 	case "outage":
 		w.After(ds[0], func() { w.State.Outage(ds[1]) })
 	case "refuse":
@@ -285,6 +294,8 @@
 		r.end = ds[0]
 	case "most":
 		r.most[ss[0]] = ns[0]
+	case "deleted":
+		r.delMin, r.delMax = int(ns[0]), int(ns[1])
 	case "starts":
 		r.min, r.max = int(ns[0]), int(ns[1])
 	case "expect":
@@ -454,6 +465,7 @@
 		machine := api.MachineID(fmt.Sprintf("i-%06d", rnd.IntN(8)))
 		hold := rnd.IntN(2) == 0
 		share := 0.1 + 0.4*rnd.Float64()
+		zone := api.Zone([]string{"a", "b", "c"}[rnd.IntN(3)])
 		faults := []func(){
 			func() { r.w.Crash(node, time.Duration(1+rnd.IntN(8))*time.Second) },
 			func() { r.eachNode("all", func(n string) { r.w.Crash(n, 3*time.Second) }) },
@@ -469,6 +481,7 @@
 			func() { r.w.Hang(machine, length) },
 			func() { r.w.Sicken(machine, length) },
 			func() { r.w.HoldDirect(machine, 2*length) },
+			func() { r.w.CutZone(zone, 2*length, hold) },
 		}
 		r.w.After(at, faults[rnd.IntN(len(faults))])
 		at += time.Duration(1+rnd.IntN(12)) * time.Second
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -28,6 +28,7 @@
 	last     int
 	Down     bool
 	Calls    int // requests so far
+	Deleted  int // machines
 	// Lag is how old the list is.
 	Lag time.Duration
 }
@@ -112,6 +113,9 @@
 			return 400, nil
 		}
 		for _, id := range m.Machines {
+			if c.hosts[id] != nil {
+				c.Deleted++
+			}
 			delete(c.hosts, id)
 			c.w.killWorker(id)
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -220,9 +220,10 @@
 			other()
 		}
 	})
-	w.across(name, SideWorkers, func() {
+	across := func(do func()) { w.into(wk.zone, func() { w.across(name, SideWorkers, do) }) }
+	across(func() {
 		w.Deliver(name, "POST", api.PathCheckin, body, func(status int, answer []byte) {
-			w.across(name, SideWorkers, func() {
+			across(func() {
 				if settled || wk.dead || wk.hung > w.Now {
 					return
 				}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -75,6 +75,7 @@
 	names []string
 	nodes map[string]*host
 	cuts  map[cutKey]*cut
+	zones map[api.Zone]*cut // whose machines are cut off
 
 	State   *State
 	Cloud   *Cloud
@@ -115,7 +116,7 @@
 func NewWorld(seed uint64, cfgs []*config.Config) *World {
 	w := &World{
 		rand: rand.New(rand.NewPCG(seed, 7)), cfgs: map[string]*config.Config{}, nodes: map[string]*host{},
-		cuts: map[cutKey]*cut{}, workers: map[api.MachineID]*Worker{}, byAddr: map[string]*Worker{}, gangs: map[gangKey]*gang{},
+		cuts: map[cutKey]*cut{}, zones: map[api.Zone]*cut{}, workers: map[api.MachineID]*Worker{}, byAddr: map[string]*Worker{}, gangs: map[gangKey]*gang{},
 		saved: map[api.JobRef]time.Duration{},
 	}
 	w.Check = NewChecker(cfgs[0])
@@ -247,7 +248,9 @@
 		w.call(h, SideWorkers, 0, e.Timeout, func(answer func(int, []byte)) {
 			w.Direct++
 			if wk := w.byAddr[e.Addr]; wk != nil {
-				wk.commands(body, answer)
+				w.into(wk.zone, func() {
+					wk.commands(body, func(status int, body []byte) { w.into(wk.zone, func() { answer(status, body) }) })
+				})
 			}
 		}, func(r httpx.Response, err error) control.Command { return worker.Answer(e, r, err) })
 	case control.PeerCall:
@@ -331,6 +334,33 @@
 	})
 }
 
+// into does something that passes a zone's border, unless the zone is cut off.
+func (w *World) into(zone api.Zone, do func()) {
+	c := w.zones[zone]
+	switch {
+	case c == nil:
+		do()
+	case c.hold:
+		c.held = append(c.held, do)
+	}
+}
+
+// CutZone cuts a zone's machines off for a while; with hold, packets are
+// delivered when it ends.
+func (w *World) CutZone(zone api.Zone, length time.Duration, hold bool) {
+	if w.zones[zone] != nil {
+		return
+	}
+	c := &cut{hold: hold}
+	w.zones[zone] = c
+	w.After(length, func() {
+		delete(w.zones, zone)
+		for _, do := range c.held {
+			w.After(w.latency(), do)
+		}
+	})
+}
+
 // Cut parts a controller from one side for a while; with hold, packets are
 // delivered when it ends.
 func (w *World) Cut(node string, side Side, length time.Duration, hold bool) {
