Urgent work starts where its image is: lower work makes way there once

Cause (conduct): a quarter of vetrina's and 44 % of portal's tasks started on machines without their image, whose fetch alone took longer than the class's start aim, while machines that held it ran short work of lower priority; of gangs four fifths. Once for a job, what would be too late for its fetch now has lower work make way on a machine with the image. Victims are chosen by what is lost, and a task whose job would miss its limit by running again counts for the whole limit.

--- a/control/book.go
+++ b/control/book.go
@@ -235,6 +235,7 @@
 	failedOn map[api.MachineID]bool
 	moved    api.Time
 	wayAt    api.Time // others are not made to give way before
+	quick    bool     // others were made to give way so that it starts soon
 	begun    bool     // a start was planned here
 	ran      float64  // seconds that tasks took which were seen to complete
 	runs     int      // and how many they were
--- a/control/part.go
+++ b/control/part.go
@@ -413,6 +413,9 @@
 		kept = append(kept, j)
 	}
 	jobs = kept
+	for i, j := range jobs {
+		n.clearQuick(t, in, &in.Jobs[i], j)
+	}
 	n.metrics.FlowTasks, n.metrics.FlowMachines = 0, len(machines)
 	for i := range in.Jobs {
 		n.metrics.FlowTasks += len(in.Jobs[i].Pending)
@@ -621,7 +624,7 @@
 		if placed[i] == 0 && searches > 0 && n.now >= j.wayAt && n.anyBelow(t.part, j.Spec.Priority.Rank()) {
 			searches--
 			j.wayAt = n.now.Add(time.Second) // what was stopped takes a while to end
-			n.preempt(t, &in.Jobs[i], j, missing)
+			n.preempt(t, &in.Jobs[i], j, missing, 0)
 		}
 	}
 }
@@ -679,14 +682,14 @@
 		}
 	}
 	w := way{m: m, tasks: min(most, demand.Slots(coming))}
-	slices.SortStableFunc(lower, func(a, b *Place) int { return cmp.Compare(b.since, a.since) })
+	slices.SortStableFunc(lower, func(a, b *Place) int { return cmp.Compare(n.harm(a), n.harm(b)) })
 	loss := 0.0
 	for k, p := range lower {
 		if w.tasks == most {
 			break
 		}
 		coming = coming.Plus(p.job.demand)
-		loss += n.now.Sub(p.since).Seconds()*p.job.demand.CPU.Float() + 1
+		loss += n.harm(p)
 		if slots := min(most, demand.Slots(coming)); slots > w.tasks {
 			w.tasks, w.victims, w.loss = slots, lower[:k+1], loss
 		}
@@ -694,11 +697,31 @@
 	return w
 }
 
+// harm is what stopping a task would lose, in seconds of its CPUs: what it has run
+// and, when its job could be in time but would not if this task ran again, as much
+// as the whole job's limit.
+func (n *Node) harm(p *Place) float64 {
+	ran := n.now.Sub(p.since).Seconds()
+	lost := ran
+	elapsed := max(0, float64(n.wall-p.job.Accepted)/1000)
+	for _, l := range n.limits(p.job.Spec) {
+		if rest := max(0, p.job.Spec.Estimate-ran); elapsed+rest <= l {
+			if elapsed+p.job.Spec.Estimate > l {
+				lost += l
+			}
+			break
+		}
+	}
+	return lost*p.job.demand.CPU.Float() + 1
+}
+
 // preempt makes room for a job of higher priority by stopping lower work, where
 // that costs least: a machine for each task that waits or, for a gang, as many as
 // all of it needs, in one zone if its tasks must be together. The room is kept for
 // the job, or the work that made way would win it back before the rest is free.
-func (n *Node) preempt(t *turf, sj *sched.Job, j *Job, need int) {
+// With quick above 0 only machines count where the task would start within so many
+// seconds. It returns how many machines were chosen.
+func (n *Node) preempt(t *turf, sj *sched.Job, j *Job, need int, quick float64) int {
 	gang, each := j.Spec.Kind == api.Gang, 1
 	if gang {
 		each = need
@@ -710,14 +733,21 @@
 			sj.AvoidedBy[m.ID] || sj.Plain && n.accelerated(m.typ) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
 			continue
 		}
+		fetch := 0.0
+		if _, has := m.images[j.Spec.Image]; !has {
+			fetch = fetchTime(j.Spec, n.types[m.typ].FetchRate)
+		}
+		if quick > 0 && fetch > quick {
+			continue
+		}
 		w := n.wayOn(m, t, j.Spec, each)
 		if w.tasks == 0 {
 			continue
 		}
-		if _, has := m.images[j.Spec.Image]; !has && within > 0 && !gang {
+		if within > 0 {
 			// A fetch that takes the time in which the task should start weighs
 			// like a minute of work lost.
-			w.loss += 60 * j.demand.CPU.Float() * min(1, j.Spec.ImageGB/max(n.types[m.typ].FetchRate, 1e-3)/within)
+			w.loss += 60 * j.demand.CPU.Float() * min(1, fetch/within)
 		}
 		zone := m.zone
 		if !j.Spec.OneZone && !j.Spec.Spread {
@@ -758,6 +788,64 @@
 		w.m.kept, w.m.keptTill = j.ref, n.now.Add(keepTime)
 		n.clear(w, j.ref)
 	}
+	return len(best)
+}
+
+// fetchTime is how long an image may take to fetch: rates differ by a third.
+func fetchTime(s *api.JobSpec, rate float64) float64 {
+	return s.ImageGB / max(rate, 1e-3) * 4 / 3
+}
+
+// clearTime is how long it takes to stop a task and to start another in its
+// place: a call, a round that records the end and the start, another call.
+const clearTime = 500 * time.Millisecond
+
+// clearQuick has lower work make way, once for a job, on machines that hold its
+// image, when its tasks would else start too late for its class's aim for having
+// to fetch it. What has no quick place meanwhile waits for that.
+func (n *Node) clearQuick(t *turf, in *sched.Input, sj *sched.Job, j *Job) {
+	slack := sj.Within - max(0, float64(n.wall-j.Accepted)/1000) - clearTime.Seconds()
+	rank := j.Spec.Priority.Rank()
+	if sj.Within <= 0 || slack <= 0 || j.quick || rank < urgentRank || !n.anyBelow(t.part, rank) {
+		return
+	}
+	byZone := map[api.Zone]int{}
+	all := 0
+	for i := range in.Machines {
+		m := &in.Machines[i]
+		if !m.Open(sj) || !sched.ZoneOpen(j.Spec, sj.Zones, m.Zone) || !m.Has(j.Spec.Image) && fetchTime(j.Spec, m.Fetch) > slack {
+			continue
+		}
+		slots := 1
+		if j.Spec.Kind == api.Gang {
+			slots = j.demand.Slots(m.Free)
+		} else if !j.demand.Fits(m.Free) {
+			continue
+		}
+		byZone[m.Zone] += slots
+		all += slots
+	}
+	if j.Spec.OneZone {
+		all = byZone[most(byZone)]
+	} else if j.Spec.Spread {
+		all = 0
+		for z, c := range byZone {
+			all += min(c, (j.Spec.Tasks+1)/2-sj.Zones[z])
+		}
+	}
+	need := len(sj.Pending) - all
+	if need <= 0 {
+		return
+	}
+	j.quick = true
+	if j.Spec.Kind == api.Gang {
+		need, all = len(sj.Pending), 0
+	}
+	if n.preempt(t, sj, j, need, slack) > 0 {
+		sj.Pending = sj.Pending[:all]
+		j.hold = n.now.Add(clearTime)
+		t.dirty = true
+	}
 }
 
 // clear stops what must make way.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -32,10 +32,10 @@
 	Used api.Time
 }
 
-// open reports whether a job may use the machine at all: it may be kept for
+// Open reports whether a job may use the machine at all: it may be kept for
 // another, be allowed to none but work that needs its accelerators, or have seen
 // the job fail. Work without an end would block an accelerator for good.
-func (m *Machine) open(j *Job) bool {
+func (m *Machine) Open(j *Job) bool {
 	return (m.Kept == "" || m.Kept == j.Spec.Ref) && !(j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service)) &&
 		!j.AvoidedBy[m.ID] && Allowed(j.Spec, m.Type, m.Zone, m.Spot)
 }
@@ -161,7 +161,7 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return before(&in.Jobs[a], &in.Jobs[b]) })
 	for _, ji := range order {
-		if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(plan)+len(j.Pending) <= in.Most {
+		if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan)+len(j.Pending) <= in.Most {
 			plan = append(plan, gang(in, ji, free, left)...)
 		}
 	}
@@ -199,7 +199,7 @@
 	var order []int
 	for mi := range in.Machines {
 		m := &in.Machines[mi]
-		if j.Demand.Fits(free[mi]) && m.open(j) {
+		if j.Demand.Fits(free[mi]) && m.Open(j) {
 			order = append(order, mi)
 		}
 	}
@@ -375,7 +375,7 @@
 	byZone := map[api.Zone]int{}
 	for mi := range in.Machines {
 		m := &in.Machines[mi]
-		if !j.Demand.Fits(free[mi]) || !m.open(j) || !ZoneOpen(j.Spec, j.Zones, m.Zone) {
+		if !j.Demand.Fits(free[mi]) || !m.Open(j) || !ZoneOpen(j.Spec, j.Zones, m.Zone) {
 			continue
 		}
 		to := 0
