--- a/control/fleet.go
+++ b/control/fleet.go
@@ -274,8 +274,8 @@
 
 // deviations is how far above the load the stock of machines is held that work
 // needs sooner than one boots. The number of jobs at a time that come by chance
-// varies by about the root of its mean; with two such deviations few find none.
-const deviations = 2
+// varies by about the root of its mean; with that much more few find none.
+const deviations = 1.5
 
 // watchUse reckons once a second how many machines with accelerators are wanted
 // and which of the idle ones are more than that. Work that goes round the
@@ -332,8 +332,17 @@
 		st.wanted = kept
 		st.target = (sum + len(kept) - 1) / len(kept)
 		if st.ahead != nil {
+			// What has been added while a machine boots is likely to be added again
+			// until one more is up.
+			grown := 0
+			for _, u := range kept {
+				if n.now.Sub(u.at) <= api.Seconds(typ.Boot) {
+					grown = max(0, wanted[name]-u.count)
+					break
+				}
+			}
 			load := float64(max(st.target, wanted[name]))
-			st.target = int(math.Ceil(load + deviations*math.Sqrt(load)))
+			st.target = int(math.Ceil(load+deviations*math.Sqrt(load))) + grown
 		}
 		var all Count
 		for _, counts := range parts {
