Tests for the three guards; metrics at scale; large files split by what they own

The part's term in rounds, the wait before a reap and unknown zones now each have a test, seen failing without the guard; so has the bound on a record.

--- a/control/book_test.go
+++ b/control/book_test.go
@@ -82,7 +82,7 @@
 }
 
 func testSpec(tasks int) *api.JobSpec {
-	return &api.JobSpec{Ref: "run-1", Team: "red", Kind: api.Array, Tasks: tasks, CPUs: 1}
+	return &api.JobSpec{Ref: "run-1", Team: "red", Kind: api.Array, Priority: api.Normal, Tasks: tasks, CPUs: 1}
 }
 
 // What the book keeps up to date as places come and go is what counting anew
--- /dev/null
+++ b/control/guards_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/config"
+)
+
+// owner is a controller that owns part 0 under term 7, with one usable machine,
+// i-000000 in zone a, and a job of the given kind accepted.
+func owner(t *testing.T, spec *api.JobSpec) (*Node, *turf, *Machine, *Job) {
+	t.Helper()
+	cfg, err := config.Parse([]byte(`{"label":"n","api_addr":"10.0.0.1:1","peer_listen":"10.0.0.1:2",
+"external":{"cloud":"10.0.0.2:1","state":"10.0.0.3:1"},"deployment":{"initial_size":1,"zones":["a","b"],
+"teams":[{"name":"red"}],"workers":{"report_s":3,"lease_s":30,"cancel_s":60},
+"state":{"rps":100,"write_rps":50,"value_kb":8,"txn_ops":12},"cloud":{"rps":10}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(cfg, 1)
+	n.now, n.loaded = api.Time(time.Minute), true
+	n.learnTypes([]api.MachineType{{Name: "c8", CPUs: 8, MemGB: 32, Zones: []api.Zone{"a", "b"}}})
+	for key, v := range map[string]any{keyPart + "0": partValue{Owner: "n"}, keyJob + string(spec.Ref): jobValue{Spec: spec, Split: []Range{{0, spec.Tasks, 0}}}} {
+		data, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.book.put(key, data, 7); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.beginPart(0, 7)
+	m := n.machine("i-000000")
+	m.typ, m.zone, m.heard, m.session, m.token = "c8", "a", n.now, 1, 7
+	return n, n.turfs[0], m, n.book.jobs[spec.Ref]
+}
+
+// A deposed owner's late round must not be written even into a slot that nobody
+// has used since: the term alone says so then.
+func TestRoundNamesItsTerm(t *testing.T) {
+	n, turf, _, _ := owner(t, testSpec(2))
+	n.runPart(turf)
+	want := api.Condition{Key: keyPart + "0", Version: 7}
+	for _, e := range n.effects {
+		if c, ok := e.(StateCall); ok && c.Txn != nil && len(c.Txn.Writes) == 1 && c.Txn.Writes[0].Put == roundKey(0, 1) {
+			if !slices.Contains(c.Txn.If, want) {
+				t.Errorf("the round is written on %v, without %v", c.Txn.If, want)
+			}
+			return
+		}
+	}
+	t.Errorf("no round is written: %v", n.effects)
+}
+
+// Forgetting an attempt while a command that starts it may still arrive would let
+// it start anew.
+func TestNoReapBeforeCallsAreSettled(t *testing.T) {
+	n, turf, m, _ := owner(t, testSpec(1))
+	k := taskKey{api.TaskID{Job: "run-9", Index: 0}, 3}
+	m.tasks[k] = api.TaskReport{Task: k.id.String(), Attempt: 3, State: api.TaskExited}
+	reaps := func() bool {
+		return slices.ContainsFunc(n.orders(m, turf), func(o api.Order) bool { return o.Op == api.OpForget })
+	}
+	if !reaps() {
+		t.Error("an attempt that is over and recorded is not forgotten")
+	}
+	if m.calling = true; reaps() {
+		t.Error("forgotten while a call is unanswered")
+	}
+	m.calling, m.doubt = false, 7
+	if reaps() {
+		t.Error("forgotten though a lost call may still arrive under the machine's token")
+	}
+}
+
+// Where a job's tasks bind each other, none starts while a task of it may be in
+// a zone that is not known.
+func TestUnknownZoneBlocksWhatIsBound(t *testing.T) {
+	for _, bound := range []bool{false, true} {
+		spec := testSpec(4)
+		spec.Spread = bound
+		n, turf, _, j := owner(t, spec)
+		n.book.addPlace(&Place{Task: api.TaskID{Job: j.ref, Index: 0}, Machine: "i-000009", Session: 1, Attempt: 1, job: j})
+		w := n.plan(turf)
+		if got := len(w.starts) > 0; got == bound {
+			t.Errorf("spread %v, a place in an unknown zone: %d starts", bound, len(w.starts))
+		}
+	}
+}
+
+// A round stays within a value of the state service however much it starts and
+// ends at once, and what is left follows in the next.
+func TestRoundFitsItsRecord(t *testing.T) {
+	spec := testSpec(3000)
+	spec.CPUs = 0.001
+	n, turf, _, j := owner(t, spec)
+	for i := range 1200 {
+		m := n.machine(api.MachineID(fmt.Sprintf("i-%06d", i)))
+		m.typ, m.zone, m.heard, m.session, m.token = "c8", "a", n.now, 1, 7
+		p := &Place{Task: api.TaskID{Job: j.ref, Index: i}, Machine: m.ID, Session: 1, Attempt: 1, job: j}
+		n.book.addPlace(p)
+		n.end(turf, p, i%2 == 0, "test")
+	}
+	rounds := 0
+	for ; len(turf.ends) > 0 && rounds < 100; rounds++ {
+		w := n.plan(turf)
+		body, err := json.Marshal(w.rec)
+		if err != nil || len(body) > 8<<10 {
+			t.Fatalf("a record of %d bytes: %v", len(body), err)
+		}
+		if len(w.ends)+len(w.starts) == 0 {
+			t.Fatal("a round that does nothing while there is work")
+		}
+		n.book.foldRecord(0, &w.rec)
+	}
+	if rounds > 20 {
+		t.Errorf("%d rounds for 1200 ends", rounds)
+	}
+}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -13,6 +13,7 @@
 type metrics struct {
 	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent uint64
 	StateRequests, StateWrites, StateFailures                            uint64
+	CloudRequests, WorkerCalls, Reports                                  uint64
 	FlowTasks, FlowMachines                                              int // of the last round
 	times                                                                map[string]*hdrhistogram.Histogram
 }
@@ -59,6 +60,11 @@
 	StateFailures uint64            `json:"state_failures"`
 	StateRPS      float64           `json:"state_rps_limit"`
 	StateWriteRPS float64           `json:"state_write_rps_limit"`
+	CloudRequests uint64            `json:"cloud_requests"`
+	CloudRPS      float64           `json:"cloud_rps_limit"`
+	WorkerCalls   uint64            `json:"worker_calls"`
+	Reports       uint64            `json:"worker_reports"`
+	Resuming      int               `json:"machines_not_resumed"` // that do not know our term yet
 	FlowTasks     int               `json:"flow_tasks_last"`
 	FlowMachines  int               `json:"flow_machines_last"`
 	Jobs          int               `json:"jobs"`
@@ -73,12 +79,18 @@
 		Completions: m.Completions, Takeovers: m.Takeovers, Preempted: m.Preempted, Moves: m.Moves, Lent: m.Lent,
 		StateRequests: m.StateRequests, StateWrites: m.StateWrites, StateFailures: m.StateFailures,
 		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
+		CloudRequests: m.CloudRequests, CloudRPS: n.cfg.Deployment.Cloud.RPS, WorkerCalls: m.WorkerCalls, Reports: m.Reports,
 		FlowTasks: m.FlowTasks, FlowMachines: m.FlowMachines, Jobs: len(n.book.jobs), Calls: len(n.calls),
 		Times: map[string]timing{}}
-	for _, j := range n.book.jobs {
-		if !j.final() {
-			for p := range n.book.parts {
-				v.Waiting += j.waiting(api.PartID(p))
+	for _, j := range n.book.open {
+		for p := range n.book.parts {
+			v.Waiting += j.waiting(api.PartID(p))
+		}
+	}
+	for p, t := range n.turfs {
+		for _, m := range n.machinesOf(p) {
+			if m.heard != 0 && m.token < n.base(t, m.ID) {
+				v.Resuming++
 			}
 		}
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -304,11 +304,13 @@
 }
 
 func (n *Node) worker(addr string, o api.Orders, f func(WorkerAnswer)) {
+	n.metrics.WorkerCalls++
 	n.emit(WorkerCall{n.callID(func(a any) { f(a.(WorkerAnswer)) }), addr, o, workerTimeout})
 }
 
 func (n *Node) cloud(c CloudCall, f func(CloudAnswer)) {
 	c.ID, c.Timeout = n.callID(func(a any) { f(a.(CloudAnswer)) }), cloudTimeout
+	n.metrics.CloudRequests++
 	n.emit(c)
 }
 
--- /dev/null
+++ b/control/preempt.go
@@ -0,0 +1,240 @@
+package control
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/sched"
+)
+
+// maxPreempt bounds the jobs of a round for which others are made to give way.
+const maxPreempt = 8
+
+// anyBelow reports whether a part runs anything that could give way.
+func (n *Node) anyBelow(p api.PartID, rank int) bool {
+	for _, count := range n.book.parts[p].ranks[:rank] {
+		if count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// keepTime is how long a machine is kept for a job for which others made way:
+// time enough for a stop to be heard, its evidence to be recorded, and a machine
+// of another part to be lent.
+const keepTime = 15 * time.Second
+
+// keptFor is the job that a machine is kept for, if any.
+func (n *Node) keptFor(m *Machine) api.JobRef {
+	if m.kept == "" || n.now >= m.keptTill {
+		return ""
+	}
+	if j := n.book.jobs[m.kept]; j == nil || j.final() || j.doneN+len(j.places)-j.overN >= j.Spec.Tasks {
+		m.kept = ""
+	}
+	return m.kept
+}
+
+// way is what stopping lower work on a machine would bring.
+type way struct {
+	m       *Machine
+	tasks   int // of the job that could start there then
+	victims []*Place
+	loss    float64
+}
+
+// wayOn finds how up to most of a job's tasks could come to fit on a machine.
+func (n *Node) wayOn(m *Machine, t *turf, s *api.JobSpec, most int) way {
+	rank, demand := s.Priority.Rank(), s.Demand()
+	coming := n.freeOn(m, t)
+	var lower []*Place
+	for _, p := range n.book.on(m.ID) {
+		if p.over {
+			continue
+		}
+		if p.stop || p.job.final() {
+			coming = coming.Plus(p.job.demand)
+		} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang {
+			lower = append(lower, p)
+		}
+	}
+	w := way{m: m, tasks: min(most, demand.Slots(coming))}
+	slices.SortStableFunc(lower, func(a, b *Place) int { return cmp.Compare(n.harm(a), n.harm(b)) })
+	loss := 0.0
+	for k, p := range lower {
+		if w.tasks == most {
+			break
+		}
+		coming = coming.Plus(p.job.demand)
+		loss += n.harm(p)
+		if slots := min(most, demand.Slots(coming)); slots > w.tasks {
+			w.tasks, w.victims, w.loss = slots, lower[:k+1], loss
+		}
+	}
+	return w
+}
+
+// harm is what stopping a task would lose, in seconds of its CPUs: what it has run
+// and, when its job could be in time but would not if this task ran again, as much
+// as the whole job's limit.
+func (n *Node) harm(p *Place) float64 {
+	ran := n.now.Sub(p.since).Seconds()
+	lost := ran
+	elapsed := max(0, float64(n.wall-p.job.Accepted)/1000)
+	for _, l := range n.limits(p.job.Spec) {
+		if rest := max(0, p.job.Spec.Estimate-ran); elapsed+rest <= l {
+			if elapsed+p.job.Spec.Estimate > l {
+				lost += l
+			}
+			break
+		}
+	}
+	return lost*p.job.demand.CPU.Float() + 1
+}
+
+// preempt makes room for a job of higher priority by stopping lower work, where
+// that costs least: a machine for each task that waits or, for a gang, as many as
+// all of it needs, in one zone if its tasks must be together. The room is kept for
+// the job, or the work that made way would win it back before the rest is free.
+// With quick above 0 only machines count where the task would start within so many
+// seconds. It returns how many machines were chosen.
+func (n *Node) preempt(t *turf, sj *sched.Job, j *Job, need int, quick float64) int {
+	gang, each := j.Spec.Kind == api.Gang, 1
+	if gang {
+		each = need
+	}
+	within := n.startAim(j.Spec.Class)
+	byZone := map[api.Zone][]way{}
+	for _, m := range n.machinesOf(t.part) {
+		if kept := n.keptFor(m); kept != "" && kept != j.ref || !n.usable(m, t) || !sched.Allowed(j.Spec, m.typ, m.zone, m.spot) ||
+			sj.AvoidedBy[m.ID] || sj.Plain && n.accelerated(m.typ) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
+			continue
+		}
+		fetch := 0.0
+		if _, has := m.images[j.Spec.Image]; !has {
+			fetch = fetchTime(j.Spec, n.types[m.typ].FetchRate)
+		}
+		if quick > 0 && fetch > quick {
+			continue
+		}
+		w := n.wayOn(m, t, j.Spec, each)
+		if w.tasks == 0 {
+			continue
+		}
+		if within > 0 {
+			// A fetch that takes the time in which the task should start weighs
+			// like a minute of work lost.
+			w.loss += 60 * j.demand.CPU.Float() * min(1, fetch/within)
+		}
+		zone := m.zone
+		if !j.Spec.OneZone && !j.Spec.Spread {
+			zone = ""
+		}
+		byZone[zone] = append(byZone[zone], w)
+	}
+	byLoss := func(a, b way) int { return cmp.Compare(a.loss/float64(a.tasks), b.loss/float64(b.tasks)) }
+	var best []way
+	bestLoss := 0.0
+	var any []way
+	for _, z := range slices.Sorted(maps.Keys(byZone)) {
+		ways := byZone[z]
+		slices.SortStableFunc(ways, byLoss)
+		if !gang {
+			if j.Spec.Spread {
+				ways = ways[:min(len(ways), (j.Spec.Tasks+1)/2-sj.Zones[z])]
+			}
+			any = append(any, ways...)
+			continue
+		}
+		got, loss := 0, 0.0
+		for k, w := range ways {
+			got, loss = got+w.tasks, loss+w.loss
+			if got >= need {
+				if best == nil || loss < bestLoss {
+					best, bestLoss = ways[:k+1], loss
+				}
+				break
+			}
+		}
+	}
+	if !gang {
+		slices.SortStableFunc(any, byLoss)
+		best = any[:min(len(any), need)]
+	}
+	for _, w := range best {
+		w.m.kept, w.m.keptTill = j.ref, n.now.Add(keepTime)
+		n.clear(w, j.ref)
+	}
+	return len(best)
+}
+
+// fetchTime is how long an image may take to fetch: rates differ by a third.
+func fetchTime(s *api.JobSpec, rate float64) float64 {
+	return s.ImageGB / max(rate, 1e-3) * 4 / 3
+}
+
+// clearTime is how long it takes to stop a task and to start another in its
+// place: a call, a round that records the end and the start, another call.
+const clearTime = 500 * time.Millisecond
+
+// clearQuick has lower work make way, once for a job, on machines that hold its
+// image, when its tasks would else start too late for its class's aim for having
+// to fetch it. What has no quick place meanwhile waits for that.
+func (n *Node) clearQuick(t *turf, in *sched.Input, sj *sched.Job, j *Job) {
+	slack := sj.Within - max(0, float64(n.wall-j.Accepted)/1000) - clearTime.Seconds()
+	rank := j.Spec.Priority.Rank()
+	if sj.Within <= 0 || slack <= 0 || j.quick || rank < urgentRank || !n.anyBelow(t.part, rank) {
+		return
+	}
+	byZone := map[api.Zone]int{}
+	all := 0
+	for i := range in.Machines {
+		m := &in.Machines[i]
+		if !m.Open(sj) || !sched.ZoneOpen(j.Spec, sj.Zones, m.Zone) || !m.Has(j.Spec.Image) && fetchTime(j.Spec, m.Fetch) > slack {
+			continue
+		}
+		slots := 1
+		if j.Spec.Kind == api.Gang {
+			slots = j.demand.Slots(m.Free)
+		} else if !j.demand.Fits(m.Free) {
+			continue
+		}
+		byZone[m.Zone] += slots
+		all += slots
+	}
+	if j.Spec.OneZone {
+		all = byZone[most(byZone)]
+	} else if j.Spec.Spread {
+		all = 0
+		for z, c := range byZone {
+			all += min(c, (j.Spec.Tasks+1)/2-sj.Zones[z])
+		}
+	}
+	need := len(sj.Pending) - all
+	if need <= 0 {
+		return
+	}
+	j.quick = true
+	if j.Spec.Kind == api.Gang {
+		need, all = len(sj.Pending), 0
+	}
+	if n.preempt(t, sj, j, need, slack) > 0 {
+		sj.Pending = sj.Pending[:all]
+		j.hold = n.now.Add(clearTime)
+		t.dirty = true
+	}
+}
+
+// clear stops what must make way.
+func (n *Node) clear(w way, ref api.JobRef) {
+	for _, p := range w.victims {
+		n.metrics.Preempted++
+		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", ref)
+		n.stop(p)
+	}
+}
--- /dev/null
+++ b/control/silence.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+)
+
+// checkSilence deletes a machine that can't be reached: only the cloud's word
+// that it is gone proves its tasks over. When much of a zone or of the whole
+// part is silent, the network is at fault more likely than the machines, and
+// they are given the time in which they may come back with their tasks.
+func (n *Node) checkSilence(m *Machine, t *turf) {
+	last := max(m.heard, t.since)
+	if m.heard == 0 {
+		last = max(last, m.found)
+	}
+	quiet := n.now.Sub(last)
+	patience := 3*n.cfg.ReportEvery() + 3*time.Second
+	if m.notice {
+		patience = n.cfg.ReportEvery() + 2*time.Second
+	}
+	if m.heard == 0 {
+		patience += 6 * time.Second
+	}
+	if quiet <= patience || m.missed < 2 && m.addr != "" {
+		return
+	}
+	if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
+		return // still booting, as far as we know
+	}
+	lease := n.cfg.WorkerLease()
+	switch busy := len(n.book.on(m.ID)) > 0; {
+	case n.allMute() && quiet < 2*lease:
+		return // it is we who do not hear, as it seems
+	case n.zoneMute(m.zone) && (quiet < lease || !busy && quiet < 3*lease):
+		// The zone is cut off. As long as its leases last its tasks may run on;
+		// after that they are lost for certain, so that no more is lost by a
+		// deletion, which alone proves them over. What holds no tasks may as
+		// well be waited for.
+		return
+	}
+	n.remove(m, t, unreachableWhy)
+}
+
+// countMute counts anew, now and then, which machines are silent.
+func (n *Node) countMute() {
+	if n.muteZones != nil && n.now.Sub(n.mutedAt) <= sweepEvery/2 {
+		return
+	}
+	n.mutedAt, n.muteZones, n.muteAll = n.now, map[api.Zone]Mute{}, Mute{}
+	add := func(zone api.Zone, c Mute) {
+		z := n.muteZones[zone]
+		n.muteZones[zone] = Mute{z.All + c.All, z.Silent + c.Silent}
+	}
+	for p := range n.turfs {
+		for zone, c := range n.muteOf(n.turfs[p]) {
+			add(zone, c)
+			n.muteAll = Mute{n.muteAll.All + c.All, n.muteAll.Silent + c.Silent}
+		}
+	}
+	for _, pn := range n.othersNews() {
+		for zone, c := range pn.Mute {
+			add(zone, c)
+		}
+	}
+}
+
+// muteOf counts a part's machines by zone.
+func (n *Node) muteOf(t *turf) map[api.Zone]Mute {
+	zones := map[api.Zone]Mute{}
+	for _, m := range n.machinesOf(t.part) {
+		if m.heard == 0 {
+			continue
+		}
+		z := zones[m.zone]
+		z.All++
+		// One that is only heard by way of peers speaks for a cut as well.
+		if m.missed > 0 || n.now.Sub(max(m.heard, t.since)) > n.cfg.ReportEvery()+2*time.Second {
+			z.Silent++
+		}
+		zones[m.zone] = z
+	}
+	return zones
+}
+
+// zoneMute reports whether so many machines of a zone are silent that the
+// network is at fault more likely than they.
+func (n *Node) zoneMute(zone api.Zone) bool {
+	n.countMute()
+	z := n.muteZones[zone]
+	return z.Silent >= 2 && z.Silent*3 >= z.All
+}
+
+// allMute reports the same of all machines.
+func (n *Node) allMute() bool {
+	n.countMute()
+	return n.muteAll.Silent >= 2 && n.muteAll.Silent*2 >= n.muteAll.All
+}
+
+// remove has the cloud delete a machine; its answer proves the tasks over.
+func (n *Node) remove(m *Machine, t *turf, why string) {
+	m.deleting = true
+	n.doomed = append(n.doomed, doomed{m, t, why})
+}
+
+// doomed is a machine that is to be deleted.
+type doomed struct {
+	m   *Machine
+	t   *turf
+	why string
+}
+
+// deleteDoomed deletes what is to be deleted, many by one call. That the parts
+// are still ours is read first: a deposed owner, cut off perhaps, must not delete
+// what another has put to use.
+func (n *Node) deleteDoomed() {
+	if n.removing || len(n.doomed) == 0 || n.now < n.removeNext {
+		return
+	}
+	n.removing = true
+	// Work that should never stop or that others of its gang wait for first.
+	slices.SortStableFunc(n.doomed, func(a, b doomed) int { return n.lasting(b.m) - n.lasting(a.m) })
+	batch := slices.Clone(n.doomed[:min(len(n.doomed), maxDelete)])
+	n.doomed = slices.Clone(n.doomed[len(batch):])
+	settle := func() {
+		n.removing, n.removeNext = false, n.now.Add(n.rentGap)
+	}
+	keep := func(d doomed) {
+		d.m.deleting = false
+		d.m.callNext = n.now.Add(time.Second)
+	}
+	n.current(func() {
+		var ids []api.MachineID
+		var sure []doomed
+		for _, d := range batch {
+			if n.turfs[d.t.part] != d.t || n.partOf(d.m.ID) != d.t.part || d.why == idleWhy && len(n.book.on(d.m.ID)) > 0 {
+				keep(d)
+				continue
+			}
+			slog.Info("deleting a machine", "machine", d.m.ID, "why", d.why, "tasks", len(n.book.on(d.m.ID)))
+			ids, sure = append(ids, d.m.ID), append(sure, d)
+		}
+		if len(ids) == 0 {
+			settle()
+			return
+		}
+		n.cloud(CloudCall{Delete: ids}, func(a CloudAnswer) {
+			settle()
+			for _, d := range sure {
+				if a.Status != 200 {
+					keep(d)
+					continue
+				}
+				n.fleet.gone[d.m.ID] = n.now
+				if d.m.spot && (d.why == unreachableWhy || d.m.notice) {
+					n.fleet.spotTaken++
+				}
+				n.unlend(d.t, d.m.ID)
+				if n.turfs[d.t.part] == d.t {
+					for _, p := range n.book.on(d.m.ID) {
+						if p.Part == d.t.part && !p.over {
+							n.end(d.t, p, false, "machine deleted")
+						}
+					}
+					d.t.dirty = true
+				}
+				n.forget(d.m.ID)
+			}
+		})
+	}, func() {
+		settle()
+		for _, d := range batch {
+			keep(d)
+		}
+	})
+}
+
+// lasting counts the tasks on a machine that are not of an array.
+func (n *Node) lasting(m *Machine) int {
+	count := 0
+	for _, p := range n.book.on(m.ID) {
+		if p.job.Spec.Kind != api.Array && !p.job.final() {
+			count++
+		}
+	}
+	return count
+}
+
+// The protocol's bounds on names in a deletion and on machines in a rental.
+const (
+	maxDelete = 100
+	maxRent   = 50
+)
+
+// Why a machine is deleted.
+const (
+	idleWhy        = "idle"
+	unreachableWhy = "not reachable"
+)
