Tasks without time for another run keep off spot machines

The risk was reckoned for the first limit only, which such a job has missed, and for one task it was small.

The risk is now reckoned for the first limit that can still be met, and where that leaves no time for another run the task keeps off spot machines however few there are.

--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -122,3 +122,23 @@
 		t.Errorf("%d rounds for 1200 ends", rounds)
 	}
 }
+
+// A job's last task is as much to be kept off spot machines as its first when no
+// time is left to run it again, also when an earlier limit is missed already.
+func TestNoTimeForAnotherRunKeepsOffSpot(t *testing.T) {
+	spec := testSpec(1)
+	spec.Spot, spec.Estimate = true, 100
+	n, _, _, j := owner(t, spec)
+	for _, c := range []struct {
+		deadline, elapsed float64
+		off               bool
+	}{{150, 0, true}, {5000, 0, false}, {5000, 4850, true}, {50, 0, false}} {
+		spec := *j.Spec
+		spec.Deadline = &c.deadline
+		j.Spec = &spec
+		n.wall = j.Accepted + api.Wall(c.elapsed*1000)
+		if risk := n.spotRisk(j); risk >= 0.5 != c.off {
+			t.Errorf("deadline %v s, %v s gone, runs 100 s: risk %.2f", c.deadline, c.elapsed, risk)
+		}
+	}
+}
--- a/control/part.go
+++ b/control/part.go
@@ -506,25 +506,29 @@
 	return false
 }
 
-// spotRisk is how much a job would suffer from losing a task with its machine:
-// the chance of that while a task runs, as spot machines were seen to be taken,
-// or nearly certain harm when no time would be left to run the task again.
+// spotRisk is how much a job would suffer from losing a task with its machine,
+// between 0 and 1: the chance that one of its tasks is lost while it runs, as spot
+// machines were seen to be taken, and the share that another run would take of the
+// time that is left. Where no time is left for another run, the task keeps off spot
+// machines however small the chance.
 func (n *Node) spotRisk(j *Job) float64 {
 	if !j.Spec.Spot || j.Spec.Kind == api.Service {
 		return 0
 	}
 	chance := min(1, n.fleet.spotLossRate()*j.Spec.Estimate)
-	limits := n.limits(j.Spec)
-	if len(limits) == 0 {
-		return chance
-	}
-	left := limits[0] - max(0, float64(n.wall-j.Accepted)/1000)
-	if left < j.Spec.Estimate {
-		return chance // late as it is
+	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
+	for _, l := range n.limits(j.Spec) {
+		left := l - elapsed
+		if left < j.Spec.Estimate {
+			continue // late as it is
+		}
+		any := 1 - math.Pow(1-chance, float64(j.Spec.Tasks-j.doneN))
+		if 2*j.Spec.Estimate >= left {
+			return max(any, 0.5)
+		}
+		return any * 2 * j.Spec.Estimate / left
 	}
-	// Of many tasks one loss is enough to make the job late.
-	chance = 1 - math.Pow(1-chance, float64(j.Spec.Tasks-j.doneN))
-	return chance * min(1, 2*j.Spec.Estimate/left)
+	return chance
 }
 
 func (n *Node) startAim(c api.Class) float64 {
