--- a/control/fleet.go
+++ b/control/fleet.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -26,7 +25,6 @@
 
 	useNext api.Time
 	stocks  map[api.TypeName]*stock
-	surplus map[api.MachineID]bool // idle, and more than were needed of late
 
 	typesBusy bool
 	typesNext api.Time
@@ -220,8 +218,8 @@
 		return
 	}
 	hold, unused := n.hold(m.typ), n.now.Sub(m.idle)
-	idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || f.surplus[m.ID] && unused > hold/3)
-	if st := f.stocks[m.typ]; st != nil && st.ahead != nil && !f.surplus[m.ID] {
+	idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || m.spare && unused > hold/3)
+	if st := f.stocks[m.typ]; st != nil && st.ahead != nil && !m.spare {
 		idle = false
 	}
 	m.closing = idle && n.accelerated(m.typ)
@@ -239,168 +237,6 @@
 	}
 }
 
-// Count says how many machines of a type with accelerators are up, and how many
-// of these have work that they are kept for.
-type Count struct{ Up, Busy int }
-
-// countAccelerated counts a part's machines with accelerators by type.
-func (n *Node) countAccelerated(p api.PartID) map[api.TypeName]Count {
-	counts := map[api.TypeName]Count{}
-	for _, m := range n.machinesOf(p) {
-		if m.heard == 0 || m.deleting || !n.accelerated(m.typ) {
-			continue
-		}
-		c := counts[m.typ]
-		c.Up++
-		if n.keeps(m.ID, m.typ) {
-			c.Busy++
-		}
-		counts[m.typ] = c
-	}
-	return counts
-}
-
-// stock is what is known of the need for a type with accelerators.
-type stock struct {
-	wanted []usage      // machines that work wanted, of late
-	ahead  *api.JobSpec // work of a class that should start sooner than a machine boots, if any
-	target int          // how many machines should be up
-}
-
-type usage struct {
-	at    api.Time
-	count int
-}
-
-// deviations is how far above the load the stock of machines is held that work
-// needs sooner than one boots. The number of jobs at a time that come by chance
-// varies by about the root of its mean; with that much more few find none.
-const deviations = 1.5
-
-// watchUse reckons once a second how many machines with accelerators are wanted
-// and which of the idle ones are more than that. Work that goes round the
-// machines would otherwise keep all of them though it never needs them at once.
-// Those are the dear ones; of the others a few more do not matter, and rounds of
-// short tasks miss them (docs/measurements.md).
-func (n *Node) watchUse() {
-	f := &n.fleet
-	if n.now < f.useNext {
-		return
-	}
-	f.useNext = n.now.Add(time.Second)
-	n.countSpot()
-	wanted := map[api.TypeName]int{}
-	for _, j := range n.book.jobs {
-		if j.final() || n.plain(j.Spec) {
-			continue
-		}
-		typ := n.bestType(j.Spec)
-		if typ == nil {
-			continue
-		}
-		slots := max(1, j.demand.Slots(typ.Capacity()))
-		wanted[typ.Name] += (j.Spec.Tasks - j.doneN + slots - 1) / slots
-		st := f.stocks[typ.Name]
-		if st == nil {
-			st = &stock{}
-			f.stocks[typ.Name] = st
-		}
-		// Booting takes up to half as long again as the type's time.
-		if within := n.startAim(j.Spec.Class); within > 0 && within < lateBoot*typ.Boot && (st.ahead == nil || st.ahead.Spot && !j.Spec.Spot) {
-			st.ahead = j.Spec
-		}
-	}
-	parts := n.countsByPart()
-	f.surplus = map[api.MachineID]bool{}
-	for name, typ := range n.types {
-		if typ.GPUs == 0 {
-			continue
-		}
-		st := f.stocks[name]
-		if st == nil {
-			st = &stock{}
-			f.stocks[name] = st
-		}
-		kept := st.wanted[:0]
-		sum := 0
-		for _, u := range append(st.wanted, usage{n.now, wanted[name]}) {
-			if n.now.Sub(u.at) <= 2*n.hold(name) {
-				kept = append(kept, u)
-				sum += u.count
-			}
-		}
-		st.wanted = kept
-		st.target = (sum + len(kept) - 1) / len(kept)
-		if st.ahead != nil {
-			// What has been added while a machine boots is likely to be added again
-			// until one more is up.
-			grown := 0
-			for _, u := range kept {
-				if n.now.Sub(u.at) <= api.Seconds(typ.Boot) {
-					grown = max(0, wanted[name]-u.count)
-					break
-				}
-			}
-			load := float64(max(st.target, wanted[name]))
-			st.target = int(math.Ceil(load+deviations*math.Sqrt(load))) + grown
-		}
-		var all Count
-		for _, counts := range parts {
-			all.Up += counts[name].Up
-			all.Busy += counts[name].Busy
-		}
-		n.markSurplus(name, all.Up-st.target, all.Up-all.Busy, parts)
-	}
-}
-
-// bestType is the cheapest type that can take a job's tasks.
-func (n *Node) bestType(s *api.JobSpec) *api.MachineType {
-	var best *api.MachineType
-	for _, name := range slices.Sorted(maps.Keys(n.types)) {
-		t := n.types[name]
-		if s.Demand().Fits(t.Capacity()) && (len(s.Types) == 0 || slices.Contains(s.Types, name)) && (best == nil || t.Price < best.Price) {
-			best = t
-		}
-	}
-	return best
-}
-
-// markSurplus chooses our share of the idle machines that are more than needed.
-// Every owner reckons alike from the same counts, so that together they return
-// about as many as there are too many.
-func (n *Node) markSurplus(typ api.TypeName, spare, idle int, parts map[api.PartID]map[api.TypeName]Count) {
-	if spare <= 0 || idle <= 0 {
-		return
-	}
-	spare = min(spare, idle)
-	before := 0
-	for _, p := range slices.Sorted(maps.Keys(parts)) {
-		c := parts[p][typ]
-		take := spare*(before+c.Up-c.Busy)/idle - spare*before/idle
-		before += c.Up - c.Busy
-		if n.turfs[p] == nil {
-			continue
-		}
-		// The dearest kind first, then the newest.
-		ms := slices.Clone(n.machinesOf(p))
-		slices.SortStableFunc(ms, func(a, b *Machine) int {
-			if a.spot != b.spot {
-				if b.spot {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(b.ID, a.ID)
-		})
-		for _, m := range ms {
-			if take > 0 && m.typ == typ && m.heard != 0 && !m.deleting && !n.keeps(m.ID, typ) {
-				n.fleet.surplus[m.ID] = true
-				take--
-			}
-		}
-	}
-}
-
 // keeps reports whether a machine has work that it is kept for: any, but on
 // one with accelerators only such as needs them.
 func (n *Node) keeps(id api.MachineID, typ api.TypeName) bool {
@@ -603,36 +439,6 @@
 	})
 }
 
-// rentAhead adds the machines that should be up before the work comes that will
-// need them.
-func (n *Node) rentAhead(need, coming map[offer]int) {
-	counts := n.countsByPart()
-	for _, name := range slices.Sorted(maps.Keys(n.fleet.stocks)) {
-		st := n.fleet.stocks[name]
-		if st.ahead == nil {
-			continue
-		}
-		missing := st.target
-		for _, c := range counts {
-			missing -= c[name].Up
-		}
-		for _, byOffer := range []map[offer]int{need, coming} {
-			for o, k := range byOffer {
-				if o.typ == name {
-					missing -= k
-				}
-			}
-		}
-		for ; missing > 0; missing-- {
-			o, ok := n.cheapest(st.ahead, need, "")
-			if !ok {
-				break
-			}
-			need[o]++
-		}
-	}
-}
-
 func compareOffers(a, b offer) int {
 	spot := func(o offer) int {
 		if o.spot {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -143,18 +143,6 @@
 	}
 }
 
-// countsByPart is what is known of all parts' machines with accelerators.
-func (n *Node) countsByPart() map[api.PartID]map[api.TypeName]Count {
-	out := map[api.PartID]map[api.TypeName]Count{}
-	for p := range n.turfs {
-		out[p] = n.countAccelerated(p)
-	}
-	for _, pn := range n.othersNews() {
-		out[pn.Part] = pn.Accelerated
-	}
-	return out
-}
-
 // othersNews is what the owners of parts that are not ours have lately told.
 func (n *Node) othersNews() []PartNews {
 	var out []PartNews
--- a/control/machine.go
+++ b/control/machine.go
@@ -47,6 +47,7 @@
 	deleting bool
 	idle     api.Time // since when it has had nothing that it is kept for
 	closing  bool     // idle for long: nothing that could go elsewhere starts on it
+	spare    bool     // more than the load needs: used last, see markSurplus
 	images   map[api.Image]sched.Cached
 	failed   map[api.JobRef]api.Time
 	sickTill api.Time
--- a/control/messages.go
+++ b/control/messages.go
@@ -183,7 +183,7 @@
 	Part        api.PartID
 	Kinds       []Kind // that Rooms refer to
 	Rooms       []Room
-	Accelerated map[api.TypeName]Count
+	Accelerated map[Supply]Count
 	Mute        map[api.Zone]Mute
 	Silent      []api.MachineID            // that do not report to their owner
 	Fresh       []api.MachineID            // that have come up lately
--- /dev/null
+++ b/control/stock.go
@@ -0,0 +1,293 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+)
+
+// Supply is machines with accelerators that cost alike.
+type Supply struct {
+	Type api.TypeName
+	Spot bool
+}
+
+// Count says how many machines of a supply are up, and how many of these have
+// work that they are kept for and that does not end soon: services and gangs.
+type Count struct{ Up, Lasting int }
+
+// countAccelerated counts a part's machines with accelerators.
+func (n *Node) countAccelerated(p api.PartID) map[Supply]Count {
+	counts := map[Supply]Count{}
+	for _, m := range n.machinesOf(p) {
+		if m.heard == 0 || m.deleting || !n.accelerated(m.typ) {
+			continue
+		}
+		c := counts[Supply{m.typ, m.spot}]
+		c.Up++
+		if n.lastingOn(m) {
+			c.Lasting++
+		}
+		counts[Supply{m.typ, m.spot}] = c
+	}
+	return counts
+}
+
+// lastingOn reports whether a machine with accelerators has a service or a gang
+// that needs them.
+func (n *Node) lastingOn(m *Machine) bool {
+	for _, p := range n.book.on(m.ID) {
+		if p.job.Spec.Kind != api.Array && !n.plain(p.job.Spec) {
+			return true
+		}
+	}
+	return false
+}
+
+// countsByPart is what is known of all parts' machines with accelerators.
+func (n *Node) countsByPart() map[api.PartID]map[Supply]Count {
+	out := map[api.PartID]map[Supply]Count{}
+	for p := range n.turfs {
+		out[p] = n.countAccelerated(p)
+	}
+	for _, pn := range n.othersNews() {
+		out[pn.Part] = pn.Accelerated
+	}
+	return out
+}
+
+// stock is what is known of the need for a type with accelerators.
+type stock struct {
+	loads  []load       // of late
+	ahead  *api.JobSpec // work of a class that should start sooner than a machine boots, if any
+	target int          // how many machines should be up
+	prompt int          // how many of them should be such as the work ahead may use
+}
+
+// load is how many machines work wants at a time: all work that needs the
+// accelerators, and of it that of classes that should start sooner than one boots.
+type load struct {
+	at          api.Time
+	all, prompt float64
+}
+
+// deviations is how far above the load the stock of machines is held that work
+// needs sooner than one boots. The number of jobs at a time that come by chance
+// varies by about the root of its mean; with that much more few find none.
+const deviations = 1.5
+
+func withSpare(load float64) int { return int(math.Ceil(load + deviations*math.Sqrt(load))) }
+
+// before is the load that was seen last at least so long ago.
+func (st *stock) before(at api.Time) load {
+	var out load
+	for _, l := range st.loads {
+		if l.at > at {
+			break
+		}
+		out = l
+	}
+	return out
+}
+
+// watchUse reckons once a second how many machines with accelerators are wanted
+// and which of those that are up are more than that. Work that goes round the
+// machines would otherwise keep all of them though it never needs them at once.
+// Those are the dear ones; of the others a few more do not matter, and rounds of
+// short tasks miss them (docs/measurements.md).
+func (n *Node) watchUse() {
+	f := &n.fleet
+	if n.now < f.useNext {
+		return
+	}
+	f.useNext = n.now.Add(useEvery)
+	n.countSpot()
+	now := map[api.TypeName]load{}
+	for _, j := range n.book.jobs {
+		if j.final() || n.plain(j.Spec) {
+			continue
+		}
+		typ := n.bestType(j.Spec)
+		if typ == nil {
+			continue
+		}
+		l := now[typ.Name]
+		machines := float64(j.Spec.Tasks-j.doneN) / float64(max(1, j.demand.Slots(typ.Capacity())))
+		l.all += machines
+		// Booting takes up to half as long again as the type's time.
+		if within := n.startAim(j.Spec.Class); within > 0 && within < lateBoot*typ.Boot {
+			l.prompt += machines
+			if st := n.stockOf(typ.Name); st.ahead == nil || st.ahead.Spot && !j.Spec.Spot {
+				st.ahead = j.Spec
+			}
+		}
+		now[typ.Name] = l
+	}
+	counts := n.countsByPart()
+	for _, name := range slices.Sorted(maps.Keys(n.types)) {
+		if typ := n.types[name]; typ.GPUs > 0 {
+			st := n.stockOf(name)
+			l := now[name]
+			l.at = n.now
+			st.note(l, api.Time(2*n.hold(name)), api.Time(api.Seconds(typ.Boot)))
+			n.markSurplus(name, st, counts)
+		}
+	}
+}
+
+// useEvery is how often the load is looked at.
+const useEvery = time.Second
+
+func (n *Node) stockOf(name api.TypeName) *stock {
+	st := n.fleet.stocks[name]
+	if st == nil {
+		st = &stock{}
+		n.fleet.stocks[name] = st
+	}
+	return st
+}
+
+// note reckons the targets from a new load and those of a while before it.
+func (st *stock) note(l load, keep, boot api.Time) {
+	st.loads = append(st.loads, l)
+	st.loads = slices.DeleteFunc(st.loads, func(o load) bool { return l.at-o.at > keep })
+	var mean load
+	for _, o := range st.loads {
+		mean.all += o.all / float64(len(st.loads))
+		mean.prompt += o.prompt / float64(len(st.loads))
+	}
+	if st.ahead == nil {
+		st.target, st.prompt = int(math.Ceil(mean.all)), 0
+		return
+	}
+	// What has been added while a machine boots is likely to be added again until
+	// one more is up; but not when it came all at once, nor when there was next to
+	// nothing before it.
+	past, half := st.before(l.at-boot), st.before(l.at-boot/2)
+	grown := max(0, min(l.prompt-past.prompt, 2*(l.prompt-half.prompt), past.prompt))
+	st.prompt = withSpare(max(mean.prompt, l.prompt)) + int(math.Ceil(grown))
+	st.target = max(st.prompt, withSpare(max(mean.all, l.all)))
+}
+
+// bestType is the cheapest type that can take a job's tasks.
+func (n *Node) bestType(s *api.JobSpec) *api.MachineType {
+	var best *api.MachineType
+	for _, name := range slices.Sorted(maps.Keys(n.types)) {
+		t := n.types[name]
+		if s.Demand().Fits(t.Capacity()) && (len(s.Types) == 0 || slices.Contains(s.Types, name)) && (best == nil || t.Price < best.Price) {
+			best = t
+		}
+	}
+	return best
+}
+
+// markSurplus chooses our share of the machines that are more than needed, of
+// those without lasting work: the dearest first, but of those that the work ahead
+// may use as many stay as it needs. They get work last and are returned when they
+// are idle. Every owner reckons alike from the same counts, so that together they
+// choose about as many as there are too many.
+func (n *Node) markSurplus(name api.TypeName, st *stock, parts map[api.PartID]map[Supply]Count) {
+	all := map[Supply]Count{}
+	spare := -st.target
+	for _, counts := range parts {
+		for s, c := range counts {
+			if s.Type == name {
+				all[s] = Count{all[s].Up + c.Up, all[s].Lasting + c.Lasting}
+				spare += c.Up
+			}
+		}
+	}
+	price := func(s Supply) float64 {
+		if s.Spot {
+			return n.types[name].SpotPrice
+		}
+		return n.types[name].Price
+	}
+	supplies := slices.SortedFunc(maps.Keys(all), func(a, b Supply) int { return cmp.Compare(price(b), price(a)) })
+	for _, s := range supplies {
+		free := all[s].Up - all[s].Lasting
+		most := min(spare, free)
+		if st.ahead != nil && (st.ahead.Spot || !s.Spot) {
+			most = min(most, all[s].Up-st.prompt)
+		}
+		most = max(most, 0)
+		spare -= most
+		before := 0
+		for _, p := range slices.Sorted(maps.Keys(parts)) {
+			c := parts[p][s]
+			take := 0
+			if free > 0 {
+				take = most*(before+c.Up-c.Lasting)/free - most*before/free
+			}
+			before += c.Up - c.Lasting
+			if n.turfs[p] != nil {
+				n.chooseSurplus(p, s, take)
+			}
+		}
+	}
+}
+
+// chooseSurplus marks so many of a part's machines: those marked before, then
+// those with least work, then the newest.
+func (n *Node) chooseSurplus(p api.PartID, s Supply, take int) {
+	var free []*Machine
+	for _, m := range n.machinesOf(p) {
+		switch {
+		case m.typ != s.Type || m.spot != s.Spot:
+		case m.heard != 0 && !m.deleting && !n.lastingOn(m):
+			free = append(free, m)
+		default:
+			m.spare = false
+		}
+	}
+	rank := func(m *Machine) int {
+		if m.spare {
+			return 0
+		}
+		return 1 + len(n.book.on(m.ID))
+	}
+	slices.SortStableFunc(free, func(a, b *Machine) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.ID, a.ID))
+	})
+	for i, m := range free {
+		m.spare = i < take
+	}
+}
+
+// rentAhead adds the machines that should be up before the work comes that will
+// need them.
+func (n *Node) rentAhead(need, coming map[offer]int) {
+	counts := n.countsByPart()
+	for _, name := range slices.Sorted(maps.Keys(n.fleet.stocks)) {
+		st := n.fleet.stocks[name]
+		if st.ahead == nil {
+			continue
+		}
+		missing := st.prompt
+		for _, c := range counts {
+			for s, k := range c {
+				if s.Type == name && (st.ahead.Spot || !s.Spot) {
+					missing -= k.Up
+				}
+			}
+		}
+		for _, byOffer := range []map[offer]int{need, coming} {
+			for o, k := range byOffer {
+				if o.typ == name && (st.ahead.Spot || !o.spot) {
+					missing -= k
+				}
+			}
+		}
+		for ; missing > 0; missing-- {
+			o, ok := n.cheapest(st.ahead, need, "")
+			if !ok {
+				break
+			}
+			need[o]++
+		}
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -20,6 +20,7 @@
 	Free   api.Resources
 	GPU    bool    // the type has accelerators
 	Closed bool    // only for work that needs its accelerators
+	Spare  bool    // more than the load needs: used last, so that it can be returned
 	Pace   float64 // how much longer tasks take here than elsewhere; 0: not known
 	Images map[api.Image]Cached
 	Fetch  float64    // GB per second
@@ -97,13 +98,14 @@
 // and the number of resources. docs/design.md gives the reasons.
 const (
 	costScale     = 1e6
-	baseBonus     = 8.0  // being placed always beats waiting
+	baseBonus     = 10.0 // being placed always beats waiting
 	rankBonus     = 16.0 // a higher priority outweighs every other term
 	entitledBonus = 4.0
 	urgencyBonus  = 2.0
 	spotPenalty   = 1.0 // a loss for certain weighs as much as a fetch that takes all the time there is
 	spotBonus     = 0.3 // what loses little there leaves the other machines to what would lose much
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
+	sparePenalty  = 2.0 // more than any dot product is likely to gain
 	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
 	imageWeight   = 0.2 // a fetch, as a share of what the task takes in all
 )
@@ -130,6 +132,9 @@
 	if m.GPU && j.Plain {
 		gain -= scarcePenalty
 	}
+	if m.Spare {
+		gain -= sparePenalty
+	}
 	if m.Spot {
 		gain += spotBonus - spotPenalty*j.SpotRisk
 	}
