--- a/api/wire.go
+++ b/api/wire.go
@@ -221,6 +221,9 @@
 	Running *int     `json:"running,omitempty"`
 }
 
+// NoCapacity is the cloud's word that it has no machine of the kind asked for.
+const NoCapacity = "no capacity"
+
 // ErrorBody is the body of every refusal.
 type ErrorBody struct {
 	Error string `json:"error"`
--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -42,6 +42,8 @@
 	}
 	a.Status = r.Status
 	if r.Status != 200 {
+		var refusal api.ErrorBody
+		a.NoCapacity = json.Unmarshal(r.Body, &refusal) == nil && refusal.Error == api.NoCapacity
 		return a
 	}
 	var err error
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -71,6 +71,22 @@
 	at api.Time
 }
 
+// unlisted is what was rented and the list does not show yet.
+func (f *fleet) unlisted() []Rented {
+	byOffer := map[offer][]api.MachineID{}
+	for _, id := range slices.Sorted(maps.Keys(f.rented)) {
+		if _, listed := f.hosts[id]; !listed && f.gone[id] == 0 {
+			o := f.rented[id].offer
+			byOffer[o] = append(byOffer[o], id)
+		}
+	}
+	var out []Rented
+	for _, o := range slices.SortedFunc(maps.Keys(byOffer), compareOffers) {
+		out = append(out, Rented{o.typ, o.zone, o.spot, byOffer[o]})
+	}
+	return out
+}
+
 func (f *fleet) init() {
 	f.gone, f.hosts = map[api.MachineID]api.Time{}, map[api.MachineID]api.Host{}
 	f.refused, f.rented = map[offer]api.Time{}, map[api.MachineID]rental{}
@@ -265,7 +281,12 @@
 // what is coming, and rents the cheapest machines for them.
 func (n *Node) rent(t *turf) {
 	f := &n.fleet
-	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 || n.now.Sub(t.since) < 3*time.Second {
+	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 {
+		return
+	}
+	// After a takeover the machines there are must be heard of first; on an empty
+	// cloud there is nothing to hear of.
+	if (len(f.hosts) > 0 || len(n.machines) > 0) && n.now.Sub(t.since) < 3*time.Second {
 		return
 	}
 	f.rentNext = n.now.Add(n.rentGap)
@@ -328,6 +349,7 @@
 		return cmp.Compare(a.ref, b.ref)
 	})
 	need := map[offer]int{}
+	var first []offer // in the order of the work that needs them
 	budget := 20000 // tasks looked at
 	queued := 0     // tasks that wait for accelerators
 	for _, j := range jobs {
@@ -393,7 +415,9 @@
 			if !ok {
 				break
 			}
-			need[o]++
+			if need[o]++; need[o] == 1 {
+				first = append(first, o)
+			}
 			if j.Spec.OneZone {
 				zone = o.zone
 			}
@@ -414,20 +438,33 @@
 	if n.now.Sub(f.short) < time.Second {
 		return // what is about to be placed should be placed first
 	}
-	offers := slices.SortedFunc(maps.Keys(need), func(a, b offer) int {
-		return cmp.Or(need[b]-need[a], compareOffers(a, b))
-	})
-	o := offers[0]
+	// The most urgent work's first, then what is needed most.
+	o := slices.MaxFunc(slices.SortedFunc(maps.Keys(need), compareOffers), func(a, b offer) int { return need[a] - need[b] })
+	if len(first) > 0 {
+		o = first[0]
+	}
 	f.count++
 	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(need[o], maxRent)}
 	f.renting = true
+	begun := n.now
 	n.cloud(CloudCall{Rent: r}, func(a CloudAnswer) {
 		f.renting = false
-		if a.Status != 200 {
-			// The name is not used again: should the request be carried out
-			// late, its machines show up by themselves.
+		switch {
+		case a.Status == 200:
+		case a.NoCapacity:
 			f.refused[o] = n.now.Add(20 * time.Second)
 			return
+		case a.Status == 0:
+			// The name is not used again: should the request be carried out late, its
+			// machines show up by themselves. The list may show them meanwhile.
+			f.rentNext = n.now.Add(max(time.Second, api.Seconds(n.cfg.Deployment.Cloud.ListLag)))
+			return
+		default:
+			f.rentNext = n.now.Add(time.Second)
+			return
+		}
+		if r.Count == maxRent {
+			f.rentNext = begun.Add(n.rentGap * 2 / 3) // a ramp: half of the calls
 		}
 		slog.Info("rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", r.Count, "got", len(a.Machines))
 		if len(a.Machines) < r.Count {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -88,6 +88,9 @@
 		g.Parts = append(g.Parts, n.news(n.turfs[p]))
 		n.wanted(p, n.turfs[p].want)
 	}
+	if n.turfs[0] != nil {
+		g.Rented = n.fleet.unlisted()
+	}
 	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[l]
 		if p.sending {
@@ -101,6 +104,13 @@
 func (n *Node) hear(c Hear) {
 	if p := n.peers[c.Gossip.From]; p != nil {
 		p.gossip, p.heard = *c.Gossip, n.now
+		for _, r := range p.gossip.Rented {
+			for _, id := range r.Machines {
+				if _, known := n.fleet.rented[id]; !known {
+					n.fleet.rented[id] = rental{offer{r.Type, r.Zone, r.Spot}, n.now}
+				}
+			}
+		}
 		for _, pn := range p.gossip.Parts {
 			n.wanted(pn.Part, pn.Want)
 		}
--- a/control/messages.go
+++ b/control/messages.go
@@ -84,6 +84,8 @@
 		Types    []api.MachineType
 		Hosts    api.HostList
 		Machines []api.MachineID
+
+		NoCapacity bool // refused for want of machines, not of time
 	}
 	// PeerAnswer answers a PeerCall.
 	PeerAnswer struct {
@@ -176,6 +178,16 @@
 	From    api.Label
 	StateOK bool
 	Parts   []PartNews
+	Rented  []Rented
+}
+
+// Rented names machines that were rented lately: whoever rents next must count on
+// them before the list shows them.
+type Rented struct {
+	Type     api.TypeName
+	Zone     api.Zone
+	Spot     bool
+	Machines []api.MachineID
 }
 
 // PartNews describes a part to the nodes that do not own it.
--- a/control/node.go
+++ b/control/node.go
@@ -93,6 +93,8 @@
 	roundGap  time.Duration
 	syncGap   time.Duration
 	rentGap   time.Duration
+	allowance float64 // submissions that may be written now, see maySubmit
+	allowedAt api.Time
 	startedAt api.Time
 	metrics   metrics
 	since     map[ReqID]request // requests that wait for their answer
--- a/control/user.go
+++ b/control/user.go
@@ -190,6 +190,10 @@
 		n.lookup(spec.Ref, known, func() { n.refuse(c.Req, 422, why) }, elsewhere)
 		return
 	}
+	if !n.maySubmit() {
+		n.refuse(c.Req, 503, "more submissions at once than the state service can take")
+		return
+	}
 	v, err := json.Marshal(jobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
 	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
 		n.refuse(c.Req, 400, "banchi: too long")
@@ -216,6 +220,23 @@
 	})
 }
 
+// submitShare is how much of the state service's writes submissions may take: what
+// is beyond it would be refused there, and with it the renewal of our lease.
+const submitShare = 0.7
+
+// maySubmit takes one of the writes that submissions may use, of which every living
+// controller has as many.
+func (n *Node) maySubmit() bool {
+	rate := submitShare * n.cfg.Deployment.State.WriteRPS / float64(max(1, len(n.book.members)))
+	n.allowance = min(max(1, rate), n.allowance+rate*n.now.Sub(n.allowedAt).Seconds())
+	n.allowedAt = n.now
+	if n.allowance < 1 {
+		return false
+	}
+	n.allowance--
+	return true
+}
+
 // split gives a new job's tasks to parts by their free room.
 func (n *Node) split(s *api.JobSpec) []Range {
 	parts := len(n.book.parts)
