--- a/control/fleet.go
+++ b/control/fleet.go
@@ -31,6 +31,7 @@
 
 	renting  bool
 	rentNext api.Time
+	urgent   bool // the last rental was for the most urgent work
 	count    int
 	refused  map[offer]api.Time // until when not to ask again
 	rented   map[api.MachineID]rental
@@ -350,8 +351,8 @@
 	})
 	need := map[offer]int{}
 	var first []offer // in the order of the work that needs them
-	budget := 20000 // tasks looked at
-	queued := 0     // tasks that wait for accelerators
+	budget := 20000   // tasks looked at
+	queued := 0       // tasks that wait for accelerators
 	for _, j := range jobs {
 		if j.hold > n.now {
 			continue
@@ -438,9 +439,9 @@
 	if n.now.Sub(f.short) < time.Second {
 		return // what is about to be placed should be placed first
 	}
-	// The most urgent work's first, then what is needed most.
+	// The most urgent work's and what is needed most, by turns.
 	o := slices.MaxFunc(slices.SortedFunc(maps.Keys(need), compareOffers), func(a, b offer) int { return need[a] - need[b] })
-	if len(first) > 0 {
+	if f.urgent = !f.urgent; f.urgent && len(first) > 0 {
 		o = first[0]
 	}
 	f.count++
--- a/control/part.go
+++ b/control/part.go
@@ -388,7 +388,7 @@
 			continue
 		}
 		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
-			Closed: m.closing, Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
+			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
@@ -404,7 +404,7 @@
 		}
 		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
 			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn,
-			Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
+			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.failedOn)*2 > usable {
 			sj.AvoidedBy = nil
 		}
--- a/control/stock.go
+++ b/control/stock.go
@@ -64,6 +64,7 @@
 type stock struct {
 	loads  []load       // of late
 	ahead  *api.JobSpec // work of a class that should start sooner than a machine boots, if any
+	other  *api.JobSpec // other work that needs the accelerators
 	target int          // how many machines should be up
 	prompt int          // how many of them should be such as the work ahead may use
 }
@@ -118,12 +119,17 @@
 		l := now[typ.Name]
 		machines := float64(j.Spec.Tasks-j.doneN) / float64(max(1, j.demand.Slots(typ.Capacity())))
 		l.all += machines
-		// Booting takes up to half as long again as the type's time.
-		if within := n.startAim(j.Spec.Class); within > 0 && within < lateBoot*typ.Boot {
-			l.prompt += machines
-			if st := n.stockOf(typ.Name); st.ahead == nil || st.ahead.Spot && !j.Spec.Spot {
-				st.ahead = j.Spec
+		st := n.stockOf(typ.Name)
+		switch {
+		case !n.prompt(j.Spec):
+			if st.other == nil || !st.other.Spot && j.Spec.Spot {
+				st.other = j.Spec
 			}
+		case st.ahead == nil || st.ahead.Spot && !j.Spec.Spot:
+			st.ahead = j.Spec
+			fallthrough
+		default:
+			l.prompt += machines
 		}
 		now[typ.Name] = l
 	}
@@ -139,6 +145,20 @@
 	}
 }
 
+// prompt reports whether work should start sooner than a machine for it boots:
+// booting takes up to half as long again as the type's time.
+func (n *Node) prompt(s *api.JobSpec) bool {
+	within, typ := n.startAim(s.Class), n.bestType(s)
+	return within > 0 && typ != nil && within < lateBoot*typ.Boot
+}
+
+// forPrompt reports whether a machine is such as prompt work needs: other work
+// leaves room there if it can, or it would have to make way.
+func (n *Node) forPrompt(m *Machine) bool {
+	st := n.fleet.stocks[m.typ]
+	return st != nil && st.ahead != nil && (st.ahead.Spot || !m.spot)
+}
+
 // useEvery is how often the load is looked at.
 const useEvery = time.Second
 
@@ -170,7 +190,7 @@
 	past, half := st.before(l.at-boot), st.before(l.at-boot/2)
 	grown := max(0, min(l.prompt-past.prompt, 2*(l.prompt-half.prompt), past.prompt))
 	st.prompt = withSpare(max(mean.prompt, l.prompt)) + int(math.Ceil(grown))
-	st.target = max(st.prompt, withSpare(max(mean.all, l.all)))
+	st.target = st.prompt + withSpare(max(mean.all-mean.prompt, l.all-l.prompt))
 }
 
 // bestType is the cheapest type that can take a job's tasks.
@@ -267,27 +287,36 @@
 		if st.ahead == nil {
 			continue
 		}
-		missing := st.prompt
-		for _, c := range counts {
-			for s, k := range c {
-				if s.Type == name && (st.ahead.Spot || !s.Spot) {
-					missing -= k.Up
+		there := func(of func(spot bool) bool) int {
+			sum := 0
+			for _, c := range counts {
+				for s, k := range c {
+					if s.Type == name && of(s.Spot) {
+						sum += k.Up
+					}
 				}
 			}
-		}
-		for _, byOffer := range []map[offer]int{need, coming} {
-			for o, k := range byOffer {
-				if o.typ == name && (st.ahead.Spot || !o.spot) {
-					missing -= k
+			for _, byOffer := range []map[offer]int{need, coming} {
+				for o, k := range byOffer {
+					if o.typ == name && of(o.spot) {
+						sum += k
+					}
 				}
 			}
+			return sum
 		}
-		for ; missing > 0; missing-- {
-			o, ok := n.cheapest(st.ahead, need, "")
-			if !ok {
-				break
+		add := func(s *api.JobSpec, missing int) {
+			for ; missing > 0; missing-- {
+				o, ok := n.cheapest(s, need, "")
+				if !ok {
+					break
+				}
+				need[o]++
 			}
-			need[o]++
+		}
+		add(st.ahead, st.prompt-there(func(spot bool) bool { return st.ahead.Spot || !spot }))
+		if st.other != nil {
+			add(st.other, st.target-there(func(bool) bool { return true }))
 		}
 	}
 }
--- a/control/user.go
+++ b/control/user.go
@@ -214,6 +214,8 @@
 			n.current(func() {}, func() {}) // so that its first round comes soon
 		case 409:
 			n.lookup(spec.Ref, known, elsewhere, elsewhere)
+		case 429:
+			n.refuse(c.Req, 503, "the state service is at its limit") // for a peer too
 		default:
 			elsewhere()
 		}
@@ -222,7 +224,7 @@
 
 // submitShare is how much of the state service's writes submissions may take: what
 // is beyond it would be refused there, and with it the renewal of our lease.
-const submitShare = 0.7
+const submitShare = 0.85
 
 // maySubmit takes one of the writes that submissions may use, of which every living
 // controller has as many.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -20,6 +20,7 @@
 	Free   api.Resources
 	GPU    bool    // the type has accelerators
 	Closed bool    // only for work that needs its accelerators
+	Prompt bool    // such as prompt work needs
 	Spare  bool    // more than the load needs: used last, so that it can be returned
 	Pace   float64 // how much longer tasks take here than elsewhere; 0: not known
 	Images map[api.Image]Cached
@@ -57,6 +58,7 @@
 	Entitled  bool             // within its team's guarantee
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
 	AvoidedBy map[api.MachineID]bool
+	Prompt    bool    // should start sooner than a machine boots
 	Plain     bool    // some type without accelerators can take its tasks
 	SpotRisk  float64 // how much it would suffer from being taken with a spot machine, between 0 and 1
 }
@@ -105,6 +107,7 @@
 	spotPenalty   = 1.0 // a loss for certain weighs as much as a fetch that takes all the time there is
 	spotBonus     = 0.3 // what loses little there leaves the other machines to what would lose much
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
+	promptPenalty = 0.7 // room for prompt work is left free while there is other
 	sparePenalty  = 2.0 // more than any dot product is likely to gain
 	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
 	imageWeight   = 0.2 // a fetch, as a share of what the task takes in all
@@ -132,6 +135,9 @@
 	if m.GPU && j.Plain {
 		gain -= scarcePenalty
 	}
+	if m.Prompt && !j.Prompt && !j.Plain {
+		gain -= promptPenalty
+	}
 	if m.Spare {
 		gain -= sparePenalty
 	}
