--- a/control/fleet.go
+++ b/control/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -41,14 +42,21 @@
 	spotAt                 api.Time
 }
 
-// spotLossRate is how often a spot machine is taken, per second, as seen so far.
+// spotLossRate is how often a spot machine is taken, per second, as seen of late.
 // One loss an hour is supposed to begin with, and counts as much as an hour seen.
 func (f *fleet) spotLossRate() float64 { return (f.spotTaken + 1) / (f.spotSeconds + 3600) }
 
+// spotMemory is the time in which what was seen of spot machines comes to count a
+// third as much: the cloud takes more of them at some times than at others.
+const spotMemory = 2 * time.Minute
+
 // countSpot keeps the account of spot machines.
 func (n *Node) countSpot() {
 	f := &n.fleet
 	if since := n.now.Sub(f.spotAt); f.spotAt != 0 && since > 0 {
+		fade := math.Exp(-since.Seconds() / spotMemory.Seconds())
+		f.spotSeconds *= fade
+		f.spotTaken *= fade
 		for p := range n.turfs {
 			for _, m := range n.machinesOf(p) {
 				if m.spot && m.heard != 0 {
--- a/control/machine.go
+++ b/control/machine.go
@@ -290,9 +290,30 @@
 			p.reported, p.state = true, tr.State
 		}
 	}
+	if r.Notice != nil {
+		n.leaveInTime(m, t, *r.Notice)
+	}
 	n.weighStrangers(m)
 }
 
+// leaveInTime stops what can't end before the cloud takes its machine: it is lost
+// there, and the sooner it runs again elsewhere the better. What is likely to end
+// is left alone.
+func (n *Node) leaveInTime(m *Machine, t *turf, notice float64) {
+	for _, p := range n.book.on(m.ID) {
+		if p.Part != t.part || p.over || p.job.Spec.Kind == api.Gang {
+			continue
+		}
+		rest := p.job.Spec.Estimate
+		if p.running != 0 {
+			rest -= n.now.Sub(p.running).Seconds()
+		}
+		if p.job.Spec.Kind == api.Service || rest > notice {
+			n.stop(p)
+		}
+	}
+}
+
 // weighStrangers notes what a machine's tasks take that the book has no place
 // for: they must be stopped, and until they are gone they hold their room.
 func (n *Node) weighStrangers(m *Machine) {
@@ -539,7 +560,7 @@
 }
 
 // silentAfter is how long no report may come before a machine is asked.
-func (n *Node) silentAfter() time.Duration { return n.cfg.ReportEvery()*5/4 + time.Second }
+func (n *Node) silentAfter() time.Duration { return n.cfg.ReportEvery()*5/4 + 500*time.Millisecond }
 
 // direct sends a machine its orders without waiting for its report.
 func (n *Node) direct(m *Machine, t *turf) {
@@ -562,7 +583,7 @@
 				m.doubt = max(m.doubt, o.Token)
 			}
 			m.missed++
-			m.callNext = n.now.Add(time.Second)
+			m.callNext = n.now.Add(500 * time.Millisecond)
 			return
 		}
 		if n.turfs[t.part] != t || m.deleting {
--- a/control/silence.go
+++ b/control/silence.go
@@ -18,14 +18,14 @@
 		last = max(last, m.found)
 	}
 	quiet := n.now.Sub(last)
-	patience := 3*n.cfg.ReportEvery() + 3*time.Second
+	patience := 2 * n.cfg.ReportEvery()
 	if m.notice {
 		patience = n.cfg.ReportEvery() + 2*time.Second
 	}
 	if m.heard == 0 {
 		patience += 6 * time.Second
 	}
-	if quiet <= patience || m.missed < 2 && m.addr != "" {
+	if quiet <= patience || m.missed < enoughMissed && m.addr != "" {
 		return
 	}
 	if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
@@ -45,6 +45,10 @@
 	n.remove(m, t, unreachableWhy)
 }
 
+// enoughMissed is how many direct calls in a row must go unanswered before a
+// machine is given up.
+const enoughMissed = 3
+
 // countMute counts anew, now and then, which machines are silent.
 func (n *Node) countMute() {
 	if n.muteZones != nil && n.now.Sub(n.mutedAt) <= sweepEvery/2 {
