--- a/control/part.go
+++ b/control/part.go
@@ -506,31 +506,32 @@
 	return false
 }
 
-// spotRisk is how much a job would suffer from losing a task with its machine,
-// between 0 and 1: the chance that one of its tasks is lost while it runs, as spot
-// machines were seen to be taken, and the share that another run would take of the
-// time that is left. Where no time is left for another run, the task keeps off spot
-// machines however small the chance.
+// spotRisk is the chance that a job is late because a spot machine is taken with a
+// task of it, as they were seen to be taken of late: that this happens when there
+// is no time left to find out, to fetch the image again and to run the task again.
 func (n *Node) spotRisk(j *Job) float64 {
 	if !j.Spec.Spot || j.Spec.Kind == api.Service {
 		return 0
 	}
-	chance := min(1, n.fleet.spotLossRate()*j.Spec.Estimate)
 	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
+	run := j.Spec.Estimate * longer
+	once := j.Spec.ImageGB/n.slowestFetch(j.Spec) + run
 	for _, l := range n.limits(j.Spec) {
 		left := l - elapsed
-		if left < j.Spec.Estimate {
+		if left < once {
 			continue // late as it is
 		}
-		any := 1 - math.Pow(1-chance, float64(j.Spec.Tasks-j.doneN))
-		if 2*j.Spec.Estimate >= left {
-			return max(any, 0.5)
-		}
-		return any * 2 * j.Spec.Estimate / left
+		fatal := min(run, max(0, once+n.givenUpAfter().Seconds()+once-left))
+		survives := math.Exp(-n.fleet.spotLossRate() * fatal)
+		return 1 - math.Pow(survives, float64(j.Spec.Tasks-j.doneN))
 	}
-	return chance
+	return 0
 }
 
+// longer is how much longer than estimated the longest of a job's tasks is taken
+// to run.
+const longer = 1.2
+
 func (n *Node) startAim(c api.Class) float64 {
 	for _, o := range n.cfg.Deployment.Objectives {
 		if o.Kind == "wait" && o.Class == c {
--- a/control/silence.go
+++ b/control/silence.go
@@ -18,7 +18,7 @@
 		last = max(last, m.found)
 	}
 	quiet := n.now.Sub(last)
-	patience := 2 * n.cfg.ReportEvery()
+	patience := n.givenUpAfter()
 	if m.notice {
 		patience = n.cfg.ReportEvery() + 2*time.Second
 	}
@@ -45,6 +45,9 @@
 	n.remove(m, t, unreachableWhy)
 }
 
+// givenUpAfter is how long a machine may be silent.
+func (n *Node) givenUpAfter() time.Duration { return 2 * n.cfg.ReportEvery() }
+
 // enoughMissed is how many direct calls in a row must go unanswered before a
 // machine is given up.
 const enoughMissed = 3
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -104,13 +104,13 @@
 	rankBonus     = 16.0 // a higher priority outweighs every other term
 	entitledBonus = 4.0
 	urgencyBonus  = 2.0
-	spotPenalty   = 1.0 // a loss for certain weighs as much as a fetch that takes all the time there is
+	spotPenalty   = 2.0 // being late for certain outweighs that the machines left are for prompt work
 	spotBonus     = 0.3 // what loses little there leaves the other machines to what would lose much
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
 	promptPenalty = 0.7 // room for prompt work is left free while there is other
 	sparePenalty  = 2.0 // more than any dot product is likely to gain
 	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
-	imageWeight   = 0.2 // a fetch, as a share of what the task takes in all
+	imageWeight   = 2.0 // a fetch, as a share of what the task takes in all
 )
 
 func share(a, of api.Amount) float64 {
