--- a/control/gossip.go
+++ b/control/gossip.go
@@ -453,7 +453,7 @@
 				if plain {
 					continue
 				}
-				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks)
+				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks, false)
 				if w.tasks > 0 && len(w.victims) == len(n.book.on(m.ID)) && (best.m == nil || w.loss < best.loss) {
 					best = w
 				}
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -48,8 +48,9 @@
 	loss    float64
 }
 
-// wayOn finds how up to most of a job's tasks could come to fit on a machine.
-func (n *Node) wayOn(m *Machine, t *turf, s *api.JobSpec, most int) way {
+// wayOn finds how up to most of a job's tasks could come to fit on a machine. With
+// sparing nothing makes way whose job would be late for it.
+func (n *Node) wayOn(m *Machine, t *turf, s *api.JobSpec, most int, sparing bool) way {
 	rank, demand := s.Priority.Rank(), s.Demand()
 	coming := n.freeOn(m, t)
 	var lower []*Place
@@ -59,7 +60,8 @@
 		}
 		if p.stop || p.job.final() {
 			coming = coming.Plus(p.job.demand)
-		} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang {
+		} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang &&
+			!(sparing && n.lateBy(p) > 0) {
 			lower = append(lower, p)
 		}
 	}
@@ -80,21 +82,25 @@
 }
 
 // harm is what stopping a task would lose, in seconds of its CPUs: what it has run
-// and, when its job could be in time but would not if this task ran again, as much
-// as the whole job's limit.
+// and, when its job would be late by it, as much as the whole job's limit.
 func (n *Node) harm(p *Place) float64 {
-	ran := n.now.Sub(p.since).Seconds()
-	lost := ran
+	return (n.now.Sub(p.since).Seconds()+n.lateBy(p))*p.job.demand.CPU.Float() + 1
+}
+
+// lateBy is the limit that a task's job could keep but would not if the task had to
+// run again, or 0.
+func (n *Node) lateBy(p *Place) float64 {
 	elapsed := max(0, float64(n.wall-p.job.Accepted)/1000)
+	run := p.job.Spec.Estimate * longer
 	for _, l := range n.limits(p.job.Spec) {
-		if rest := max(0, p.job.Spec.Estimate-ran); elapsed+rest <= l {
-			if elapsed+p.job.Spec.Estimate > l {
-				lost += l
+		if rest := max(0, p.job.Spec.Estimate-n.now.Sub(p.since).Seconds()); elapsed+rest <= l {
+			if elapsed+run > l {
+				return l
 			}
 			break
 		}
 	}
-	return lost*p.job.demand.CPU.Float() + 1
+	return 0
 }
 
 // preempt makes room for a job of higher priority by stopping lower work, where
@@ -122,7 +128,7 @@
 		if quick > 0 && fetch > quick {
 			continue
 		}
-		w := n.wayOn(m, t, j.Spec, each)
+		w := n.wayOn(m, t, j.Spec, each, quick > 0)
 		if w.tasks == 0 {
 			continue
 		}
