--- a/control/fleet.go
+++ b/control/fleet.go
@@ -26,13 +26,13 @@
 
 	useNext api.Time
 	stocks  map[api.TypeName]*stock
-	surplus map[api.MachineID]bool // idle, and more than were needed of late
 
 	typesBusy bool
 	typesNext api.Time
 
 	renting  bool
 	rentNext api.Time
+	urgent   bool // the last rental was for the most urgent work
 	count    int
 	refused  map[offer]api.Time // until when not to ask again
 	rented   map[api.MachineID]rental
@@ -42,14 +42,21 @@
 	spotAt                 api.Time
 }
 
-// spotLossRate is how often a spot machine is taken, per second, as seen so far.
+// spotLossRate is how often a spot machine is taken, per second, as seen of late.
 // One loss an hour is supposed to begin with, and counts as much as an hour seen.
 func (f *fleet) spotLossRate() float64 { return (f.spotTaken + 1) / (f.spotSeconds + 3600) }
 
+// spotMemory is the time in which what was seen of spot machines comes to count a
+// third as much: the cloud takes more of them at some times than at others.
+const spotMemory = 2 * time.Minute
+
 // countSpot keeps the account of spot machines.
 func (n *Node) countSpot() {
 	f := &n.fleet
 	if since := n.now.Sub(f.spotAt); f.spotAt != 0 && since > 0 {
+		fade := math.Exp(-since.Seconds() / spotMemory.Seconds())
+		f.spotSeconds *= fade
+		f.spotTaken *= fade
 		for p := range n.turfs {
 			for _, m := range n.machinesOf(p) {
 				if m.spot && m.heard != 0 {
@@ -73,6 +80,22 @@
 	at api.Time
 }
 
+// unlisted is what was rented and the list does not show yet.
+func (f *fleet) unlisted() []Rented {
+	byOffer := map[offer][]api.MachineID{}
+	for _, id := range slices.Sorted(maps.Keys(f.rented)) {
+		if _, listed := f.hosts[id]; !listed && f.gone[id] == 0 {
+			o := f.rented[id].offer
+			byOffer[o] = append(byOffer[o], id)
+		}
+	}
+	var out []Rented
+	for _, o := range slices.SortedFunc(maps.Keys(byOffer), compareOffers) {
+		out = append(out, Rented{o.typ, o.zone, o.spot, byOffer[o]})
+	}
+	return out
+}
+
 func (f *fleet) init() {
 	f.gone, f.hosts = map[api.MachineID]api.Time{}, map[api.MachineID]api.Host{}
 	f.refused, f.rented = map[offer]api.Time{}, map[api.MachineID]rental{}
@@ -220,8 +243,8 @@
 		return
 	}
 	hold, unused := n.hold(m.typ), n.now.Sub(m.idle)
-	idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || f.surplus[m.ID] && unused > hold/3)
-	if st := f.stocks[m.typ]; st != nil && st.ahead != nil && !f.surplus[m.ID] {
+	idle := m.heard != 0 && n.now.Sub(t.since) > hold && (unused > hold || m.spare && unused > hold/3)
+	if st := f.stocks[m.typ]; st != nil && st.ahead != nil && !m.spare {
 		idle = false
 	}
 	m.closing = idle && n.accelerated(m.typ)
@@ -239,168 +262,6 @@
 	}
 }
 
-// Count says how many machines of a type with accelerators are up, and how many
-// of these have work that they are kept for.
-type Count struct{ Up, Busy int }
-
-// countAccelerated counts a part's machines with accelerators by type.
-func (n *Node) countAccelerated(p api.PartID) map[api.TypeName]Count {
-	counts := map[api.TypeName]Count{}
-	for _, m := range n.machinesOf(p) {
-		if m.heard == 0 || m.deleting || !n.accelerated(m.typ) {
-			continue
-		}
-		c := counts[m.typ]
-		c.Up++
-		if n.keeps(m.ID, m.typ) {
-			c.Busy++
-		}
-		counts[m.typ] = c
-	}
-	return counts
-}
-
-// stock is what is known of the need for a type with accelerators.
-type stock struct {
-	wanted []usage      // machines that work wanted, of late
-	ahead  *api.JobSpec // work of a class that should start sooner than a machine boots, if any
-	target int          // how many machines should be up
-}
-
-type usage struct {
-	at    api.Time
-	count int
-}
-
-// deviations is how far above the load the stock of machines is held that work
-// needs sooner than one boots. The number of jobs at a time that come by chance
-// varies by about the root of its mean; with that much more few find none.
-const deviations = 1.5
-
-// watchUse reckons once a second how many machines with accelerators are wanted
-// and which of the idle ones are more than that. Work that goes round the
-// machines would otherwise keep all of them though it never needs them at once.
-// Those are the dear ones; of the others a few more do not matter, and rounds of
-// short tasks miss them (docs/measurements.md).
-func (n *Node) watchUse() {
-	f := &n.fleet
-	if n.now < f.useNext {
-		return
-	}
-	f.useNext = n.now.Add(time.Second)
-	n.countSpot()
-	wanted := map[api.TypeName]int{}
-	for _, j := range n.book.jobs {
-		if j.final() || n.plain(j.Spec) {
-			continue
-		}
-		typ := n.bestType(j.Spec)
-		if typ == nil {
-			continue
-		}
-		slots := max(1, j.demand.Slots(typ.Capacity()))
-		wanted[typ.Name] += (j.Spec.Tasks - j.doneN + slots - 1) / slots
-		st := f.stocks[typ.Name]
-		if st == nil {
-			st = &stock{}
-			f.stocks[typ.Name] = st
-		}
-		// Booting takes up to half as long again as the type's time.
-		if within := n.startAim(j.Spec.Class); within > 0 && within < lateBoot*typ.Boot && (st.ahead == nil || st.ahead.Spot && !j.Spec.Spot) {
-			st.ahead = j.Spec
-		}
-	}
-	parts := n.countsByPart()
-	f.surplus = map[api.MachineID]bool{}
-	for name, typ := range n.types {
-		if typ.GPUs == 0 {
-			continue
-		}
-		st := f.stocks[name]
-		if st == nil {
-			st = &stock{}
-			f.stocks[name] = st
-		}
-		kept := st.wanted[:0]
-		sum := 0
-		for _, u := range append(st.wanted, usage{n.now, wanted[name]}) {
-			if n.now.Sub(u.at) <= 2*n.hold(name) {
-				kept = append(kept, u)
-				sum += u.count
-			}
-		}
-		st.wanted = kept
-		st.target = (sum + len(kept) - 1) / len(kept)
-		if st.ahead != nil {
-			// What has been added while a machine boots is likely to be added again
-			// until one more is up.
-			grown := 0
-			for _, u := range kept {
-				if n.now.Sub(u.at) <= api.Seconds(typ.Boot) {
-					grown = max(0, wanted[name]-u.count)
-					break
-				}
-			}
-			load := float64(max(st.target, wanted[name]))
-			st.target = int(math.Ceil(load+deviations*math.Sqrt(load))) + grown
-		}
-		var all Count
-		for _, counts := range parts {
-			all.Up += counts[name].Up
-			all.Busy += counts[name].Busy
-		}
-		n.markSurplus(name, all.Up-st.target, all.Up-all.Busy, parts)
-	}
-}
-
-// bestType is the cheapest type that can take a job's tasks.
-func (n *Node) bestType(s *api.JobSpec) *api.MachineType {
-	var best *api.MachineType
-	for _, name := range slices.Sorted(maps.Keys(n.types)) {
-		t := n.types[name]
-		if s.Demand().Fits(t.Capacity()) && (len(s.Types) == 0 || slices.Contains(s.Types, name)) && (best == nil || t.Price < best.Price) {
-			best = t
-		}
-	}
-	return best
-}
-
-// markSurplus chooses our share of the idle machines that are more than needed.
-// Every owner reckons alike from the same counts, so that together they return
-// about as many as there are too many.
-func (n *Node) markSurplus(typ api.TypeName, spare, idle int, parts map[api.PartID]map[api.TypeName]Count) {
-	if spare <= 0 || idle <= 0 {
-		return
-	}
-	spare = min(spare, idle)
-	before := 0
-	for _, p := range slices.Sorted(maps.Keys(parts)) {
-		c := parts[p][typ]
-		take := spare*(before+c.Up-c.Busy)/idle - spare*before/idle
-		before += c.Up - c.Busy
-		if n.turfs[p] == nil {
-			continue
-		}
-		// The dearest kind first, then the newest.
-		ms := slices.Clone(n.machinesOf(p))
-		slices.SortStableFunc(ms, func(a, b *Machine) int {
-			if a.spot != b.spot {
-				if b.spot {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(b.ID, a.ID)
-		})
-		for _, m := range ms {
-			if take > 0 && m.typ == typ && m.heard != 0 && !m.deleting && !n.keeps(m.ID, typ) {
-				n.fleet.surplus[m.ID] = true
-				take--
-			}
-		}
-	}
-}
-
 // keeps reports whether a machine has work that it is kept for: any, but on
 // one with accelerators only such as needs them.
 func (n *Node) keeps(id api.MachineID, typ api.TypeName) bool {
@@ -429,7 +290,12 @@
 // what is coming, and rents the cheapest machines for them.
 func (n *Node) rent(t *turf) {
 	f := &n.fleet
-	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 || n.now.Sub(t.since) < 3*time.Second {
+	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 {
+		return
+	}
+	// After a takeover the machines there are must be heard of first; on an empty
+	// cloud there is nothing to hear of.
+	if (len(f.hosts) > 0 || len(n.machines) > 0) && n.now.Sub(t.since) < 3*time.Second {
 		return
 	}
 	f.rentNext = n.now.Add(n.rentGap)
@@ -492,8 +358,9 @@
 		return cmp.Compare(a.ref, b.ref)
 	})
 	need := map[offer]int{}
-	budget := 20000 // tasks looked at
-	queued := 0     // tasks that wait for accelerators
+	var first []offer // in the order of the work that needs them
+	budget := 20000   // tasks looked at
+	queued := 0       // tasks that wait for accelerators
 	for _, j := range jobs {
 		if j.hold > n.now {
 			continue
@@ -557,7 +424,9 @@
 			if !ok {
 				break
 			}
-			need[o]++
+			if need[o]++; need[o] == 1 {
+				first = append(first, o)
+			}
 			if j.Spec.OneZone {
 				zone = o.zone
 			}
@@ -578,20 +447,33 @@
 	if n.now.Sub(f.short) < time.Second {
 		return // what is about to be placed should be placed first
 	}
-	offers := slices.SortedFunc(maps.Keys(need), func(a, b offer) int {
-		return cmp.Or(need[b]-need[a], compareOffers(a, b))
-	})
-	o := offers[0]
+	// The most urgent work's and what is needed most, by turns.
+	o := slices.MaxFunc(slices.SortedFunc(maps.Keys(need), compareOffers), func(a, b offer) int { return need[a] - need[b] })
+	if f.urgent = !f.urgent; f.urgent && len(first) > 0 {
+		o = first[0]
+	}
 	f.count++
 	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(need[o], maxRent)}
 	f.renting = true
+	begun := n.now
 	n.cloud(CloudCall{Rent: r}, func(a CloudAnswer) {
 		f.renting = false
-		if a.Status != 200 {
-			// The name is not used again: should the request be carried out
-			// late, its machines show up by themselves.
+		switch {
+		case a.Status == 200:
+		case a.NoCapacity:
 			f.refused[o] = n.now.Add(20 * time.Second)
 			return
+		case a.Status == 0:
+			// The name is not used again: should the request be carried out late, its
+			// machines show up by themselves. The list may show them meanwhile.
+			f.rentNext = n.now.Add(max(time.Second, api.Seconds(n.cfg.Deployment.Cloud.ListLag)))
+			return
+		default:
+			f.rentNext = n.now.Add(time.Second)
+			return
+		}
+		if r.Count == maxRent {
+			f.rentNext = begun.Add(n.rentGap * 2 / 3) // a ramp: half of the calls
 		}
 		slog.Info("rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", r.Count, "got", len(a.Machines))
 		if len(a.Machines) < r.Count {
@@ -603,36 +485,6 @@
 	})
 }
 
-// rentAhead adds the machines that should be up before the work comes that will
-// need them.
-func (n *Node) rentAhead(need, coming map[offer]int) {
-	counts := n.countsByPart()
-	for _, name := range slices.Sorted(maps.Keys(n.fleet.stocks)) {
-		st := n.fleet.stocks[name]
-		if st.ahead == nil {
-			continue
-		}
-		missing := st.target
-		for _, c := range counts {
-			missing -= c[name].Up
-		}
-		for _, byOffer := range []map[offer]int{need, coming} {
-			for o, k := range byOffer {
-				if o.typ == name {
-					missing -= k
-				}
-			}
-		}
-		for ; missing > 0; missing-- {
-			o, ok := n.cheapest(st.ahead, need, "")
-			if !ok {
-				break
-			}
-			need[o]++
-		}
-	}
-}
-
 func compareOffers(a, b offer) int {
 	spot := func(o offer) int {
 		if o.spot {
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -88,6 +88,9 @@
 		g.Parts = append(g.Parts, n.news(n.turfs[p]))
 		n.wanted(p, n.turfs[p].want)
 	}
+	if n.turfs[0] != nil {
+		g.Rented = n.fleet.unlisted()
+	}
 	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[l]
 		if p.sending {
@@ -101,6 +104,13 @@
 func (n *Node) hear(c Hear) {
 	if p := n.peers[c.Gossip.From]; p != nil {
 		p.gossip, p.heard = *c.Gossip, n.now
+		for _, r := range p.gossip.Rented {
+			for _, id := range r.Machines {
+				if _, known := n.fleet.rented[id]; !known {
+					n.fleet.rented[id] = rental{offer{r.Type, r.Zone, r.Spot}, n.now}
+				}
+			}
+		}
 		for _, pn := range p.gossip.Parts {
 			n.wanted(pn.Part, pn.Want)
 		}
@@ -143,18 +153,6 @@
 	}
 }
 
-// countsByPart is what is known of all parts' machines with accelerators.
-func (n *Node) countsByPart() map[api.PartID]map[api.TypeName]Count {
-	out := map[api.PartID]map[api.TypeName]Count{}
-	for p := range n.turfs {
-		out[p] = n.countAccelerated(p)
-	}
-	for _, pn := range n.othersNews() {
-		out[pn.Part] = pn.Accelerated
-	}
-	return out
-}
-
 // othersNews is what the owners of parts that are not ours have lately told.
 func (n *Node) othersNews() []PartNews {
 	var out []PartNews
@@ -455,7 +453,7 @@
 				if plain {
 					continue
 				}
-				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks)
+				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks, false)
 				if w.tasks > 0 && len(w.victims) == len(n.book.on(m.ID)) && (best.m == nil || w.loss < best.loss) {
 					best = w
 				}
--- a/control/messages.go
+++ b/control/messages.go
@@ -84,6 +84,8 @@
 		Types    []api.MachineType
 		Hosts    api.HostList
 		Machines []api.MachineID
+
+		NoCapacity bool // refused for want of machines, not of time
 	}
 	// PeerAnswer answers a PeerCall.
 	PeerAnswer struct {
@@ -176,6 +178,16 @@
 	From    api.Label
 	StateOK bool
 	Parts   []PartNews
+	Rented  []Rented
+}
+
+// Rented names machines that were rented lately: whoever rents next must count on
+// them before the list shows them.
+type Rented struct {
+	Type     api.TypeName
+	Zone     api.Zone
+	Spot     bool
+	Machines []api.MachineID
 }
 
 // PartNews describes a part to the nodes that do not own it.
@@ -183,7 +195,7 @@
 	Part        api.PartID
 	Kinds       []Kind // that Rooms refer to
 	Rooms       []Room
-	Accelerated map[api.TypeName]Count
+	Accelerated map[Supply]Count
 	Mute        map[api.Zone]Mute
 	Silent      []api.MachineID            // that do not report to their owner
 	Fresh       []api.MachineID            // that have come up lately
