--- a/control/stock.go
+++ b/control/stock.go
@@ -131,6 +131,9 @@
 		default:
 			l.prompt += machines
 		}
+		if !n.prompt(j.Spec) && n.spotRisk(j) > 0.3 {
+			l.prompt += machines
+		}
 		now[typ.Name] = l
 	}
 	counts := n.countsByPart()
