--- a/control/stock.go
+++ b/control/stock.go
@@ -142,7 +142,7 @@
 			st := n.stockOf(name)
 			l := now[name]
 			l.at = n.now
-			st.note(l, api.Time(2*n.hold(name)), api.Time(api.Seconds(typ.Boot)))
+			st.note(l, api.Time(n.hold(name)+2*useEvery), api.Time(api.Seconds(typ.Boot)))
 			n.markSurplus(name, st, counts)
 		}
 	}
