--- a/control/part.go
+++ b/control/part.go
@@ -336,32 +336,21 @@
 }
 
 // imagesComing are the images that tasks on a machine wait for.
-func (n *Node) imagesComing(m *Machine) map[api.Image]bool {
-	var out map[api.Image]bool
+func (n *Node) imagesComing(m *Machine) map[api.Image]float64 {
+	var out map[api.Image]float64
 	for _, p := range n.book.on(m.ID) {
-		img := p.job.Spec.Image
-		if _, has := m.images[img]; has || p.over || p.stop || p.job.final() {
+		s := p.job.Spec
+		if _, has := m.images[s.Image]; has || p.over || p.stop || p.job.final() {
 			continue
 		}
 		if out == nil {
-			out = map[api.Image]bool{}
+			out = map[api.Image]float64{}
 		}
-		out[img] = true
+		out[s.Image] = s.ImageGB
 	}
 	return out
 }
 
-// tied is the share of a machine's accelerators that services use.
-func (n *Node) tied(m *Machine, typ *api.MachineType) float64 {
-	var used api.Amount
-	for _, p := range n.book.on(m.ID) {
-		if p.job.Spec.Kind == api.Service && !p.over && !p.stop && !p.job.final() {
-			used += p.job.demand.GPU
-		}
-	}
-	return used.Float() / max(typ.GPUs, 1)
-}
-
 // leftOf is what each team may still start in the part.
 func (n *Node) leftOf(p api.PartID) map[api.Team]api.Resources {
 	use := n.book.parts[p].use
@@ -415,7 +404,7 @@
 			continue
 		}
 		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
-			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Coming: n.imagesComing(m), Tied: n.tied(m, typ), Kept: n.keptFor(m)})
+			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Coming: n.imagesComing(m), Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -24,9 +24,8 @@
 	Spare  bool    // more than the load needs: used last, so that it can be returned
 	Pace   float64 // how much longer tasks take here than elsewhere; 0: not known
 	Images map[api.Image]Cached
-	Coming map[api.Image]bool // images that tasks on it still wait for
-	Fetch  float64            // GB per second
-	Tied   float64            // the share of its accelerators that work without an end uses
+	Coming map[api.Image]float64 // images that tasks on it still wait for, in GB
+	Fetch  float64               // GB per second
 	Kept   api.JobRef // only for this job, for which others made way
 }
 
@@ -51,15 +50,20 @@
 }
 
 // FetchTime is how long a task would wait for its image: not at all if it is there,
-// and about half as long if it is on its way for another.
+// for what is left of it if it is coming, and else in line with the others that
+// are, since fetches share the machine's rate.
 func (m *Machine) FetchTime(s *api.JobSpec) float64 {
 	if m.Fetch <= 0 || m.Has(s.Image) {
 		return 0
 	}
-	if m.Coming[s.Image] {
-		return s.ImageGB / 2 / m.Fetch
+	gb := 0.0
+	for _, size := range m.Coming {
+		gb += size
 	}
-	return s.ImageGB / m.Fetch
+	if _, ok := m.Coming[s.Image]; ok {
+		return gb / 2 / m.Fetch
+	}
+	return (gb + s.ImageGB) / m.Fetch
 }
 
 // Job is a job with pending tasks.
@@ -122,7 +126,6 @@
 	spotBonus     = 0.3 // what loses little there leaves the other machines to what would lose much
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
 	promptPenalty = 0.7 // room for prompt work is left free while there is other
-	packBonus     = 0.6 // work without an end shares few machines with accelerators, so that the others can go
 	sparePenalty  = 2.0 // more than any dot product is likely to gain
 	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
 	imageWeight   = 2.0 // a fetch, as a share of what the task takes in all
@@ -153,9 +156,6 @@
 	if m.Prompt && !j.Prompt && !j.Plain {
 		gain -= promptPenalty
 	}
-	if m.GPU && !j.Plain && j.Spec.Kind == api.Service {
-		gain += packBonus * m.Tied
-	}
 	if m.Spare {
 		gain -= sparePenalty
 	}
@@ -164,7 +164,7 @@
 	}
 	if fetch := m.FetchTime(j.Spec); fetch > 0 {
 		if j.Within > 0 {
-			gain -= min(1, fetch/j.Within)
+			gain -= min(2, fetch/j.Within)
 		} else {
 			gain -= imageWeight * fetch / (fetch + j.Spec.Estimate + 1)
 		}
