--- a/control/part.go
+++ b/control/part.go
@@ -335,22 +335,6 @@
 	return free
 }
 
-// imagesComing are the images that tasks on a machine wait for.
-func (n *Node) imagesComing(m *Machine) map[api.Image]float64 {
-	var out map[api.Image]float64
-	for _, p := range n.book.on(m.ID) {
-		s := p.job.Spec
-		if _, has := m.images[s.Image]; has || p.over || p.stop || p.job.final() {
-			continue
-		}
-		if out == nil {
-			out = map[api.Image]float64{}
-		}
-		out[s.Image] = s.ImageGB
-	}
-	return out
-}
-
 // leftOf is what each team may still start in the part.
 func (n *Node) leftOf(p api.PartID) map[api.Team]api.Resources {
 	use := n.book.parts[p].use
@@ -404,7 +388,7 @@
 			continue
 		}
 		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
-			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Coming: n.imagesComing(m), Kept: n.keptFor(m)})
+			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -24,8 +24,7 @@
 	Spare  bool    // more than the load needs: used last, so that it can be returned
 	Pace   float64 // how much longer tasks take here than elsewhere; 0: not known
 	Images map[api.Image]Cached
-	Coming map[api.Image]float64 // images that tasks on it still wait for, in GB
-	Fetch  float64               // GB per second
+	Fetch  float64    // GB per second
 	Kept   api.JobRef // only for this job, for which others made way
 }
 
@@ -49,23 +48,6 @@
 	return ok
 }
 
-// FetchTime is how long a task would wait for its image: not at all if it is there,
-// for what is left of it if it is coming, and else in line with the others that
-// are, since fetches share the machine's rate.
-func (m *Machine) FetchTime(s *api.JobSpec) float64 {
-	if m.Fetch <= 0 || m.Has(s.Image) {
-		return 0
-	}
-	gb := 0.0
-	for _, size := range m.Coming {
-		gb += size
-	}
-	if _, ok := m.Coming[s.Image]; ok {
-		return gb / 2 / m.Fetch
-	}
-	return (gb + s.ImageGB) / m.Fetch
-}
-
 // Job is a job with pending tasks.
 type Job struct {
 	Spec      *api.JobSpec
@@ -162,9 +144,10 @@
 	if m.Spot {
 		gain += spotBonus - spotPenalty*j.SpotRisk
 	}
-	if fetch := m.FetchTime(j.Spec); fetch > 0 {
+	if m.Fetch > 0 && !m.Has(j.Spec.Image) {
+		fetch := j.Spec.ImageGB / m.Fetch
 		if j.Within > 0 {
-			gain -= min(2, fetch/j.Within)
+			gain -= min(1, fetch/j.Within)
 		} else {
 			gain -= imageWeight * fetch / (fetch + j.Spec.Estimate + 1)
 		}
