--- a/control/node.go
+++ b/control/node.go
@@ -149,7 +149,7 @@
 	// one, and a burst should not wait for that.
 	n.rentGap = max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS))
 	// Sockets are for workers' and users' connections in the first place.
-	n.maxDirects = 32
+	n.maxDirects = 64
 	if fds := d.Limits.FDLimit; fds > 0 {
 		n.maxDirects = max(4, min(n.maxDirects, fds/16))
 	}
--- a/control/silence.go
+++ b/control/silence.go
@@ -22,8 +22,10 @@
 	if m.notice {
 		patience = n.cfg.ReportEvery() + 2*time.Second
 	}
-	if m.heard == 0 {
-		patience += 6 * time.Second
+	if m.heard == 0 && m.addr != "" {
+		// Since a takeover it has been called rather than waited for: its report need
+		// not come to us.
+		patience /= 2
 	}
 	if quiet <= patience || m.missed < enoughMissed && m.addr != "" {
 		return
@@ -79,11 +81,19 @@
 func (n *Node) muteOf(t *turf) map[api.Zone]Mute {
 	zones := map[api.Zone]Mute{}
 	for _, m := range n.machinesOf(t.part) {
-		if m.heard == 0 {
-			continue
+		if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
+			continue // booting
 		}
 		z := zones[m.zone]
 		z.All++
+		if m.heard == 0 {
+			// A new owner that is cut off itself hears none and gets no answers.
+			if m.missed > 0 {
+				z.Silent++
+			}
+			zones[m.zone] = z
+			continue
+		}
 		// One that is only heard by way of peers speaks for a cut as well.
 		if m.missed > 0 || n.now.Sub(max(m.heard, t.since)) > n.cfg.ReportEvery()+2*time.Second {
 			z.Silent++
