--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,8 +9,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,6 +23,12 @@
 // Prefix is where the API lies.
 const Prefix = "/admin/v1/"
 
+// How many jobs are shown when nothing else is asked for, and at most.
+const (
+	defaultJobs = 100
+	maxJobs     = 1000
+)
+
 // Command is what a request asks of the owner, or the status that refuses it.
 func Command(req control.ReqID, r httpx.Request) (control.Command, int) {
 	parts := strings.Split(strings.TrimPrefix(r.Path, Prefix), "/")
@@ -31,7 +39,18 @@
 		if r.Method == "PUT" {
 			ask.What, want = "set", "PUT"
 		}
-	case len(parts) == 1 && slices.Contains([]string{"members", "parts", "machines", "teams", "jobs", "metrics"}, parts[0]):
+	case len(parts) == 1 && parts[0] == "jobs":
+		q, err := url.ParseQuery(r.Query)
+		if err != nil {
+			return nil, 400
+		}
+		ask.Team, ask.Limit = q.Get("team"), defaultJobs
+		if l := q.Get("limit"); l != "" {
+			if ask.Limit, err = strconv.Atoi(l); err != nil || ask.Limit < 1 || ask.Limit > maxJobs {
+				return nil, 400
+			}
+		}
+	case len(parts) == 1 && slices.Contains([]string{"members", "parts", "machines", "teams", "metrics"}, parts[0]):
 	case len(parts) == 2 && parts[0] == "jobs" && parts[1] != "":
 		ask.What, ask.ID = "job", parts[1]
 	case len(parts) == 3 && parts[0] == "machines" && parts[1] != "" && (parts[2] == "drain" || parts[2] == "undrain"):
@@ -53,7 +72,7 @@
 	Parts    showCmd   `cmd:"" help:"Show the parts, their owners and terms."`
 	Machines showCmd   `cmd:"" help:"Show the machines, their tasks, and why one is avoided."`
 	Teams    showCmd   `cmd:"" help:"Show the teams, their guarantees and shares."`
-	Jobs     showCmd   `cmd:"" help:"Show the jobs that are not over, and why their tasks wait."`
+	Jobs     jobsCmd   `cmd:"" help:"Show the jobs that are not over, late ones first: whose, how late, and why."`
 	Metrics  showCmd   `cmd:"" help:"Show what a controller has done and how long it took."`
 	Job      jobCmd    `cmd:"" help:"Show one job."`
 	Drain    drainCmd  `cmd:"" help:"Start no more tasks on a machine."`
@@ -64,6 +83,11 @@
 
 type showCmd struct{}
 
+type jobsCmd struct {
+	Team  string `placeholder:"TEAM" help:"Only this team's."`
+	Limit int    `default:"100" help:"So many at most (1 to 1000)."`
+}
+
 type jobCmd struct {
 	Ref string `arg:"" help:"The job's id."`
 }
@@ -79,6 +103,12 @@
 // Do runs the subcommand that was chosen.
 func (c *Cmd) Do(chosen string) error {
 	switch chosen {
+	case "jobs":
+		q := url.Values{"limit": {strconv.Itoa(c.Jobs.Limit)}}
+		if c.Jobs.Team != "" {
+			q.Set("team", c.Jobs.Team)
+		}
+		return c.call("GET", "jobs?"+q.Encode(), nil)
 	case "job <ref>":
 		return c.call("GET", "jobs/"+c.Job.Ref, nil)
 	case "drain <machine>":
--- a/control/ask.go
+++ b/control/ask.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"basaltwall/api"
-	"basaltwall/sched"
 )
 
 // Settings are what operators decide, beyond the platform's file. They live in
@@ -96,20 +95,6 @@
 			GPUs float64    `json:"gpus"`
 		} `json:"shares,omitempty"`
 	}
-	// JobView is a job; Late says whose it is when it can't be in time any more.
-	JobView struct {
-		Ref     api.JobRef   `json:"job"`
-		Class   api.Class    `json:"class"`
-		Team    api.Team     `json:"team"`
-		State   api.JobState `json:"state"`
-		Tasks   int          `json:"tasks"`
-		Done    int          `json:"done"`
-		Placed  int          `json:"placed"`
-		Parts   []api.PartID `json:"parts"`
-		Elapsed float64      `json:"elapsed_s"`
-		Late    api.Team     `json:"late_of,omitempty"`
-		Why     []string     `json:"waits_because,omitempty"`
-	}
 )
 
 // ask answers an operator.
@@ -130,18 +115,18 @@
 	case "teams":
 		n.reply(c.Req, 200, n.viewTeams(), 0)
 	case "jobs":
-		out := []JobView{}
-		for _, ref := range slices.Sorted(maps.Keys(n.book.jobs)) {
-			out = append(out, n.viewJob(n.book.jobs[ref]))
+		if _, known := n.teams[api.Team(c.Team)]; c.Team != "" && !known {
+			n.refuse(c.Req, 404, fmt.Sprintf("team: there is no team %q", c.Team))
+			return
 		}
-		n.reply(c.Req, 200, out, 0)
+		n.reply(c.Req, 200, n.viewJobs(api.Team(c.Team), c.Limit), 0)
 	case "job":
 		j := n.book.jobs[api.JobRef(c.ID)]
 		if j == nil {
 			n.refuse(c.Req, 404, "no such job, or it is over")
 			return
 		}
-		n.reply(c.Req, 200, n.viewJob(j), 0)
+		n.reply(c.Req, 200, n.viewJob(j, n.rooms()), 0)
 	case "settings":
 		n.reply(c.Req, 200, n.settingsNow(), 0)
 	case "set":
@@ -285,59 +270,3 @@
 	}
 	return out
 }
-
-func (n *Node) viewJob(j *Job) JobView {
-	v := JobView{Ref: j.ref, Class: j.Spec.Class, Team: j.Spec.Team, State: j.state(), Tasks: j.Spec.Tasks, Done: j.doneN,
-		Placed: len(j.places), Parts: []api.PartID{}, Elapsed: float64(n.wall-j.Accepted) / 1000}
-	for _, r := range j.Split {
-		if !slices.Contains(v.Parts, r.Part) {
-			v.Parts = append(v.Parts, r.Part)
-		}
-	}
-	if j.final() {
-		return v
-	}
-	if l := n.limits(j.Spec); len(l) > 0 && v.Elapsed+j.Spec.Estimate > l[0] {
-		v.Late = j.Spec.Team
-	}
-	for _, p := range v.Parts {
-		if w := j.waiting(p); w > 0 {
-			v.Why = append(v.Why, fmt.Sprintf("part %d: %d tasks: %s", p, w, n.whyWaiting(j, p)))
-		}
-	}
-	return v
-}
-
-// whyWaiting says what keeps a job's tasks from starting in a part.
-func (n *Node) whyWaiting(j *Job, p api.PartID) string {
-	owner := n.book.parts[p].owner
-	switch {
-	case !n.live(owner):
-		return "the part has no living owner"
-	case j.hold > n.now:
-		return fmt.Sprintf("backs off for another %.0f s after failures", j.hold.Sub(n.now).Seconds())
-	case j.Spec.Kind == api.Gang && len(j.places) > 0:
-		return "the gang's last attempt has not ended everywhere"
-	}
-	need := j.demand
-	if j.Spec.Kind == api.Gang {
-		need = need.Times(j.Spec.Tasks)
-	}
-	left := n.leftOf(p)[j.Spec.Team]
-	need.Mem = 0
-	if !need.Fits(left) {
-		return fmt.Sprintf("team %s has %.1f CPUs and %.1f GPUs of its limit left here", j.Spec.Team, left.CPU.Float(), left.GPU.Float())
-	}
-	allowed, usable, room := 0, 0, 0
-	n.eachRoom(func(q api.PartID, k Kind, r Room) {
-		if q != p || !sched.Allowed(j.Spec, k.Type, k.Zone, k.Spot) {
-			return
-		}
-		allowed += r.Count
-		if k.Usable && !(k.Closed && n.plain(j.Spec)) {
-			usable += r.Count
-			room += r.Count * j.demand.Slots(r.Free)
-		}
-	})
-	return fmt.Sprintf("%d machines are allowed, %d usable, with room for %d tasks", allowed, usable, room)
-}
--- a/control/book.go
+++ b/control/book.go
@@ -228,6 +228,7 @@
 	places map[int]*Place
 	placed map[api.PartID]int // how many places by part
 	overN  int                // places that are over but not yet recorded so
+	again  int                // starts that ended otherwise than by completing, since this process knows the job
 
 	// Owner's working notes.
 	hold     api.Time // no new starts before, after failures
@@ -237,6 +238,8 @@
 	wayAt    api.Time // others are not made to give way before
 	quick    bool     // others were made to give way so that it starts soon
 	begun    bool     // a start was planned here
+	lostWith int      // tasks that our parts lost with their machines
+	madeWay  int      // tasks that our parts stopped for more urgent work
 	ran      float64  // seconds that tasks took which were seen to complete
 	runs     int      // and how many they were
 }
@@ -435,6 +438,7 @@
 				b.dropPlace(p)
 			}
 		}
+		j.again += len(d.Lost)
 		for _, i := range d.Done {
 			j.complete(part, i)
 		}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -118,7 +118,9 @@
 		return
 	}
 	n.readList()
-	n.watchUse()
+	if n.now >= n.fleet.useNext && !n.behind() {
+		n.watchUse()
+	}
 	if t := n.turfs[0]; t != nil {
 		n.rent(t)
 	}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -74,7 +74,8 @@
 
 // gossip tells every peer about our parts.
 func (n *Node) gossip() {
-	if n.now < n.gossipAt {
+	// News is believed for some seconds: a controller that is behind tells less often.
+	if n.now < n.gossipAt || n.behind() && n.now < n.gossipAt.Add(4*gossipEvery) {
 		return
 	}
 	n.gossipAt = n.now.Add(gossipEvery)
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -123,21 +123,21 @@
 	}
 }
 
-// A job's last task is as much to be kept off spot machines as its first when no
-// time is left to run it again, also when an earlier limit is missed already.
+// A job that has no time to run a task again, also when an earlier limit is missed
+// already, is at risk on spot machines; one that has time is not.
 func TestNoTimeForAnotherRunKeepsOffSpot(t *testing.T) {
-	spec := testSpec(1)
+	spec := testSpec(40)
 	spec.Spot, spec.Estimate = true, 100
 	n, _, _, j := owner(t, spec)
 	for _, c := range []struct {
 		deadline, elapsed float64
 		off               bool
-	}{{150, 0, true}, {5000, 0, false}, {5000, 4850, true}, {50, 0, false}} {
+	}{{150, 0, true}, {300, 0, false}, {5000, 0, false}, {5000, 4850, true}, {50, 0, false}} {
 		spec := *j.Spec
 		spec.Deadline = &c.deadline
 		j.Spec = &spec
 		n.wall = j.Accepted + api.Wall(c.elapsed*1000)
-		if risk := n.spotRisk(j); risk >= 0.5 != c.off {
+		if risk := n.spotRisk(j); (risk >= 0.5) != c.off || !c.off && risk > 0.1 {
 			t.Errorf("deadline %v s, %v s gone, runs 100 s: risk %.2f", c.deadline, c.elapsed, risk)
 		}
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -264,7 +264,7 @@
 			continue
 		}
 		if p.Session < m.session {
-			n.end(t, p, false, "session over")
+			n.end(t, p, false, sessionWhy)
 			continue
 		}
 		tr, ok := m.tasks[taskKey{p.Task, p.Attempt}]
--- a/control/messages.go
+++ b/control/messages.go
@@ -47,10 +47,12 @@
 	}
 	// Ask is an operator's question or order; What says which.
 	Ask struct {
-		Req  ReqID
-		What string
-		ID   string
-		Body []byte
+		Req   ReqID
+		What  string
+		ID    string
+		Team  string // jobs: only this team's
+		Limit int    // jobs: so many at most
+		Body  []byte
 	}
 	// Hear is another controller's news.
 	Hear struct {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -11,15 +11,72 @@
 // metrics are what an operator may want to see of the past: counts since the
 // process began and how long things took, in microseconds.
 type metrics struct {
-	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent uint64
-	StateRequests, StateWrites, StateFailures                            uint64
-	CloudRequests, WorkerCalls, Reports                                  uint64
-	FlowTasks, FlowMachines                                              int // of the last round
-	times                                                                map[string]*hdrhistogram.Histogram
+	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent, Shed uint64
+	StateRequests, StateWrites, StateFailures                                  uint64
+	CloudRequests, WorkerCalls, Reports                                        uint64
+	FlowTasks, FlowMachines                                                    int // of the last round
+	spent                                                                      Spent
+	times                                                                      map[string]*hdrhistogram.Histogram
 }
 
-// Spent tells the owner how long its last step took: it has no clock.
-type Spent struct{ Time time.Duration }
+// Spent tells the owner, which has no clock, how long its last step took and, since
+// the process began, each kind of work and the whole process; and how many
+// commands wait.
+type Spent struct {
+	Time    time.Duration
+	Work    [Works]time.Duration
+	Process time.Duration
+	Queue   int
+}
+
+// Work is a kind of work, for accounts of the time that it takes.
+type Work int
+
+// Kinds of work: commands by where they come from, then what is done by the clock.
+const (
+	WorkUsers Work = iota
+	WorkReports
+	WorkState
+	WorkWorkers // answers to direct calls
+	WorkCloud
+	WorkPeers
+	WorkOperators
+	WorkMembership // the lease, and following the state
+	WorkFleet
+	WorkRounds
+	WorkMachines
+	WorkGossip
+	Works // how many there are
+)
+
+var workNames = [Works]string{"users", "reports", "state_answers", "worker_answers", "cloud_answers", "peers", "operators",
+	"membership", "fleet", "rounds", "machines", "gossip"}
+
+// workOf is the kind of work that a command makes.
+func workOf(c Command) Work {
+	switch c.(type) {
+	case Submit, Poll, Cancel, Ready:
+		return WorkUsers
+	case Checkin:
+		return WorkReports
+	case StateAnswer:
+		return WorkState
+	case WorkerAnswer:
+		return WorkWorkers
+	case CloudAnswer:
+		return WorkCloud
+	case Hear, PeerAnswer:
+		return WorkPeers
+	}
+	return WorkOperators
+}
+
+// begin tells whoever has a clock which kind of work comes next.
+func (n *Node) begin(w Work) {
+	if n.Begins != nil {
+		n.Begins(w)
+	}
+}
 
 // took notes a duration.
 func (m *metrics) took(what string, d time.Duration) {
@@ -71,6 +128,13 @@
 	Waiting       int               `json:"waiting_tasks"`
 	Calls         int               `json:"calls_open"`
 	Times         map[string]timing `json:"times"`
+
+	// Seconds since the process began, by kind of work, and of the whole process:
+	// the rest of that is messages and the runtime.
+	Work    map[string]float64 `json:"work_s"`
+	Process float64            `json:"processor_s"`
+	Queue   int                `json:"commands_waiting"`
+	Shed    uint64             `json:"optional_work_put_off"`
 }
 
 func (n *Node) viewMetrics() MetricsView {
@@ -81,7 +145,10 @@
 		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
 		CloudRequests: m.CloudRequests, CloudRPS: n.cfg.Deployment.Cloud.RPS, WorkerCalls: m.WorkerCalls, Reports: m.Reports,
 		FlowTasks: m.FlowTasks, FlowMachines: m.FlowMachines, Jobs: len(n.book.jobs), Calls: len(n.calls),
-		Times: map[string]timing{}}
+		Times: map[string]timing{}, Work: map[string]float64{}, Process: m.spent.Process.Seconds(), Queue: m.spent.Queue, Shed: m.Shed}
+	for w, d := range m.spent.Work {
+		v.Work[workNames[w]] = d.Seconds()
+	}
 	for _, j := range n.book.open {
 		for p := range n.book.parts {
 			v.Waiting += j.waiting(api.PartID(p))
--- a/control/node.go
+++ b/control/node.go
@@ -31,6 +31,9 @@
 
 // Node is one controller.
 type Node struct {
+	// Begins, if set, is told which kind of work comes next.
+	Begins func(Work)
+
 	cfg  *config.Config
 	born int64
 	now  api.Time
@@ -170,6 +173,7 @@
 		n.started, n.startedAt = true, now
 	}
 	for _, c := range cmds {
+		n.begin(workOf(c))
 		n.handle(c)
 	}
 	n.tick()
@@ -200,6 +204,7 @@
 		n.cancel(c)
 	case Spent:
 		n.metrics.took("step", c.Time)
+		n.metrics.spent = c
 	case Ready:
 		n.ready(c)
 	case Checkin:
@@ -332,6 +337,7 @@
 		n.paused = n.paused[1:]
 		do()
 	}
+	n.begin(WorkMembership)
 	n.membership()
 	if !n.loaded {
 		n.load()
@@ -339,17 +345,35 @@
 	}
 	n.follow()
 	n.takeParts()
+	n.begin(WorkFleet)
 	n.runFleet()
+	n.begin(WorkRounds)
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		if t := n.turfs[p]; t != nil {
 			n.runPart(t)
 		}
 	}
+	n.begin(WorkMachines)
 	n.tendMachines()
 	n.deleteDoomed()
+	n.begin(WorkGossip)
 	n.gossip()
 }
 
+// behind reports whether so many commands wait that what is merely better than
+// nothing is put off: better fits, moves, lending, renting ahead, news. Never the
+// lease, answers, evidence or starts.
+func (n *Node) behind() bool {
+	if n.metrics.spent.Queue < behindAt {
+		return false
+	}
+	n.metrics.Shed++
+	return true
+}
+
+// behindAt is some batches of commands: what comes in a few steps.
+const behindAt = 256
+
 // membership keeps our leased key alive.
 func (n *Node) membership() {
 	if n.member && n.loaded && !n.live(n.cfg.Label) && n.now.Sub(n.memberAt) > time.Second {
--- a/control/part.go
+++ b/control/part.go
@@ -64,7 +64,7 @@
 		if n.fleet.gone[pl.Machine] == 0 {
 			n.machine(pl.Machine)
 		} else {
-			n.end(t, pl, false, "machine deleted")
+			n.end(t, pl, false, lostWhy)
 		}
 	}
 	for _, m := range n.machinesOf(p) {
@@ -83,10 +83,19 @@
 	t.ends[p] = done
 	t.dirty = true
 	if !done {
+		if why == lostWhy || why == sessionWhy {
+			p.job.lostWith++
+		}
 		slog.Info("task over", "task", p.Task, "machine", p.Machine, "why", why)
 	}
 }
 
+// Why a task is over that went with its machine, or with its worker's session.
+const (
+	lostWhy    = "machine deleted"
+	sessionWhy = "session over"
+)
+
 // deposed drops a part whose record can't be written any more.
 func (n *Node) deposed(t *turf) {
 	if n.turfs[t.part] == t {
@@ -100,8 +109,10 @@
 func (n *Node) runPart(t *turf) {
 	n.checkpoint(t)
 	n.putAway(t)
-	n.rebalance(t)
-	n.lend(t)
+	if !n.behind() {
+		n.rebalance(t)
+		n.lend(t)
+	}
 	if t.writing != nil || t.leaving || t.lending || n.now < t.next || !t.dirty && !t.wantRev {
 		return
 	}
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -240,6 +240,7 @@
 func (n *Node) clear(w way, ref api.JobRef) {
 	for _, p := range w.victims {
 		n.metrics.Preempted++
+		p.job.madeWay++
 		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", ref)
 		n.stop(p)
 	}
--- a/control/silence.go
+++ b/control/silence.go
@@ -47,8 +47,10 @@
 	n.remove(m, t, unreachableWhy)
 }
 
-// givenUpAfter is how long a machine may be silent.
-func (n *Node) givenUpAfter() time.Duration { return 2 * n.cfg.ReportEvery() }
+// givenUpAfter is how long a machine may be silent: long enough for the others of
+// its zone to be found silent too, and that to be told, if it is the zone that is
+// cut off.
+func (n *Node) givenUpAfter() time.Duration { return 2*n.cfg.ReportEvery() + 2*workerTimeout }
 
 // enoughMissed is how many direct calls in a row must go unanswered before a
 // machine is given up.
@@ -179,7 +181,7 @@
 				if n.turfs[d.t.part] == d.t {
 					for _, p := range n.book.on(d.m.ID) {
 						if p.Part == d.t.part && !p.over {
-							n.end(d.t, p, false, "machine deleted")
+							n.end(d.t, p, false, lostWhy)
 						}
 					}
 					d.t.dirty = true
--- a/control/stock.go
+++ b/control/stock.go
@@ -101,11 +101,7 @@
 // Those are the dear ones; of the others a few more do not matter, and rounds of
 // short tasks miss them (docs/measurements.md).
 func (n *Node) watchUse() {
-	f := &n.fleet
-	if n.now < f.useNext {
-		return
-	}
-	f.useNext = n.now.Add(useEvery)
+	n.fleet.useNext = n.now.Add(useEvery)
 	n.countSpot()
 	now := map[api.TypeName]load{}
 	for _, j := range n.book.jobs {
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"basaltwall/admin"
@@ -33,12 +34,13 @@
 
 // Node is a running controller.
 type Node struct {
-	cfg    *config.Config
-	owner  *control.Node
-	queue  chan control.Command
-	server *httpx.Server
-	client *httpx.Client
-	start  time.Time
+	cfg     *config.Config
+	owner   *control.Node
+	queue   chan control.Command
+	reports chan control.Command // of workers: they come when the rest is done
+	server  *httpx.Server
+	client  *httpx.Client
+	start   time.Time
 
 	mu   sync.Mutex
 	reqs map[control.ReqID]origin
@@ -52,7 +54,8 @@
 
 // New returns a controller that is not yet running.
 func New(cfg *config.Config) *Node {
-	n := &Node{cfg: cfg, queue: make(chan control.Command, queueLength), start: time.Now(), reqs: map[control.ReqID]origin{}}
+	n := &Node{cfg: cfg, queue: make(chan control.Command, queueLength),
+		reports: make(chan control.Command, queueLength), start: time.Now(), reqs: map[control.ReqID]origin{}}
 	n.owner = control.New(cfg, n.start.UnixNano())
 	// Workers and users come first: one controller alone may have to carry all
 	// of them. An eighth of the sockets is kept for calls under way.
@@ -81,7 +84,9 @@
 	tick := time.NewTicker(control.Tick)
 	defer tick.Stop()
 	swept := time.Now()
-	var spent time.Duration
+	m := &meter{}
+	n.owner.Begins = m.begin
+	var spent control.Spent
 	batch := make([]control.Command, 0, 64)
 	for {
 		batch = batch[:0]
@@ -92,28 +97,67 @@
 			return err
 		case c := <-n.queue:
 			batch = append(batch, c)
+		case c := <-n.reports:
+			batch = append(batch, c)
 		case <-tick.C:
 		}
-	more:
-		for len(batch) < cap(batch) {
-			select {
-			case c := <-n.queue:
-				batch = append(batch, c)
-			default:
-				break more
-			}
-		}
-		batch = append(batch, control.Spent{Time: spent})
+		// Requests and answers go first, but reports keep a quarter.
+		batch = drain(batch, n.queue, cap(batch)*3/4)
+		batch = drain(batch, n.reports, cap(batch)-1)
+		batch = drain(batch, n.queue, cap(batch)-1)
+		spent.Queue = len(n.queue) + len(n.reports)
+		batch = append(batch, spent)
 		now := time.Now()
-		for _, e := range n.owner.Step(api.Time(now.Sub(n.start)+1), api.Wall(now.UnixMilli()), batch) {
+		m.at = now
+		effects := n.owner.Step(api.Time(now.Sub(n.start)+1), api.Wall(now.UnixMilli()), batch)
+		m.begin(m.work)
+		for _, e := range effects {
 			n.perform(ctx, e)
 		}
-		spent = time.Since(now)
+		spent.Time, spent.Work = time.Since(now), m.spent
 		if now.Sub(swept) > 5*time.Second {
 			swept = now
 			n.client.Sweep()
+			spent.Process = processTime()
+		}
+	}
+}
+
+// drain adds what waits to a batch, up to a length.
+func drain(batch []control.Command, queue chan control.Command, most int) []control.Command {
+	for len(batch) < most {
+		select {
+		case c := <-queue:
+			batch = append(batch, c)
+		default:
+			return batch
 		}
 	}
+	return batch
+}
+
+// meter keeps account of the owner's time by kind of work.
+type meter struct {
+	at    time.Time
+	work  control.Work
+	spent [control.Works]time.Duration
+}
+
+// begin ends the account of one kind of work and begins that of another.
+func (m *meter) begin(w control.Work) {
+	now := time.Now()
+	m.spent[m.work] += now.Sub(m.at)
+	m.at, m.work = now, w
+}
+
+// processTime is the processor time of the whole process, or 0 where the system
+// does not tell.
+func processTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // perform carries out an effect. Calls run apart, each with a deadline, and
@@ -215,8 +259,12 @@
 		refuse(400, "malformed")
 		return
 	}
+	queue := n.queue
+	if _, ok := c.(control.Checkin); ok {
+		queue = n.reports
+	}
 	select {
-	case n.queue <- c:
+	case queue <- c:
 	default:
 		// The owner is far behind: the client is told when to come back.
 		n.answer(control.Reply{Req: req, Status: 503, Body: []byte(`{"error":"overloaded"}`), RetryAfter: 2})
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -142,7 +142,7 @@
 		return res.StatusCode, string(data)
 	}
 	for what, part := range map[string]string{"members": `"label":"stone-2"`, "parts": `"owner":"stone-1"`, "machines": `"type":"small"`,
-		"teams": `"team":"red"`, "jobs": `[`, "settings": `"drained"`, "metrics": `"round":{"count":`} {
+		"teams": `"team":"red"`, "jobs": `"open":`, "jobs?team=red&limit=5": `"jobs":[`, "settings": `"drained"`, "metrics": `"round":{"count":`} {
 		if code, got := call("GET", one+what, ""); code != 200 || !strings.Contains(got, part) {
 			t.Errorf("%s: %d %s lacks %s", what, code, got, part)
 		}
@@ -153,6 +153,11 @@
 			t.Errorf("%s: %d %s", body, code, got)
 		}
 	}
+	for query, code := range map[string]int{"team=nobody": 404, "limit=0": 400, "limit=x": 400, "limit=1001": 400, "team=%zz": 400} {
+		if got, body := call("GET", one+"jobs?"+query, ""); got != code {
+			t.Errorf("jobs?%s: %d %s, expected %d", query, got, body, code)
+		}
+	}
 	if code, got := call("PUT", one+"settings", `{"revision":1}`); code != 409 {
 		t.Errorf("a change of an old revision: %d %s", code, got)
 	}
