--- a/control/fleet.go
+++ b/control/fleet.go
@@ -334,6 +334,11 @@
 			coming[offer{h.Type, h.Zone, h.Spot}]++ // one that is late is not counted on any more
 		}
 	}
+	for id := range n.lendings {
+		if h, listed := f.hosts[id]; listed && up[id] && n.onItsWay(id) {
+			coming[offer{h.Type, h.Zone, h.Spot}]++
+		}
+	}
 	for id, r := range f.rented {
 		if _, listed := f.hosts[id]; !listed && !up[id] && f.gone[id] == 0 {
 			if m := n.machines[id]; m == nil || m.heard == 0 {
@@ -391,6 +396,18 @@
 				zone = ""
 			}
 		}
+		// Of work that is spread a zone takes only so much.
+		zones := map[api.Zone]int{}
+		if j.Spec.Spread {
+			zones, _ = n.zonesOf(j)
+		}
+		spread := func(z api.Zone) int {
+			if !j.Spec.Spread {
+				return waiting
+			}
+			return min(waiting, (j.Spec.Tasks+1)/2-zones[z])
+		}
+		open := func(z api.Zone) bool { return (zone == "" || z == zone) && spread(z) > 0 }
 		all := waiting
 		if within := n.startAim(j.Spec.Class); within > 0 && !plain && waiting > 0 {
 			// Work that ends will make room; a machine is rented only when
@@ -409,17 +426,18 @@
 			if waiting == 0 {
 				break
 			}
-			if (zone == "" || zone == s.zone) && !(plain && s.closed) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
-				k := min(waiting, j.demand.Slots(s.free))
+			if open(s.zone) && !(plain && s.closed) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
+				k := min(spread(s.zone), j.demand.Slots(s.free))
 				s.free = s.free.Minus(j.demand.Times(k))
 				waiting -= k
+				zones[s.zone] += k
 			}
 		}
 		for waiting > 0 {
-			o, ok := n.cheapest(j.Spec, need, zone)
+			o, ok := n.cheapest(j.Spec, need, open)
 			if !ok && zone != "" {
 				zone, waiting = "", all // all of it somewhere else
-				if o, ok = n.cheapest(j.Spec, need, zone); ok {
+				if o, ok = n.cheapest(j.Spec, need, open); ok {
 					zone = o.zone
 				}
 			}
@@ -433,8 +451,9 @@
 				zone = o.zone
 			}
 			free := n.types[o.typ].Capacity()
-			k := min(waiting, j.demand.Slots(free))
+			k := min(spread(o.zone), j.demand.Slots(free))
 			waiting -= k
+			zones[o.zone] += k
 			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k)), false})
 		}
 	}
@@ -522,8 +541,9 @@
 	return rate
 }
 
-// cheapest finds the offer with the lowest price for one task of the job.
-func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int, zone api.Zone) (offer, bool) {
+// cheapest finds the offer with the lowest price for one task of the job, in a zone
+// that is open to it.
+func (n *Node) cheapest(s *api.JobSpec, taken map[offer]int, open func(api.Zone) bool) (offer, bool) {
 	demand, plain := s.Demand(), n.plain(s)
 	var best offer
 	bestPrice := 0.0
@@ -540,7 +560,7 @@
 		for _, z := range zones {
 			for _, spot := range []bool{true, false} {
 				o := offer{name, z, spot}
-				if zone != "" && z != zone || !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now || n.zoneMute(z) {
+				if !open(z) || !sched.Allowed(s, name, z, spot) || n.fleet.refused[o] > n.now || n.zoneMute(z) {
 					continue
 				}
 				price := typ.Price
--- a/control/machine.go
+++ b/control/machine.go
@@ -161,6 +161,9 @@
 	if n.sorted != nil && n.sortedAt == n.book.lends {
 		return
 	}
+	if n.sortedAt != n.book.lends {
+		n.noteLendings()
+	}
 	n.sortedAt = n.book.lends
 	n.sorted = make([]*Machine, 0, len(n.machines))
 	for _, m := range n.machines {
@@ -178,6 +181,36 @@
 	}
 }
 
+// lending is when a machine's latest lending was first known here.
+type lending struct {
+	rev api.Revision
+	at  api.Time
+}
+
+func (n *Node) noteLendings() {
+	for id, l := range n.book.lent {
+		if n.lendings[id].rev != l.rev {
+			n.lendings[id] = lending{l.rev, n.now}
+		}
+	}
+	for id := range n.lendings {
+		if _, ok := n.book.lent[id]; !ok {
+			delete(n.lendings, id)
+		}
+	}
+}
+
+// onItsWay reports whether a machine was lent just now and its new owner is not
+// likely to have heard it yet: it is in nobody's account of what is free.
+func (n *Node) onItsWay(id api.MachineID) bool {
+	l, ok := n.lendings[id]
+	if !ok || n.now.Sub(l.at) > n.silentAfter() || len(n.book.on(id)) > 0 || n.fleet.gone[id] != 0 {
+		return false
+	}
+	m, t := n.machines[id], n.turfs[n.partOf(id)]
+	return t == nil || m == nil || m.heard == 0 || !n.usable(m, t)
+}
+
 // machinesOf lists a part's machines that are known here, in order.
 func (n *Node) machinesOf(p api.PartID) []*Machine {
 	n.arrange()
--- a/control/node.go
+++ b/control/node.go
@@ -69,6 +69,7 @@
 	sorted   []*Machine   // all of them in order; nil: to be listed anew
 	byPart   [][]*Machine // the same by part
 	sortedAt int
+	lendings map[api.MachineID]lending
 	kicked   []*Machine // to be called at once
 	sweep    int        // the next machine to look at
 	sweptAt  api.Time
@@ -135,7 +136,7 @@
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
-		sentTo: map[api.MachineID]redirected{}, since: map[ReqID]request{},
+		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, since: map[ReqID]request{},
 	}
 	for _, t := range d.Teams {
 		n.teams[t.Name] = t
--- a/control/stock.go
+++ b/control/stock.go
@@ -306,7 +306,7 @@
 		}
 		add := func(s *api.JobSpec, missing int) {
 			for ; missing > 0; missing-- {
-				o, ok := n.cheapest(s, need, "")
+				o, ok := n.cheapest(s, need, func(api.Zone) bool { return true })
 				if !ok {
 					break
 				}
