--- a/config/config.go
+++ b/config/config.go
@@ -48,35 +48,38 @@
 		Cloud string `json:"cloud"`
 		State string `json:"state"`
 	} `json:"external"`
-	Deployment struct {
-		Size       int         `json:"initial_size"`
-		Zones      []api.Zone  `json:"zones"`
-		Teams      []Team      `json:"teams"`
-		Objectives []Objective `json:"objectives"`
-		Workers    struct {
-			Report   float64 `json:"report_s"`
-			Lease    float64 `json:"lease_s"`
-			GangWait float64 `json:"gang_wait_s"`
-			GangPeer float64 `json:"gang_peer_s"`
-			Cancel   float64 `json:"cancel_s"`
-		} `json:"workers"`
-		State struct {
-			RPS      float64 `json:"rps"`
-			WriteRPS float64 `json:"write_rps"`
-			ValueKB  float64 `json:"value_kb"`
-			TxnOps   int     `json:"txn_ops"`
-		} `json:"state"`
-		Cloud struct {
-			RPS     float64 `json:"rps"`
-			ListLag float64 `json:"list_lag_s"`
-		} `json:"cloud"`
-		Limits struct {
-			CPUShare float64 `json:"cpu_share"`
-			MemoryMB float64 `json:"memory_mb"`
-			FDLimit  int     `json:"fd_limit"`
-		} `json:"limits"`
-		ClockErrorMS float64 `json:"clock_error_ms"`
-	} `json:"deployment"`
+	Deployment Deployment `json:"deployment"`
+}
+
+// Deployment is what all controllers have in common.
+type Deployment struct {
+	Size       int         `json:"initial_size"`
+	Zones      []api.Zone  `json:"zones"`
+	Teams      []Team      `json:"teams"`
+	Objectives []Objective `json:"objectives"`
+	Workers    struct {
+		Report   float64 `json:"report_s"`
+		Lease    float64 `json:"lease_s"`
+		GangWait float64 `json:"gang_wait_s"`
+		GangPeer float64 `json:"gang_peer_s"`
+		Cancel   float64 `json:"cancel_s"`
+	} `json:"workers"`
+	State struct {
+		RPS      float64 `json:"rps"`
+		WriteRPS float64 `json:"write_rps"`
+		ValueKB  float64 `json:"value_kb"`
+		TxnOps   int     `json:"txn_ops"`
+	} `json:"state"`
+	Cloud struct {
+		RPS     float64 `json:"rps"`
+		ListLag float64 `json:"list_lag_s"`
+	} `json:"cloud"`
+	Limits struct {
+		CPUShare float64 `json:"cpu_share"`
+		MemoryMB float64 `json:"memory_mb"`
+		FDLimit  int     `json:"fd_limit"`
+	} `json:"limits"`
+	ClockErrorMS float64 `json:"clock_error_ms"`
 }
 
 // Load reads and checks a settings file.
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -7,6 +7,10 @@
 // "script" has a line for each step, blank lines and lines from # on aside:
 //
 //	limit TEAM CPUS                     a team's limit on CPUs
+//	teams N GPUS MAX                    team-0 to team-(N-1), with so many guaranteed and
+//	                                    at most, instead of the usual ones
+//	aim KIND CLASS SECONDS              one more of the users' aims
+//	only TYPE                           the cloud has machines of this type alone, in zone a
 //	machines N [spot]                   machines that are up at the start
 //	capacity N                          machines the cloud has in all
 //	submit AT REF KIND key=value...     a job; see submit for the keys
@@ -22,6 +26,7 @@
 //	delay AT FOR SHARE                  transactions arrive seconds late
 //	cloud AT FOR                        the cloud is down
 //	kill AT MACHINE                     a machine fails silently
+//	take AT SHARE                       so much of the spot machines is taken in silence
 //	hang AT FOR MACHINE
 //	late AT FOR MACHINE                 direct commands to it are held on their way
 //	sick AT FOR MACHINE                 every task fails that it starts
@@ -32,7 +37,8 @@
 //	starts MIN MAX                      task starts in all
 //	deleted MIN MAX                     machines deleted by the controllers
 //	most WHAT N                         state-rps, state-writes, cloud-rps (a second, on
-//	                                    average), value (bytes) or direct-calls a start, at most
+//	                                    average), value (bytes), direct-calls a start, rentals
+//	                                    (calls) or rented (machines), at most
 package scenario
 
 import (
@@ -40,6 +46,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -129,17 +136,9 @@
 		return Result{}, fmt.Errorf("no script")
 	}
 	for _, l := range lines {
-		if l[0] == "limit" && len(l) == 3 {
-			cpus, err := strconv.ParseFloat(l[2], 64)
-			if err != nil {
-				return Result{}, err
-			}
-			for _, c := range cfgs {
-				for i := range c.Deployment.Teams {
-					if string(c.Deployment.Teams[i].Name) == l[1] {
-						c.Deployment.Teams[i].CPUsMax = cpus
-					}
-				}
+		for _, c := range cfgs {
+			if err := adjust(&c.Deployment, l); err != nil {
+				return Result{}, fmt.Errorf("%s: %w", strings.Join(l, " "), err)
 			}
 		}
 	}
@@ -148,6 +147,14 @@
 		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
 		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
 	}
+	for _, l := range lines {
+		if l[0] == "only" && len(l) == 2 {
+			r.w.Cloud.Types = slices.DeleteFunc(r.w.Cloud.Types, func(t api.MachineType) bool { return string(t.Name) != l[1] })
+			for i := range r.w.Cloud.Types {
+				r.w.Cloud.Types[i].Zones = []api.Zone{"a"}
+			}
+		}
+	}
 	if Trace {
 		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 			if a.Key == slog.TimeKey {
@@ -170,7 +177,8 @@
 	seconds := r.end.Seconds()
 	counts := map[string]float64{"state-rps": float64(r.w.State.Requests) / seconds, "state-writes": float64(r.w.State.Writes) / seconds,
 		"cloud-rps": float64(r.w.Cloud.Calls) / seconds, "value": float64(r.w.State.Largest),
-		"direct-calls": float64(r.w.Direct) / float64(max(1, r.w.Check.Starts))}
+		"direct-calls": float64(r.w.Direct) / float64(max(1, r.w.Check.Starts)),
+		"rentals":      float64(r.w.Cloud.Rentals), "rented": float64(r.w.Cloud.Rented)}
 	for what, most := range r.most {
 		got, ok := counts[what]
 		if !ok {
@@ -206,6 +214,36 @@
 	return res, nil
 }
 
+// adjust changes the settings as a line says.
+func adjust(d *config.Deployment, l []string) error {
+	form, ok := map[string]string{"limit": "sn", "teams": "nnn", "aim": "ssn", "only": "s"}[l[0]]
+	if !ok {
+		return nil
+	}
+	_, ns, ss, err := args(l[1:], form)
+	if err != nil {
+		return err
+	}
+	switch l[0] {
+	case "limit":
+		for i := range d.Teams {
+			if string(d.Teams[i].Name) == ss[0] {
+				d.Teams[i].CPUsMax = ns[0]
+			}
+		}
+	case "teams":
+		d.Teams = nil
+		for i := range int(ns[0]) {
+			d.Teams = append(d.Teams, config.Team{Name: api.Team(fmt.Sprintf("team-%d", i)), GPUs: ns[1], GPUsMax: ns[2]})
+		}
+	case "aim":
+		d.Objectives = append(d.Objectives, config.Objective{Kind: ss[0], Class: api.Class(ss[1]), Within: ns[0], Share: 0.9})
+	case "only":
+		d.Zones = []api.Zone{"a"}
+	}
+	return nil
+}
+
 // args reads a line's words by turns: d a duration in seconds, n a number, s a word.
 func args(words []string, form string) (ds []time.Duration, ns []float64, ss []string, err error) {
 	if len(words) != len(form) {
@@ -232,8 +270,8 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"limit": "sn", "capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
-		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds",
+	forms := map[string]string{"capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
+		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
@@ -246,7 +284,7 @@
 	}
 	machine := func(i int) api.MachineID { return api.MachineID(ss[i]) }
 	switch l[0] {
-	case "limit":
+	case "limit", "teams", "aim", "only":
 	case "machines":
 		return r.machines(rest)
 	case "capacity":
@@ -282,6 +320,8 @@
 		w.After(ds[0]+ds[1], func() { w.Cloud.Down = false })
 	case "kill":
 		w.After(ds[0], func() { w.Kill(machine(0)) })
+	case "take":
+		w.After(ds[0], func() { r.take(ns[0]) })
 	case "hang":
 		w.After(ds[0], func() { w.Hang(machine(0), ds[1]) })
 	case "late":
@@ -355,15 +395,16 @@
 	}
 	lag := r.w.Cloud.Lag
 	r.w.Cloud.Lag = 0
+	zones := r.w.Cloud.Types[0].Zones
 	for i := range n {
-		r.w.Cloud.Rent(typ, api.Zone([]string{"a", "b", "c"}[i%3]), spot, 10*time.Millisecond)
+		r.w.Cloud.Rent(typ, zones[i%len(zones)], spot, 10*time.Millisecond)
 	}
 	r.w.Cloud.Lag = lag
 	r.w.Cloud.Capacity = max(r.w.Cloud.Capacity, n)
 	return nil
 }
 
-// submit reads a job: tasks, cpus, gpus, run (seconds), team, priority, types,
+// submit reads a job: tasks, cpus, gpus, run (seconds), team (each: by turns), priority, types,
 // zone, deadline, checkpoint, save, at (a node), times and every (so many like it,
 // with the numbers that follow, so many seconds apart) with =, and the words
 // together, scatter and spot.
@@ -447,6 +488,10 @@
 	for i := range times {
 		one := *s
 		one.Ref = api.JobRef(fmt.Sprintf("run-%d", number+i))
+		if s.Team == "each" { // in turn
+			teams := r.cfgs[0].Deployment.Teams
+			one.Team = teams[i%len(teams)].Name
+		}
 		if one.Kind != api.Service {
 			r.refs = append(r.refs, one.Ref)
 		}
@@ -455,6 +500,17 @@
 	return nil
 }
 
+// take has the cloud take back every so many'th of the spot machines, unannounced.
+func (r *runner) take(share float64) {
+	seen := 0.0
+	for _, id := range r.w.Cloud.SpotMachines() {
+		if seen += share; seen >= 1 {
+			seen--
+			r.w.Kill(id)
+		}
+	}
+}
+
 // random draws faults of every kind between two times.
 func (r *runner) random(seed uint64, from, to time.Duration) {
 	rnd := rand.New(rand.NewPCG(seed, 3))
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -29,6 +30,8 @@
 	Down     bool
 	Calls    int // requests so far
 	Deleted  int // machines
+	Rentals  int // calls that got some
+	Rented   int // machines they got
 	// Lag is how old the list is.
 	Lag time.Duration
 }
@@ -53,6 +56,18 @@
 	return id
 }
 
+// SpotMachines lists the spot machines that are up, in order.
+func (c *Cloud) SpotMachines() []api.MachineID {
+	var out []api.MachineID
+	for id, h := range c.hosts {
+		if h.Spot && h.State == api.MachineRunning {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Serve answers a request.
 func (c *Cloud) Serve(method, target string, body []byte) (int, []byte) {
 	c.Calls++
@@ -105,6 +120,8 @@
 				return 503, []byte(`{"error":"no capacity"}`)
 			}
 			c.answers[r.Name] = got
+			c.Rentals++
+			c.Rented += len(got)
 		}
 		out = api.MachineNames{Machines: got}
 	case method == "POST" && u.Path == api.PathDelete:
