--- a/control/node.go
+++ b/control/node.go
@@ -82,6 +82,7 @@
 	mutedAt    api.Time
 	muteZones  map[api.Zone]Mute
 	muteAll    Mute
+	muteAt     map[api.Zone]api.Time // when a zone was last mute; under no name: all
 
 	turfs    map[api.PartID]*turf
 	peers    map[api.Label]*peerNews
@@ -136,7 +137,7 @@
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
-		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, since: map[ReqID]request{},
+		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, muteAt: map[api.Zone]api.Time{}, since: map[ReqID]request{},
 	}
 	for _, t := range d.Teams {
 		n.teams[t.Name] = t
--- a/control/silence.go
+++ b/control/silence.go
@@ -35,9 +35,9 @@
 	}
 	lease := n.cfg.WorkerLease()
 	switch busy := len(n.book.on(m.ID)) > 0; {
-	case n.allMute() && quiet < 2*lease:
+	case n.lately(n.allMute(), "") && quiet < 2*lease:
 		return // it is we who do not hear, as it seems
-	case n.zoneMute(m.zone) && (quiet < lease || !busy && quiet < 3*lease):
+	case n.lately(n.zoneMute(m.zone), m.zone) && (quiet < lease || !busy && quiet < 3*lease):
 		// The zone is cut off. As long as its leases last its tasks may run on;
 		// after that they are lost for certain, so that no more is lost by a
 		// deletion, which alone proves them over. What holds no tasks may as
@@ -47,6 +47,16 @@
 	n.remove(m, t, unreachableWhy)
 }
 
+// lately reports whether a zone, or all machines where none is named, is mute or was
+// until just now: when a cut ends, the last ones must have time to be heard again.
+func (n *Node) lately(mute bool, zone api.Zone) bool {
+	if mute {
+		n.muteAt[zone] = n.now
+	}
+	at, ever := n.muteAt[zone]
+	return ever && n.now.Sub(at) < n.silentAfter()+workerTimeout
+}
+
 // givenUpAfter is how long a machine may be silent: long enough for the others of
 // its zone to be found silent too, and that to be told, if it is the zone that is
 // cut off.
@@ -108,6 +118,9 @@
 // zoneMute reports whether so many machines of a zone are silent that the
 // network is at fault more likely than they.
 func (n *Node) zoneMute(zone api.Zone) bool {
+	if len(n.cfg.Deployment.Zones) < 2 {
+		return false // there is nothing to hold it against, nor anywhere else to go
+	}
 	n.countMute()
 	z := n.muteZones[zone]
 	return z.Silent >= 2 && z.Silent*3 >= z.All
