--- a/control/part.go
+++ b/control/part.go
@@ -386,12 +386,13 @@
 	}
 	in := &sched.Input{Largest: n.largest, Left: n.leftOf(t.part), Most: most}
 	var machines []*Machine // with room for something
-	usable := 0
+	cpus, usable := 0.0, 0
 	for _, m := range n.machinesOf(t.part) {
 		if !n.usable(m, t) {
 			continue
 		}
 		typ := n.types[m.typ]
+		cpus += typ.CPUs
 		usable++
 		free := n.freeOn(m, t)
 		if !least.Fits(free) {
@@ -402,10 +403,6 @@
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
-	average := 0.0
-	for _, j := range jobs {
-		average += j.workWaiting() / float64(len(jobs))
-	}
 	kept := jobs[:0]
 	for _, j := range jobs {
 		pending := n.pending(t, j, w, max(usable, 1))
@@ -416,7 +413,7 @@
 		if !known && (j.Spec.OneZone || j.Spec.Spread) {
 			continue // where its other tasks are is not known yet
 		}
-		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, average),
+		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
 			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn,
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.failedOn)*2 > usable {
@@ -576,10 +573,10 @@
 }
 
 // urgency orders jobs of one rank, between 0 and 1. Of the jobs that can still
-// be complete in time, those with least work waiting go first, held against what
-// waits for a job on average: so as many as possible are in time when not all can
-// be. A job that can't be in time any more waits for the others.
-func (n *Node) urgency(j *Job, average float64) float64 {
+// be complete in time, those with least work left go first: so as many as
+// possible are in time when not all can be. A job that can't be in time any
+// more waits for the others.
+func (n *Node) urgency(j *Job, cpus float64) float64 {
 	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
 	limits := n.limits(j.Spec)
 	if len(limits) == 0 {
@@ -589,16 +586,12 @@
 		if elapsed+j.Spec.Estimate > l {
 			continue
 		}
-		return (0.2 + 0.8/(1+j.workWaiting()/max(average, 1))) / float64(1+i)
+		left := float64(j.Spec.Tasks-j.doneN) * j.demand.CPU.Float() * j.Spec.Estimate
+		return (0.2 + 0.8/(1+left/(cpus*10+1))) / float64(1+i)
 	}
 	return 0.05 * min(1, elapsed/(10*limits[len(limits)-1]))
 }
 
-// workWaiting is the time of its CPUs that a job's tasks take that wait.
-func (j *Job) workWaiting() float64 {
-	return float64(j.Spec.Tasks-j.doneN-len(j.places)+j.overN) * j.demand.CPU.Float() * j.Spec.Estimate
-}
-
 func (n *Node) totalUsage() map[api.Team]api.Resources {
 	total := map[api.Team]api.Resources{}
 	for p := range n.book.parts {
