--- a/control/machine.go
+++ b/control/machine.go
@@ -48,6 +48,7 @@
 	idle     api.Time // since when it has had nothing that it is kept for
 	closing  bool     // idle for long: nothing that could go elsewhere starts on it
 	spare    bool     // more than the load needs: used last, see markSurplus
+	clearing api.Time // until when its services are moving elsewhere, see gather
 	images   map[api.Image]sched.Cached
 	failed   map[api.JobRef]api.Time
 	sickTill api.Time
--- a/control/part.go
+++ b/control/part.go
@@ -399,7 +399,7 @@
 			continue
 		}
 		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
-			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
+			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare || n.now < m.clearing, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
--- a/control/silence.go
+++ b/control/silence.go
@@ -187,6 +187,7 @@
 					continue
 				}
 				n.fleet.gone[d.m.ID] = n.now
+				delete(n.fleet.refused, offer{d.m.typ, d.m.zone, d.m.spot}) // there may be room again
 				if d.m.spot && (d.why == unreachableWhy || d.m.notice) {
 					n.fleet.spotTaken++
 				}
--- a/control/stock.go
+++ b/control/stock.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -229,11 +230,11 @@
 	supplies := slices.SortedFunc(maps.Keys(all), func(a, b Supply) int { return cmp.Compare(price(b), price(a)) })
 	for _, s := range supplies {
 		free := all[s].Up - all[s].Lasting
-		most := min(spare, free)
+		excess := spare
 		if st.ahead != nil && (st.ahead.Spot || !s.Spot) {
-			most = min(most, all[s].Up-st.prompt)
+			excess = min(excess, all[s].Up-st.prompt)
 		}
-		most = max(most, 0)
+		most := max(0, min(excess, free))
 		spare -= most
 		before := 0
 		for _, p := range slices.Sorted(maps.Keys(parts)) {
@@ -243,8 +244,11 @@
 				take = most*(before+c.Up-c.Lasting)/free - most*before/free
 			}
 			before += c.Up - c.Lasting
-			if n.turfs[p] != nil {
+			if t := n.turfs[p]; t != nil {
 				n.chooseSurplus(p, s, take)
+				if st.ahead != nil && excess > free+len(parts) {
+					n.gather(t, s)
+				}
 			}
 		}
 	}
@@ -264,7 +268,7 @@
 		}
 	}
 	rank := func(m *Machine) int {
-		if m.spare {
+		if m.spare || n.now < m.clearing {
 			return 0
 		}
 		return 1 + len(n.book.on(m.ID))
@@ -277,6 +281,65 @@
 	}
 }
 
+// settled is how long a service must have run before it is moved.
+const settled = time.Minute
+
+// gather has the services of one machine, one that holds few, move to others that
+// have room and their image, so that it can be returned: services that came while
+// there was much other work are spread over many machines when that is gone. The
+// cost is a moment without the replica.
+func (n *Node) gather(t *turf, s Supply) {
+	if n.now.Sub(t.since) < n.hold(s.Type) {
+		return
+	}
+	var from *Machine
+	var others []*Machine
+	for _, m := range n.machinesOf(t.part) {
+		if m.typ != s.Type || m.spot != s.Spot || m.spare || n.now < m.clearing || !n.usable(m, t) {
+			continue
+		}
+		others = append(others, m)
+		if count := len(n.book.on(m.ID)); n.movable(m, t) && (from == nil || count <= len(n.book.on(from.ID))) {
+			from = m
+		}
+	}
+	if from == nil {
+		return
+	}
+	taken := map[*Machine]api.Resources{}
+	for _, p := range n.book.on(from.ID) {
+		found := false
+		for _, m := range others {
+			if _, has := m.images[p.job.Spec.Image]; has && m != from && len(n.book.on(m.ID)) > 0 && n.keptFor(m) == "" &&
+				p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m])) {
+				taken[m] = taken[m].Plus(p.job.demand)
+				found = true
+				break
+			}
+		}
+		if !found {
+			return
+		}
+	}
+	from.clearing = n.now.Add(keepTime)
+	slog.Info("services move elsewhere", "machine", from.ID, "tasks", len(n.book.on(from.ID)))
+	for _, p := range slices.Clone(n.book.on(from.ID)) {
+		n.stop(p)
+	}
+}
+
+// movable reports whether all that a machine holds are services that may move.
+func (n *Node) movable(m *Machine, t *turf) bool {
+	for _, p := range n.book.on(m.ID) {
+		s := p.job.Spec
+		if s.Kind != api.Service || s.Spread || s.OneZone || p.Part != t.part || p.over || p.stop || p.job.final() ||
+			p.running == 0 || n.now.Sub(p.running) < settled {
+			return false
+		}
+	}
+	return len(n.book.on(m.ID)) > 0
+}
+
 // rentAhead adds the machines that should be up before the work comes that will
 // need them.
 func (n *Node) rentAhead(need, coming map[offer]int) {
