--- a/control/stock.go
+++ b/control/stock.go
@@ -246,8 +246,8 @@
 			before += c.Up - c.Lasting
 			if t := n.turfs[p]; t != nil {
 				n.chooseSurplus(p, s, take)
-				if st.ahead != nil && excess > free+len(parts) {
-					n.gather(t, s)
+				if over := (excess - free) / len(parts); st.ahead != nil && over > 0 {
+					n.gather(t, s, 1+over/gatherIn)
 				}
 			}
 		}
@@ -284,48 +284,61 @@
 // settled is how long a service must have run before it is moved.
 const settled = time.Minute
 
-// gather has the services of one machine, one that holds few, move to others that
-// have room and their image, so that it can be returned: services that came while
-// there was much other work are spread over many machines when that is gone. The
-// cost is a moment without the replica.
-func (n *Node) gather(t *turf, s Supply) {
+// gatherIn is in how many seconds about two thirds of what is too much is cleared.
+const gatherIn = 8
+
+// gather has the services of some machines, those that hold fewest, move to others
+// that have room and their image, so that they can be returned: services that came
+// while there was much other work are spread over many machines when that is gone.
+// The cost is a moment without the replica.
+func (n *Node) gather(t *turf, s Supply, most int) {
 	if n.now.Sub(t.since) < n.hold(s.Type) {
 		return
 	}
-	var from *Machine
-	var others []*Machine
+	var from, to []*Machine
 	for _, m := range n.machinesOf(t.part) {
-		if m.typ != s.Type || m.spot != s.Spot || m.spare || n.now < m.clearing || !n.usable(m, t) {
+		if m.typ != s.Type || m.spot != s.Spot || m.spare || n.now < m.clearing || !n.usable(m, t) || len(n.book.on(m.ID)) == 0 {
 			continue
 		}
-		others = append(others, m)
-		if count := len(n.book.on(m.ID)); n.movable(m, t) && (from == nil || count <= len(n.book.on(from.ID))) {
-			from = m
+		if n.keptFor(m) == "" {
+			to = append(to, m)
+		}
+		if n.movable(m, t) {
+			from = append(from, m)
 		}
 	}
-	if from == nil {
-		return
+	slices.SortStableFunc(from, func(a, b *Machine) int { return len(n.book.on(a.ID)) - len(n.book.on(b.ID)) })
+	taken := map[*Machine]api.Resources{} // room that is spoken for
+	for _, m := range from[:min(most, len(from))] {
+		if _, used := taken[m]; used || !n.fitElsewhere(m, t, to, taken) {
+			continue
+		}
+		m.clearing = n.now.Add(keepTime)
+		slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(n.book.on(m.ID)))
+		for _, p := range slices.Clone(n.book.on(m.ID)) {
+			n.stop(p)
+		}
 	}
-	taken := map[*Machine]api.Resources{}
+}
+
+// fitElsewhere finds room for all that a machine holds on others that have the
+// images, and notes it as taken.
+func (n *Node) fitElsewhere(from *Machine, t *turf, to []*Machine, taken map[*Machine]api.Resources) bool {
+	mine := map[*Machine]api.Resources{}
 	for _, p := range n.book.on(from.ID) {
-		found := false
-		for _, m := range others {
-			if _, has := m.images[p.job.Spec.Image]; has && m != from && len(n.book.on(m.ID)) > 0 && n.keptFor(m) == "" &&
-				p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m])) {
-				taken[m] = taken[m].Plus(p.job.demand)
-				found = true
-				break
-			}
-		}
-		if !found {
-			return
+		i := slices.IndexFunc(to, func(m *Machine) bool {
+			_, has := m.images[p.job.Spec.Image]
+			return has && m != from && n.now >= m.clearing && p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m]).Minus(mine[m]))
+		})
+		if i < 0 {
+			return false
 		}
+		mine[to[i]] = mine[to[i]].Plus(p.job.demand)
 	}
-	from.clearing = n.now.Add(keepTime)
-	slog.Info("services move elsewhere", "machine", from.ID, "tasks", len(n.book.on(from.ID)))
-	for _, p := range slices.Clone(n.book.on(from.ID)) {
-		n.stop(p)
+	for m, r := range mine {
+		taken[m] = taken[m].Plus(r)
 	}
+	return true
 }
 
 // movable reports whether all that a machine holds are services that may move.
@@ -337,7 +350,7 @@
 			return false
 		}
 	}
-	return len(n.book.on(m.ID)) > 0
+	return true
 }
 
 // rentAhead adds the machines that should be up before the work comes that will
