--- a/control/fleet.go
+++ b/control/fleet.go
@@ -307,7 +307,6 @@
 		closed bool
 	}
 	var spaces []space
-	up := map[api.MachineID]bool{}
 	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
 		if !k.Usable {
 			return
@@ -316,36 +315,7 @@
 			spaces = append(spaces, space{offer{k.Type, k.Zone, k.Spot}, r.Free, k.Closed})
 		}
 	})
-	for id, h := range f.hosts {
-		if h.State != api.MachineBooting {
-			up[id] = true
-		} else if m := n.machines[id]; m != nil && m.heard != 0 {
-			up[id] = true // the list lags
-		}
-	}
-	for _, pn := range n.othersNews() {
-		for _, id := range pn.Fresh {
-			up[id] = true
-		}
-	}
-	coming := map[offer]int{}
-	for id, h := range f.hosts {
-		if typ := n.types[h.Type]; typ != nil && !up[id] && f.gone[id] == 0 && h.Age <= lateBoot*typ.Boot {
-			coming[offer{h.Type, h.Zone, h.Spot}]++ // one that is late is not counted on any more
-		}
-	}
-	for id := range n.lendings {
-		if h, listed := f.hosts[id]; listed && up[id] && n.onItsWay(id) {
-			coming[offer{h.Type, h.Zone, h.Spot}]++
-		}
-	}
-	for id, r := range f.rented {
-		if _, listed := f.hosts[id]; !listed && !up[id] && f.gone[id] == 0 {
-			if m := n.machines[id]; m == nil || m.heard == 0 {
-				coming[r.offer]++
-			}
-		}
-	}
+	coming := n.comingMachines()
 	for _, o := range slices.SortedFunc(maps.Keys(coming), compareOffers) {
 		if typ := n.types[o.typ]; typ != nil {
 			for range coming[o] {
@@ -473,8 +443,52 @@
 	if f.urgent = !f.urgent; f.urgent && len(first) > 0 {
 		o = first[0]
 	}
+	n.request(t, o, min(need[o], maxRent))
+}
+
+// comingMachines counts the machines that are in nobody's account of what is free
+// but will be soon: they boot, were rented a moment ago, or were just lent.
+func (n *Node) comingMachines() map[offer]int {
+	f := &n.fleet
+	up := map[api.MachineID]bool{}
+	for id, h := range f.hosts {
+		if h.State != api.MachineBooting {
+			up[id] = true
+		} else if m := n.machines[id]; m != nil && m.heard != 0 {
+			up[id] = true // the list lags
+		}
+	}
+	for _, pn := range n.othersNews() {
+		for _, id := range pn.Fresh {
+			up[id] = true
+		}
+	}
+	coming := map[offer]int{}
+	for id, h := range f.hosts {
+		if typ := n.types[h.Type]; typ != nil && !up[id] && f.gone[id] == 0 && h.Age <= lateBoot*typ.Boot {
+			coming[offer{h.Type, h.Zone, h.Spot}]++ // one that is late is not counted on any more
+		}
+	}
+	for id := range n.lendings {
+		if h, listed := f.hosts[id]; listed && up[id] && n.onItsWay(id) {
+			coming[offer{h.Type, h.Zone, h.Spot}]++
+		}
+	}
+	for id, r := range f.rented {
+		if _, listed := f.hosts[id]; !listed && !up[id] && f.gone[id] == 0 {
+			if m := n.machines[id]; m == nil || m.heard == 0 {
+				coming[r.offer]++
+			}
+		}
+	}
+	return coming
+}
+
+// request asks the cloud for machines.
+func (n *Node) request(t *turf, o offer, count int) {
+	f := &n.fleet
 	f.count++
-	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(need[o], maxRent)}
+	r := &api.RentRequest{Name: fmt.Sprintf("r-%d-%d", t.term, f.count), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: count}
 	f.renting = true
 	begun := n.now
 	n.cloud(CloudCall{Rent: r}, func(a CloudAnswer) {
