--- a/control/ask.go
+++ b/control/ask.go
@@ -217,6 +217,10 @@
 	return out
 }
 
+// unannounced is why a machine gets no tasks that was heard but does not know our
+// term yet: it will within a moment.
+const unannounced = "our term has not been announced to it"
+
 // avoided says why a machine gets no new tasks, or nothing.
 func (n *Node) avoided(m *Machine, t *turf) string {
 	switch {
@@ -234,14 +238,14 @@
 		return "different jobs fail on it"
 	case m.fullTill >= n.now:
 		return "it refused a task for want of room"
-	case m.token < n.base(t, m.ID):
-		return "our term has not been announced to it"
 	case n.now.Sub(m.heard) >= 2*n.cfg.ReportEvery()+2*time.Second:
 		return "is silent"
 	case m.missed > 0 && n.now.Sub(m.heard) > time.Second:
 		return "does not answer"
 	case n.zoneMute(m.zone) && n.now.Sub(m.heard) > n.cfg.ReportEvery()*5/4:
 		return "its zone is cut off"
+	case m.token < n.base(t, m.ID):
+		return unannounced
 	}
 	return ""
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -19,6 +19,7 @@
 type fleet struct {
 	gone     map[api.MachineID]api.Time // deleted, by the cloud's word
 	hosts    map[api.MachineID]api.Host
+	order    []api.MachineID // of hosts
 	reading  map[api.MachineID]api.Host
 	busy     bool
 	listed   api.Time // when the last whole list was had
@@ -174,6 +175,7 @@
 			return
 		}
 		f.hosts, f.busy, f.listed = f.reading, false, n.now
+		f.order = slices.Sorted(maps.Keys(f.hosts))
 		// A third of the cloud's calls may be for lists, however many pages
 		// they have and nodes read them.
 		pages := float64(len(f.hosts)/pageSize + 1)
@@ -203,7 +205,7 @@
 // or do not come up. A list may be old: it never proves a task over.
 func (n *Node) useList() {
 	f := &n.fleet
-	for _, id := range slices.Sorted(maps.Keys(f.hosts)) {
+	for _, id := range f.order {
 		h := f.hosts[id]
 		t := n.turfs[n.partOf(id)]
 		if t == nil || f.gone[id] != 0 {
@@ -451,10 +453,8 @@
 func (n *Node) comingMachines() map[offer]int {
 	f := &n.fleet
 	up := map[api.MachineID]bool{}
-	for id, h := range f.hosts {
-		if h.State != api.MachineBooting {
-			up[id] = true
-		} else if m := n.machines[id]; m != nil && m.heard != 0 {
+	for id := range f.hosts {
+		if m := n.machines[id]; m != nil && m.heard != 0 || len(n.book.on(id)) > 0 {
 			up[id] = true // the list lags
 		}
 	}
@@ -463,14 +463,17 @@
 			up[id] = true
 		}
 	}
+	n.eachUntold(func(_ api.PartID, h api.Host) { up[h.ID] = true })
 	coming := map[offer]int{}
 	for id, h := range f.hosts {
-		if typ := n.types[h.Type]; typ != nil && !up[id] && f.gone[id] == 0 && h.Age <= lateBoot*typ.Boot {
-			coming[offer{h.Type, h.Zone, h.Spot}]++ // one that is late is not counted on any more
+		if typ := n.types[h.Type]; typ != nil && h.State != api.MachineFailed && !up[id] && f.gone[id] == 0 && h.Age <= lateBoot*typ.Boot {
+			// One that is late is not counted on any more; one that the list shows
+			// to run may not have been heard of yet.
+			coming[offer{h.Type, h.Zone, h.Spot}]++
 		}
 	}
 	for id := range n.lendings {
-		if h, listed := f.hosts[id]; listed && up[id] && n.onItsWay(id) {
+		if h, listed := f.hosts[id]; listed && (up[id] || h.Age > lateBoot*n.bootOf(h.Type)) && n.onItsWay(id) {
 			coming[offer{h.Type, h.Zone, h.Spot}]++
 		}
 	}
@@ -484,6 +487,13 @@
 	return coming
 }
 
+func (n *Node) bootOf(t api.TypeName) float64 {
+	if typ := n.types[t]; typ != nil {
+		return typ.Boot
+	}
+	return 0
+}
+
 // request asks the cloud for machines.
 func (n *Node) request(t *turf, o offer, count int) {
 	f := &n.fleet
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -27,7 +27,7 @@
 				pn.Silent = append(pn.Silent, m.ID)
 			}
 		}
-		if n.now.Sub(m.upAt) < time.Minute && len(pn.Fresh) < maxSilent {
+		if n.now.Sub(m.upAt) < max(time.Minute, api.Seconds(2*n.bootOf(m.typ))) && len(pn.Fresh) < maxSilent {
 			pn.Fresh = append(pn.Fresh, m.ID)
 		}
 		k := n.kindOf(m, t)
@@ -59,8 +59,12 @@
 // couldOn is what would be free on a machine if all work below urgentRank made
 // way.
 func (n *Node) couldOn(m *Machine, t *turf) api.Resources {
-	could := n.freeOn(m, t)
-	for _, p := range n.book.on(m.ID) {
+	return n.withLowerGone(m.ID, n.freeOn(m, t))
+}
+
+func (n *Node) withLowerGone(id api.MachineID, free api.Resources) api.Resources {
+	could := free
+	for _, p := range n.book.on(id) {
 		if !p.over && p.job.Spec.Kind != api.Gang && p.job.Spec.Priority.Rank() < urgentRank {
 			could = could.Plus(p.job.demand)
 		}
@@ -69,7 +73,8 @@
 }
 
 func (n *Node) kindOf(m *Machine, t *turf) Kind {
-	return Kind{m.typ, m.zone, m.spot, n.usable(m, t), m.closing}
+	why := n.avoided(m, t)
+	return Kind{m.typ, m.zone, m.spot, why == "" || why == unannounced, m.closing}
 }
 
 // gossip tells every peer about our parts.
@@ -152,6 +157,47 @@
 			}
 		}
 	}
+	n.eachUntold(func(p api.PartID, h api.Host) {
+		free := n.types[h.Type].Capacity()
+		if on := n.book.onHost[h.ID]; on != nil {
+			free = free.Minus(on.need)
+		}
+		visit(p, Kind{h.Type, h.Zone, h.Spot, true, false}, Room{Count: 1, Free: free, Could: n.withLowerGone(h.ID, free)})
+	})
+}
+
+// eachUntold visits the machines that are up but that nobody tells of, as the list
+// has them: those of parts whose owners have not been heard lately, and ours that
+// have not reported since we took them over. What they hold is in the book. Without
+// them a cut between controllers or a takeover would look like a loss of machines.
+func (n *Node) eachUntold(visit func(p api.PartID, h api.Host)) {
+	told := make([]bool, len(n.book.parts))
+	all := true
+	for _, pn := range n.othersNews() {
+		told[pn.Part] = true
+	}
+	for p := range told {
+		t := n.turfs[api.PartID(p)]
+		told[p] = told[p] || t != nil && n.now.Sub(t.since) > n.silentAfter()
+		all = all && told[p]
+	}
+	if all {
+		return
+	}
+	for _, id := range n.fleet.order {
+		h, listed := n.fleet.hosts[id]
+		if !listed || h.State != api.MachineRunning || n.types[h.Type] == nil || n.fleet.gone[id] != 0 {
+			continue
+		}
+		p := n.partOf(id)
+		if told[p] {
+			continue
+		}
+		if m := n.machines[id]; n.turfs[p] != nil && m != nil && (m.heard != 0 || m.deleting) {
+			continue // told of as ours
+		}
+		visit(p, h)
+	}
 }
 
 // othersNews is what the owners of parts that are not ours have lately told.
--- a/control/stock.go
+++ b/control/stock.go
@@ -30,7 +30,7 @@
 		}
 		c := counts[Supply{m.typ, m.spot}]
 		c.Up++
-		if n.lastingOn(m) {
+		if n.lastingOn(m.ID) {
 			c.Lasting++
 		}
 		counts[Supply{m.typ, m.spot}] = c
@@ -40,8 +40,8 @@
 
 // lastingOn reports whether a machine with accelerators has a service or a gang
 // that needs them.
-func (n *Node) lastingOn(m *Machine) bool {
-	for _, p := range n.book.on(m.ID) {
+func (n *Node) lastingOn(id api.MachineID) bool {
+	for _, p := range n.book.on(id) {
 		if p.job.Spec.Kind != api.Array && !n.plain(p.job.Spec) {
 			return true
 		}
@@ -58,6 +58,20 @@
 	for _, pn := range n.othersNews() {
 		out[pn.Part] = pn.Accelerated
 	}
+	n.eachUntold(func(p api.PartID, h api.Host) {
+		if !n.accelerated(h.Type) {
+			return
+		}
+		if out[p] == nil {
+			out[p] = map[Supply]Count{}
+		}
+		c := out[p][Supply{h.Type, h.Spot}]
+		c.Up++
+		if n.lastingOn(h.ID) {
+			c.Lasting++
+		}
+		out[p][Supply{h.Type, h.Spot}] = c
+	})
 	return out
 }
 
@@ -261,7 +275,7 @@
 	for _, m := range n.machinesOf(p) {
 		switch {
 		case m.typ != s.Type || m.spot != s.Spot:
-		case m.heard != 0 && !m.deleting && !n.lastingOn(m):
+		case m.heard != 0 && !m.deleting && !n.lastingOn(m.ID):
 			free = append(free, m)
 		default:
 			m.spare = false
