--- a/control/jobs.go
+++ b/control/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"basaltwall/api"
@@ -88,6 +89,8 @@
 	return 0
 }
 
+func tenths(s float64) float64 { return math.Round(s*10) / 10 }
+
 // room is what machines that are alike have free in a part.
 type room struct {
 	part api.PartID
@@ -116,7 +119,7 @@
 
 func (n *Node) viewJob(j *Job, rooms []room) JobView {
 	v := JobView{Ref: j.ref, Class: j.Spec.Class, Team: j.Spec.Team, State: j.state(), Tasks: j.Spec.Tasks, Done: j.doneN,
-		Placed: len(j.places), Parts: []api.PartID{}, Elapsed: float64(n.wall-j.Accepted) / 1000}
+		Placed: len(j.places), Parts: []api.PartID{}, Elapsed: tenths(float64(n.wall-j.Accepted) / 1000)}
 	for _, r := range j.Split {
 		if !slices.Contains(v.Parts, r.Part) {
 			v.Parts = append(v.Parts, r.Part)
@@ -125,7 +128,7 @@
 	if j.final() {
 		return v
 	}
-	v.LateBy = n.lateness(j)
+	v.LateBy = tenths(n.lateness(j))
 	for _, p := range v.Parts {
 		if w := j.waiting(p); w > 0 {
 			v.Why = append(v.Why, fmt.Sprintf("part %d: %d tasks wait: %s", p, w, n.whyWaiting(j, p, rooms)))
