--- a/control/node.go
+++ b/control/node.go
@@ -31,6 +31,9 @@
 
 // Node is one controller.
 type Node struct {
+	// Begins, if set, is told which kind of work comes next.
+	Begins func(Work)
+
 	cfg  *config.Config
 	born int64
 	now  api.Time
@@ -66,6 +69,7 @@
 	sorted   []*Machine   // all of them in order; nil: to be listed anew
 	byPart   [][]*Machine // the same by part
 	sortedAt int
+	lendings map[api.MachineID]lending
 	kicked   []*Machine // to be called at once
 	sweep    int        // the next machine to look at
 	sweptAt  api.Time
@@ -132,7 +136,7 @@
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
-		sentTo: map[api.MachineID]redirected{}, since: map[ReqID]request{},
+		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, since: map[ReqID]request{},
 	}
 	for _, t := range d.Teams {
 		n.teams[t.Name] = t
@@ -149,7 +153,7 @@
 	// one, and a burst should not wait for that.
 	n.rentGap = max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS))
 	// Sockets are for workers' and users' connections in the first place.
-	n.maxDirects = 32
+	n.maxDirects = 64
 	if fds := d.Limits.FDLimit; fds > 0 {
 		n.maxDirects = max(4, min(n.maxDirects, fds/16))
 	}
@@ -170,6 +174,7 @@
 		n.started, n.startedAt = true, now
 	}
 	for _, c := range cmds {
+		n.begin(workOf(c))
 		n.handle(c)
 	}
 	n.tick()
@@ -200,6 +205,7 @@
 		n.cancel(c)
 	case Spent:
 		n.metrics.took("step", c.Time)
+		n.metrics.spent = c
 	case Ready:
 		n.ready(c)
 	case Checkin:
@@ -332,6 +338,7 @@
 		n.paused = n.paused[1:]
 		do()
 	}
+	n.begin(WorkMembership)
 	n.membership()
 	if !n.loaded {
 		n.load()
@@ -339,17 +346,35 @@
 	}
 	n.follow()
 	n.takeParts()
+	n.begin(WorkFleet)
 	n.runFleet()
+	n.begin(WorkRounds)
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		if t := n.turfs[p]; t != nil {
 			n.runPart(t)
 		}
 	}
+	n.begin(WorkMachines)
 	n.tendMachines()
 	n.deleteDoomed()
+	n.begin(WorkGossip)
 	n.gossip()
 }
 
+// behind reports whether so many commands wait that what is merely better than
+// nothing is put off: better fits, moves, lending, renting ahead, news. Never the
+// lease, answers, evidence or starts.
+func (n *Node) behind() bool {
+	if n.metrics.spent.Queue < behindAt {
+		return false
+	}
+	n.metrics.Shed++
+	return true
+}
+
+// behindAt is some batches of commands: what comes in a few steps.
+const behindAt = 256
+
 // membership keeps our leased key alive.
 func (n *Node) membership() {
 	if n.member && n.loaded && !n.live(n.cfg.Label) && n.now.Sub(n.memberAt) > time.Second {
--- a/control/silence.go
+++ b/control/silence.go
@@ -22,8 +22,10 @@
 	if m.notice {
 		patience = n.cfg.ReportEvery() + 2*time.Second
 	}
-	if m.heard == 0 {
-		patience += 6 * time.Second
+	if m.heard == 0 && m.addr != "" {
+		// Since a takeover it has been called rather than waited for: its report need
+		// not come to us.
+		patience /= 2
 	}
 	if quiet <= patience || m.missed < enoughMissed && m.addr != "" {
 		return
@@ -45,8 +47,10 @@
 	n.remove(m, t, unreachableWhy)
 }
 
-// givenUpAfter is how long a machine may be silent.
-func (n *Node) givenUpAfter() time.Duration { return 2 * n.cfg.ReportEvery() }
+// givenUpAfter is how long a machine may be silent: long enough for the others of
+// its zone to be found silent too, and that to be told, if it is the zone that is
+// cut off.
+func (n *Node) givenUpAfter() time.Duration { return 2*n.cfg.ReportEvery() + 2*workerTimeout }
 
 // enoughMissed is how many direct calls in a row must go unanswered before a
 // machine is given up.
@@ -79,11 +83,19 @@
 func (n *Node) muteOf(t *turf) map[api.Zone]Mute {
 	zones := map[api.Zone]Mute{}
 	for _, m := range n.machinesOf(t.part) {
-		if m.heard == 0 {
-			continue
+		if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
+			continue // booting
 		}
 		z := zones[m.zone]
 		z.All++
+		if m.heard == 0 {
+			// A new owner that is cut off itself hears none and gets no answers.
+			if m.missed > 0 {
+				z.Silent++
+			}
+			zones[m.zone] = z
+			continue
+		}
 		// One that is only heard by way of peers speaks for a cut as well.
 		if m.missed > 0 || n.now.Sub(max(m.heard, t.since)) > n.cfg.ReportEvery()+2*time.Second {
 			z.Silent++
@@ -169,7 +181,7 @@
 				if n.turfs[d.t.part] == d.t {
 					for _, p := range n.book.on(d.m.ID) {
 						if p.Part == d.t.part && !p.over {
-							n.end(d.t, p, false, "machine deleted")
+							n.end(d.t, p, false, lostWhy)
 						}
 					}
 					d.t.dirty = true
