--- a/control/stock.go
+++ b/control/stock.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -229,11 +230,11 @@
 	supplies := slices.SortedFunc(maps.Keys(all), func(a, b Supply) int { return cmp.Compare(price(b), price(a)) })
 	for _, s := range supplies {
 		free := all[s].Up - all[s].Lasting
-		most := min(spare, free)
+		excess := spare
 		if st.ahead != nil && (st.ahead.Spot || !s.Spot) {
-			most = min(most, all[s].Up-st.prompt)
+			excess = min(excess, all[s].Up-st.prompt)
 		}
-		most = max(most, 0)
+		most := max(0, min(excess, free))
 		spare -= most
 		before := 0
 		for _, p := range slices.Sorted(maps.Keys(parts)) {
@@ -243,8 +244,11 @@
 				take = most*(before+c.Up-c.Lasting)/free - most*before/free
 			}
 			before += c.Up - c.Lasting
-			if n.turfs[p] != nil {
+			if t := n.turfs[p]; t != nil {
 				n.chooseSurplus(p, s, take)
+				if over := (excess - free) / len(parts); st.ahead != nil && over > 0 {
+					n.gather(t, s, 1+over/gatherIn)
+				}
 			}
 		}
 	}
@@ -264,7 +268,7 @@
 		}
 	}
 	rank := func(m *Machine) int {
-		if m.spare {
+		if m.spare || n.now < m.clearing {
 			return 0
 		}
 		return 1 + len(n.book.on(m.ID))
@@ -277,6 +281,78 @@
 	}
 }
 
+// settled is how long a service must have run before it is moved.
+const settled = time.Minute
+
+// gatherIn is in how many seconds about two thirds of what is too much is cleared.
+const gatherIn = 8
+
+// gather has the services of some machines, those that hold fewest, move to others
+// that have room and their image, so that they can be returned: services that came
+// while there was much other work are spread over many machines when that is gone.
+// The cost is a moment without the replica.
+func (n *Node) gather(t *turf, s Supply, most int) {
+	if n.now.Sub(t.since) < n.hold(s.Type) {
+		return
+	}
+	var from, to []*Machine
+	for _, m := range n.machinesOf(t.part) {
+		if m.typ != s.Type || m.spot != s.Spot || m.spare || n.now < m.clearing || !n.usable(m, t) || len(n.book.on(m.ID)) == 0 {
+			continue
+		}
+		if n.keptFor(m) == "" {
+			to = append(to, m)
+		}
+		if n.movable(m, t) {
+			from = append(from, m)
+		}
+	}
+	slices.SortStableFunc(from, func(a, b *Machine) int { return len(n.book.on(a.ID)) - len(n.book.on(b.ID)) })
+	taken := map[*Machine]api.Resources{} // room that is spoken for
+	for _, m := range from[:min(most, len(from))] {
+		if _, used := taken[m]; used || !n.fitElsewhere(m, t, to, taken) {
+			continue
+		}
+		m.clearing = n.now.Add(keepTime)
+		slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(n.book.on(m.ID)))
+		for _, p := range slices.Clone(n.book.on(m.ID)) {
+			n.stop(p)
+		}
+	}
+}
+
+// fitElsewhere finds room for all that a machine holds on others that have the
+// images, and notes it as taken.
+func (n *Node) fitElsewhere(from *Machine, t *turf, to []*Machine, taken map[*Machine]api.Resources) bool {
+	mine := map[*Machine]api.Resources{}
+	for _, p := range n.book.on(from.ID) {
+		i := slices.IndexFunc(to, func(m *Machine) bool {
+			_, has := m.images[p.job.Spec.Image]
+			return has && m != from && n.now >= m.clearing && p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m]).Minus(mine[m]))
+		})
+		if i < 0 {
+			return false
+		}
+		mine[to[i]] = mine[to[i]].Plus(p.job.demand)
+	}
+	for m, r := range mine {
+		taken[m] = taken[m].Plus(r)
+	}
+	return true
+}
+
+// movable reports whether all that a machine holds are services that may move.
+func (n *Node) movable(m *Machine, t *turf) bool {
+	for _, p := range n.book.on(m.ID) {
+		s := p.job.Spec
+		if s.Kind != api.Service || s.Spread || s.OneZone || p.Part != t.part || p.over || p.stop || p.job.final() ||
+			p.running == 0 || n.now.Sub(p.running) < settled {
+			return false
+		}
+	}
+	return true
+}
+
 // rentAhead adds the machines that should be up before the work comes that will
 // need them.
 func (n *Node) rentAhead(need, coming map[offer]int) {
