--- a/control/fleet.go
+++ b/control/fleet.go
@@ -487,20 +487,6 @@
 	return coming
 }
 
-// refusedFor is how long an offer is left alone that was refused for want of
-// machines: so long that asking for all offers by turns takes half of the rentals.
-func (n *Node) refusedFor() time.Duration {
-	offers := 0
-	for _, t := range n.types {
-		zones := len(t.Zones)
-		if zones == 0 {
-			zones = len(n.cfg.Deployment.Zones)
-		}
-		offers += 2 * zones
-	}
-	return max(5*time.Second, time.Duration(2*offers)*n.rentGap)
-}
-
 func (n *Node) bootOf(t api.TypeName) float64 {
 	if typ := n.types[t]; typ != nil {
 		return typ.Boot
@@ -520,7 +506,7 @@
 		switch {
 		case a.Status == 200:
 		case a.NoCapacity:
-			f.refused[o] = n.now.Add(n.refusedFor())
+			f.refused[o] = n.now.Add(20 * time.Second)
 			return
 		case a.Status == 0:
 			// The name is not used again: should the request be carried out late, its
@@ -536,7 +522,7 @@
 		}
 		slog.Info("rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", r.Count, "got", len(a.Machines))
 		if len(a.Machines) < r.Count {
-			f.refused[o] = n.now.Add(n.refusedFor())
+			f.refused[o] = n.now.Add(20 * time.Second)
 		}
 		for _, id := range a.Machines {
 			f.rented[id] = rental{o, n.now}
