A zone's silence before a takeover counts: leases do not wait for the new owner

Cause: a new owner reckoned a machine's silence from its takeover. Ruled out: the cloud (deletions went through at once), the processor (the same without it). Change: owners tell since when they last heard a mute zone's silent machines. A new owner that has heard none of its own takes the latest that is told, also before its own beginning. Scenario zone-cut-and-takeover, seen failing without the change (2 of 4 deleted in time).

--- a/control/gossip.go
+++ b/control/gossip.go
@@ -89,7 +89,7 @@
 			delete(n.sentTo, id)
 		}
 	}
-	g := &Gossip{From: n.cfg.Label, StateOK: !n.unreachable()}
+	g := &Gossip{From: n.cfg.Label, StateOK: !n.unreachable(), Cut: n.cutFor()}
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		g.Parts = append(g.Parts, n.news(n.turfs[p]))
 		n.wanted(p, n.turfs[p].want)
@@ -205,7 +205,7 @@
 	var out []PartNews
 	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[l]
-		if p.heard == 0 || n.now.Sub(p.heard) > 5*time.Second {
+		if !p.recent(n.now) {
 			continue
 		}
 		for _, pn := range p.gossip.Parts {
--- a/control/machine.go
+++ b/control/machine.go
@@ -225,7 +225,7 @@
 // unheard reports whether a machine's owner says that it does not hear it.
 func (n *Node) unheard(owner api.Label, id api.MachineID) bool {
 	p := n.peers[owner]
-	if p == nil || p.heard == 0 || n.now.Sub(p.heard) > 5*time.Second {
+	if p == nil || !p.recent(n.now) {
 		return false
 	}
 	for _, pn := range p.gossip.Parts {
--- a/control/messages.go
+++ b/control/messages.go
@@ -181,6 +181,7 @@
 	StateOK bool
 	Parts   []PartNews
 	Rented  []Rented
+	Cut     map[api.Zone]time.Duration // mute zones, and how long ago the sender's parts last heard one of their silent machines
 }
 
 // Rented names machines that were rented lately: whoever rents next must count on
@@ -217,7 +218,10 @@
 }
 
 // Mute counts machines, and those of them that are silent.
-type Mute struct{ All, Silent int }
+type Mute struct {
+	All, Silent int
+	last        api.Time // when the last of the silent ones was heard, 0: never; not told
+}
 
 // Room is what is free on a number of machines that are alike, and what would be
 // if all work made way that urgent work may stop.
--- a/control/node.go
+++ b/control/node.go
@@ -83,6 +83,7 @@
 	muteZones  map[api.Zone]Mute
 	muteAll    Mute
 	muteAt     map[api.Zone]api.Time // when a zone was last mute; under no name: all
+	cuts       map[api.Zone]cut
 
 	turfs    map[api.PartID]*turf
 	peers    map[api.Label]*peerNews
@@ -129,6 +130,11 @@
 	sending bool
 }
 
+// recent reports whether a peer's news is still worth believing.
+func (p *peerNews) recent(now api.Time) bool {
+	return p.heard != 0 && now.Sub(p.heard) <= 5*time.Second
+}
+
 // New returns a controller; born tells this run of the process from others.
 func New(cfg *config.Config, born int64) *Node {
 	d := cfg.Deployment
@@ -137,7 +143,7 @@
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
-		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, muteAt: map[api.Zone]api.Time{}, since: map[ReqID]request{},
+		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, muteAt: map[api.Zone]api.Time{}, cuts: map[api.Zone]cut{}, since: map[ReqID]request{},
 	}
 	for _, t := range d.Teams {
 		n.teams[t.Name] = t
--- a/control/silence.go
+++ b/control/silence.go
@@ -16,6 +16,9 @@
 	last := max(m.heard, t.since)
 	if m.heard == 0 {
 		last = max(last, m.found)
+		if heard, cut := n.lastOf(m.zone); cut {
+			last = min(last, heard) // it was silent before the takeover, as its zone was
+		}
 	}
 	quiet := n.now.Sub(last)
 	patience := n.givenUpAfter()
@@ -74,12 +77,12 @@
 	n.mutedAt, n.muteZones, n.muteAll = n.now, map[api.Zone]Mute{}, Mute{}
 	add := func(zone api.Zone, c Mute) {
 		z := n.muteZones[zone]
-		n.muteZones[zone] = Mute{z.All + c.All, z.Silent + c.Silent}
+		n.muteZones[zone] = Mute{All: z.All + c.All, Silent: z.Silent + c.Silent, last: max(z.last, c.last)}
 	}
 	for p := range n.turfs {
 		for zone, c := range n.muteOf(n.turfs[p]) {
 			add(zone, c)
-			n.muteAll = Mute{n.muteAll.All + c.All, n.muteAll.Silent + c.Silent}
+			n.muteAll = Mute{All: n.muteAll.All + c.All, Silent: n.muteAll.Silent + c.Silent}
 		}
 	}
 	for _, pn := range n.othersNews() {
@@ -87,6 +90,66 @@
 			add(zone, c)
 		}
 	}
+	n.noteCuts()
+}
+
+// cut is a zone that is mute: when the last of its silent machines was heard, of our own
+// parts' (0: none was) and of others' as they tell. The latter may lie before this
+// process began, at a negative time.
+type cut struct {
+	heard, told api.Time
+	isTold      bool
+}
+
+// noteCuts keeps when mute zones were last heard. A new owner has heard none of its
+// machines, but their leases do not wait for it: others know when the zone fell silent.
+func (n *Node) noteCuts() {
+	for zone, z := range n.muteZones {
+		if !z.cutOff() {
+			delete(n.cuts, zone)
+			continue
+		}
+		c := n.cuts[zone]
+		c.heard = max(c.heard, z.last)
+		fresh := false
+		for _, p := range n.peers {
+			if d, ok := p.gossip.Cut[zone]; ok && p.recent(n.now) {
+				at := p.heard.Add(-d)
+				if fresh {
+					at = max(at, c.told)
+				}
+				// Kept when it is told no more: the machines may be deleted by then.
+				c.told, c.isTold, fresh = at, true, true
+			}
+		}
+		n.cuts[zone] = c
+	}
+}
+
+// lastOf is when a mute zone was last heard, as far as is known.
+func (n *Node) lastOf(zone api.Zone) (api.Time, bool) {
+	if !n.zoneMute(zone) {
+		return 0, false
+	}
+	if c := n.cuts[zone]; c.heard == 0 {
+		return c.told, c.isTold
+	}
+	return n.cuts[zone].heard, true
+}
+
+// cutFor is for how long mute zones have not been heard by our parts, to be told.
+func (n *Node) cutFor() map[api.Zone]time.Duration {
+	var out map[api.Zone]time.Duration
+	for zone, c := range n.cuts {
+		if c.heard == 0 {
+			continue
+		}
+		if out == nil {
+			out = map[api.Zone]time.Duration{}
+		}
+		out[zone] = n.now.Sub(c.heard)
+	}
+	return out
 }
 
 // muteOf counts a part's machines by zone.
@@ -109,6 +172,7 @@
 		// One that is only heard by way of peers speaks for a cut as well.
 		if m.missed > 0 || n.now.Sub(max(m.heard, t.since)) > n.cfg.ReportEvery()+2*time.Second {
 			z.Silent++
+			z.last = max(z.last, m.heard)
 		}
 		zones[m.zone] = z
 	}
@@ -122,10 +186,13 @@
 		return false // there is nothing to hold it against, nor anywhere else to go
 	}
 	n.countMute()
-	z := n.muteZones[zone]
-	return z.Silent >= 2 && z.Silent*3 >= z.All
+	return n.muteZones[zone].cutOff()
 }
 
+// cutOff reports whether a zone of which so many machines are silent is taken for
+// cut off.
+func (z Mute) cutOff() bool { return z.Silent >= 2 && z.Silent*3 >= z.All }
+
 // allMute reports the same of all machines.
 func (n *Node) allMute() bool {
 	n.countMute()
