What a machine fetches delays the next image; lost replicas are as urgent as new ones

Replicas went to machines of 64 CPUs that fetch at 0.2 GB a second, many images at a time: 12 to 65 s each, where the cost of a fetch stopped growing at the aim's 3 s. A replica that was lost long after its job came never had lower work make way, as its aim counted from the job. Ruled out: the time from the deletion to the start (0.1 s), deletions late for counting direct calls as leases (tried: no difference), limits, the processor (the same without it). Change: a fetch costs for as long as all that the machine fetches takes, by its logarithm beyond the aim; an image that is being fetched already is joined. A service that loses replicas is due from the loss. Where there is room only with a fetch three times as long as after making way, lower work makes way. What is left of the worst half minute are machines that hang, found 13 to 20 s later by their reports, and the ramp.

--- a/control/book.go
+++ b/control/book.go
@@ -72,10 +72,11 @@
 
 // jobValue is a job's key.
 type jobValue struct {
-	Spec      *api.JobSpec `json:"s"`
-	Split     []Range      `json:"p"`
-	Cancelled bool         `json:"x,omitempty"`
-	Accepted  api.Wall     `json:"t"`
+	Spec        *api.JobSpec `json:"s"`
+	Split       []Range      `json:"p"`
+	Cancelled   bool         `json:"x,omitempty"`
+	CancelledAt api.Wall     `json:"c,omitempty"` // when it was cancelled
+	Accepted    api.Wall     `json:"t"`
 }
 
 type memberValue struct {
@@ -239,6 +240,7 @@
 	quick    bool     // others were made to give way so that it starts soon
 	begun    bool     // a start was planned here
 	lostWith int      // tasks that our parts lost with their machines
+	lostAt   api.Time // when the last of them was known to be lost
 	madeWay  int      // tasks that our parts stopped for more urgent work
 	ran      float64  // seconds that tasks took which were seen to complete
 	runs     int      // and how many they were
--- a/control/part.go
+++ b/control/part.go
@@ -85,6 +85,7 @@
 	if !done {
 		if why == lostWhy || why == sessionWhy {
 			p.job.lostWith++
+			p.job.lostAt, p.job.quick = n.now, false
 		}
 		slog.Info("task over", "task", p.Task, "machine", p.Machine, "why", why)
 	}
@@ -237,6 +238,13 @@
 	t.dirty = true
 }
 
+// recordRoom is how many bytes of a round's record may be starts and ends: it must fit
+// into a value.
+func (n *Node) recordRoom() int { return int(n.cfg.Deployment.State.ValueKB*1024) - 512 }
+
+// recordConditions is on how many jobs' versions a round may be conditional.
+func (n *Node) recordConditions() int { return 4*n.cfg.Deployment.State.TxnOps - 4 }
+
 // plan composes a round: the ends that evidence has shown, then new starts.
 func (n *Node) plan(t *turf) *writing {
 	w := &writing{rec: record{Seq: n.book.parts[t.part].seq + 1}, ends: map[*Place]bool{}}
@@ -250,9 +258,7 @@
 		}
 		return d
 	}
-	// A record must fit into a value; conditions are limited too.
-	room := int(n.cfg.Deployment.State.ValueKB*1024) - 512
-	maxCond := 4*n.cfg.Deployment.State.TxnOps - 4
+	room, maxCond := n.recordRoom(), n.recordConditions()
 	ends := slices.SortedFunc(maps.Keys(t.ends), func(a, b *Place) int {
 		if a.Task.Job != b.Task.Job {
 			if a.Task.Job < b.Task.Job {
@@ -346,6 +352,22 @@
 	return free
 }
 
+// fetching is what images a machine has still to fetch for its tasks, as far as is
+// known.
+func (n *Node) fetching(m *Machine) []sched.Image {
+	var out []sched.Image
+	for _, p := range n.book.on(m.ID) {
+		img := sched.Image{Name: p.job.Spec.Image, GB: p.job.Spec.ImageGB}
+		if _, has := m.images[img.Name]; has || p.over || p.reported && p.state != api.TaskFetching {
+			continue
+		}
+		if !slices.ContainsFunc(out, func(o sched.Image) bool { return o.Name == img.Name }) {
+			out = append(out, img)
+		}
+	}
+	return out
+}
+
 // leftOf is what each team may still start in the part.
 func (n *Node) leftOf(p api.PartID) map[api.Team]api.Resources {
 	use := n.book.parts[p].use
@@ -399,7 +421,7 @@
 			continue
 		}
 		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
-			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare || n.now < m.clearing, Pace: m.pace, Fetch: typ.FetchRate, Images: m.images, Kept: n.keptFor(m)})
+			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare || n.now < m.clearing, Pace: m.pace, Fetch: typ.FetchRate, Coming: n.fetching(m), Images: m.images, Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
 	total := n.totalUsage()
@@ -532,7 +554,7 @@
 		if left < once {
 			continue // late as it is
 		}
-		fatal := min(run, max(0, once+n.givenUpAfter().Seconds()+once-left))
+		fatal := min(run, max(0, once+n.givenUpAfter.Seconds()+once-left))
 		survives := math.Exp(-n.fleet.spotLossRate() * fatal)
 		return 1 - math.Pow(survives, float64(j.Spec.Tasks-j.doneN))
 	}
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -121,10 +121,7 @@
 			sj.AvoidedBy[m.ID] || sj.Plain && n.accelerated(m.typ) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
 			continue
 		}
-		fetch := 0.0
-		if _, has := m.images[j.Spec.Image]; !has {
-			fetch = fetchTime(j.Spec, n.types[m.typ].FetchRate)
-		}
+		fetch := slowest * (&sched.Machine{Images: m.images, Fetch: n.types[m.typ].FetchRate, Coming: n.fetching(m)}).FetchTime(j.Spec)
 		if quick > 0 && fetch > quick {
 			continue
 		}
@@ -179,29 +176,43 @@
 	return len(best)
 }
 
-// fetchTime is how long an image may take to fetch: rates differ by a third.
-func fetchTime(s *api.JobSpec, rate float64) float64 {
-	return s.ImageGB / max(rate, 1e-3) * 4 / 3
+// slowest is how many times longer than usual a fetch may take: rates differ by a third.
+const slowest = 4.0 / 3
+
+// muchSlower is how many times longer than after making way an image must take to
+// fetch where there is room, for others to make way although it is late either way.
+const muchSlower = 3
+
+// awaited is for how long a job's tasks have been due to start, in seconds: since it
+// was accepted, or since a service lost replicas, which should be back as soon.
+func (n *Node) awaited(j *Job) float64 {
+	since := max(0, float64(n.wall-j.Accepted)/1000)
+	if j.Spec.Kind == api.Service && j.lostAt != 0 {
+		since = min(since, n.now.Sub(j.lostAt).Seconds())
+	}
+	return since
 }
 
 // clearTime is how long it takes to stop a task and to start another in its
 // place: a call, a round that records the end and the start, another call.
 const clearTime = 500 * time.Millisecond
 
-// clearQuick has lower work make way, once for a job, on machines that hold its
-// image, when its tasks would else start too late for its class's aim for having
-// to fetch it. What has no quick place meanwhile waits for that.
+// clearQuick has lower work make way, once for a job and for each loss of a service's
+// replicas, on machines that hold its image, when its tasks would else start too late
+// for its class's aim for having to fetch it. What has no quick place meanwhile waits
+// for that.
 func (n *Node) clearQuick(t *turf, in *sched.Input, sj *sched.Job, j *Job) {
-	slack := sj.Within - max(0, float64(n.wall-j.Accepted)/1000) - clearTime.Seconds()
+	slack := sj.Within - n.awaited(j) - clearTime.Seconds()
 	rank := j.Spec.Priority.Rank()
 	if sj.Within <= 0 || slack <= 0 || j.quick || rank < urgentRank || !n.anyBelow(t.part, rank) {
 		return
 	}
 	byZone := map[api.Zone]int{}
 	all := 0
+	var late []float64 // how long images take to fetch where there is room that is not quick
 	for i := range in.Machines {
 		m := &in.Machines[i]
-		if !m.Open(sj) || !sched.ZoneOpen(j.Spec, sj.Zones, m.Zone) || !m.Has(j.Spec.Image) && fetchTime(j.Spec, m.Fetch) > slack {
+		if !m.Open(sj) || !sched.ZoneOpen(j.Spec, sj.Zones, m.Zone) {
 			continue
 		}
 		slots := 1
@@ -210,6 +221,10 @@
 		} else if !j.demand.Fits(m.Free) {
 			continue
 		}
+		if fetch := slowest * m.FetchTime(j.Spec); fetch > slack {
+			late = append(late, fetch)
+			continue
+		}
 		byZone[m.Zone] += slots
 		all += slots
 	}
@@ -226,10 +241,14 @@
 		return
 	}
 	j.quick = true
+	quick := slack
 	if j.Spec.Kind == api.Gang {
 		need, all = len(sj.Pending), 0
+	} else if len(late) > 0 {
+		slices.Sort(late)
+		quick = max(quick, late[min(need, len(late))-1]/muchSlower)
 	}
-	if n.preempt(t, sj, j, need, slack) > 0 {
+	if n.preempt(t, sj, j, need, quick) > 0 {
 		sj.Pending = sj.Pending[:all]
 		j.hold = n.now.Add(clearTime)
 		t.dirty = true
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"basaltwall/api"
@@ -25,9 +26,16 @@
 	Pace   float64 // how much longer tasks take here than elsewhere; 0: not known
 	Images map[api.Image]Cached
 	Fetch  float64    // GB per second
+	Coming []Image    // that it is fetching: they may share the rate
 	Kept   api.JobRef // only for this job, for which others made way
 }
 
+// Image is an image and its size.
+type Image struct {
+	Name api.Image
+	GB   float64
+}
+
 // Cached is an image that a machine holds, as far as is known.
 type Cached struct {
 	GB   float64
@@ -48,6 +56,21 @@
 	return ok
 }
 
+// FetchTime is how long an image is away from being on the machine, in seconds: as
+// long as all that the machine fetches, for they may share the rate.
+func (m *Machine) FetchTime(s *api.JobSpec) float64 {
+	if m.Fetch <= 0 || m.Has(s.Image) {
+		return 0
+	}
+	gb := s.ImageGB
+	for _, other := range m.Coming {
+		if other.Name != s.Image {
+			gb += other.GB
+		}
+	}
+	return gb / m.Fetch
+}
+
 // Job is a job with pending tasks.
 type Job struct {
 	Spec      *api.JobSpec
@@ -144,10 +167,10 @@
 	if m.Spot {
 		gain += spotBonus - spotPenalty*j.SpotRisk
 	}
-	if m.Fetch > 0 && !m.Has(j.Spec.Image) {
-		fetch := j.Spec.ImageGB / m.Fetch
-		if j.Within > 0 {
-			gain -= min(1, fetch/j.Within)
+	if fetch := m.FetchTime(j.Spec); fetch > 0 {
+		if late := fetch / j.Within; j.Within > 0 {
+			// Late is late, but what should always run is missed for as long as it fetches.
+			gain -= min(1, late) + math.Log(max(1, late))
 		} else {
 			gain -= imageWeight * fetch / (fetch + j.Spec.Estimate + 1)
 		}
