A cancelled task is gone in time behind a cut; times follow from the settings

Cause: a controller that is cut off from all but its workers goes on answering them under its old token, so their leases do not end. The part's new owner, to which everything is silent, took itself for cut off and waited for two leases (62 s) before deleting, while a cancelled task must be gone after 60: ran_cancelled. Found by asking whether fixed times hold for every setting. Change: a job's key says when it was cancelled; a silent machine that holds such a task is deleted when only that can still end it in time. How often a lease is renewed, how long it lasts, when parts go home and when a worker is taken to come back follow from the settings' limits in one place, unchanged for the users' deployments. Settings whose values or transactions could not hold a round are refused by name: before, jobs would have been accepted and never run.

--- a/config/config.go
+++ b/config/config.go
@@ -130,6 +130,13 @@
 			return nil, fmt.Errorf("settings: deployment.%s: must be above 0", p.name)
 		}
 	}
+	// With less, jobs could be accepted but no round could start a task.
+	if d.State.ValueKB < 1 {
+		return nil, fmt.Errorf("settings: deployment.state.value_kb: %v is less than 1", d.State.ValueKB)
+	}
+	if d.State.TxnOps < 2 {
+		return nil, fmt.Errorf("settings: deployment.state.txn_ops: %d is less than 2", d.State.TxnOps)
+	}
 	if len(d.Teams) == 0 {
 		return nil, fmt.Errorf("settings: deployment.teams: missing")
 	}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -22,7 +22,7 @@
 		if m.heard == 0 || m.deleting {
 			continue
 		}
-		if n.now.Sub(m.heard) > n.silentAfter() {
+		if n.now.Sub(m.heard) > n.silentAfter {
 			if len(pn.Silent) < maxSilent {
 				pn.Silent = append(pn.Silent, m.ID)
 			}
@@ -85,7 +85,7 @@
 	}
 	n.gossipAt = n.now.Add(gossipEvery)
 	for id, r := range n.sentTo {
-		if n.now.Sub(r.at) > returnTime {
+		if n.now.Sub(r.at) > n.returnTime {
 			delete(n.sentTo, id)
 		}
 	}
@@ -178,7 +178,7 @@
 	}
 	for p := range told {
 		t := n.turfs[api.PartID(p)]
-		told[p] = told[p] || t != nil && n.now.Sub(t.since) > n.silentAfter()
+		told[p] = told[p] || t != nil && n.now.Sub(t.since) > n.silentAfter
 		all = all && told[p]
 	}
 	if all {
--- a/control/machine.go
+++ b/control/machine.go
@@ -205,7 +205,7 @@
 // likely to have heard it yet: it is in nobody's account of what is free.
 func (n *Node) onItsWay(id api.MachineID) bool {
 	l, ok := n.lendings[id]
-	if !ok || n.now.Sub(l.at) > n.silentAfter() || len(n.book.on(id)) > 0 || n.fleet.gone[id] != 0 {
+	if !ok || n.now.Sub(l.at) > n.silentAfter || len(n.book.on(id)) > 0 || n.fleet.gone[id] != 0 {
 		return false
 	}
 	m, t := n.machines[id], n.turfs[n.partOf(id)]
@@ -218,10 +218,6 @@
 	return n.byPart[p]
 }
 
-// returnTime is how soon a worker comes back that was sent to a node which
-// does not answer, and perhaps to another like it.
-const returnTime = 20 * time.Second
-
 // unheard reports whether a machine's owner says that it does not hear it.
 func (n *Node) unheard(owner api.Label, id api.MachineID) bool {
 	p := n.peers[owner]
@@ -244,7 +240,7 @@
 		return
 	}
 	last := n.sentTo[c.Report.Machine]
-	if (last.to == owner && n.now.Sub(last.at) < returnTime || n.unheard(owner, c.Report.Machine)) && n.peers[owner] != nil {
+	if (last.to == owner && n.now.Sub(last.at) < n.returnTime || n.unheard(owner, c.Report.Machine)) && n.peers[owner] != nil {
 		n.sentTo[c.Report.Machine] = redirected{owner, n.now}
 		n.peer(owner, PeerMessage{Forward: &Forward{Kind: "checkin", Body: c.Body}}, func(a PeerAnswer) {
 			if !a.OK || a.Reply.Status == 0 {
@@ -583,7 +579,7 @@
 		}
 	}
 	unannounced := m.token < n.base(t, m.ID)
-	silent := n.now.Sub(m.heard) > n.silentAfter()
+	silent := n.now.Sub(m.heard) > n.silentAfter
 	// Calls on suspicion leave half of the calls to those that are known to
 	// answer, or a cut would hold up every start.
 	if !m.calling && m.addr != "" && n.now >= m.callNext &&
@@ -593,9 +589,6 @@
 	n.checkSilence(m, t)
 }
 
-// silentAfter is how long no report may come before a machine is asked.
-func (n *Node) silentAfter() time.Duration { return n.cfg.ReportEvery()*5/4 + 500*time.Millisecond }
-
 // direct sends a machine its orders without waiting for its report.
 func (n *Node) direct(m *Machine, t *turf) {
 	o := api.Orders{Token: m.cmd, Session: max(m.session, 1), Orders: n.orders(m, t)}
--- a/control/node.go
+++ b/control/node.go
@@ -15,20 +15,6 @@
 	"basaltwall/config"
 )
 
-// Timing of our own dealings. None is needed for safety.
-const (
-	memberTTL     = 3 * time.Second
-	renewEvery    = 900 * time.Millisecond
-	stateTimeout  = 1500 * time.Millisecond
-	watchWait     = 10 * time.Second
-	workerTimeout = 1500 * time.Millisecond
-	cloudTimeout  = 6 * time.Second
-	peerTimeout   = 2 * time.Second
-	gossipEvery   = 500 * time.Millisecond
-	retryPause    = 200 * time.Millisecond
-	settleTime    = 5 * time.Second // a returned node's parts go home after this
-)
-
 // Node is one controller.
 type Node struct {
 	// Begins, if set, is told which kind of work comes next.
@@ -93,12 +79,10 @@
 	largest  api.Resources
 	types    map[api.TypeName]*api.MachineType
 
-	paused    []paused
-	fleet     fleet
-	sentTo    map[api.MachineID]redirected
-	roundGap  time.Duration
-	syncGap   time.Duration
-	rentGap   time.Duration
+	paused []paused
+	fleet  fleet
+	sentTo map[api.MachineID]redirected
+	timetable
 	allowance float64 // submissions that may be written now, see maySubmit
 	allowedAt api.Time
 	startedAt api.Time
@@ -151,14 +135,7 @@
 	for _, p := range cfg.Peers {
 		n.peers[p.Label] = &peerNews{}
 	}
-	// Half of the write limit is for rounds, the rest for jobs, checkpoints
-	// and members; likewise for watches among the requests.
-	nodes := float64(len(cfg.Peers) + 1)
-	n.roundGap = max(50*time.Millisecond, api.Seconds(float64(d.Size)/(d.State.WriteRPS*0.5)))
-	n.syncGap = max(40*time.Millisecond, api.Seconds(nodes*3/d.State.RPS))
-	// A third of the cloud's calls may be rentals: offers are refused one by
-	// one, and a burst should not wait for that.
-	n.rentGap = max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS))
+	n.timetable = timetableOf(cfg)
 	// Sockets are for workers' and users' connections in the first place.
 	n.maxDirects = 64
 	if fds := d.Limits.FDLimit; fds > 0 {
@@ -397,7 +374,7 @@
 	}
 	switch {
 	case n.lease == 0:
-		n.state(StateCall{Lease: memberTTL}, func(a StateAnswer) {
+		n.state(StateCall{Lease: n.memberTTL}, func(a StateAnswer) {
 			if a.Status == 200 {
 				n.lease, n.member = a.Lease, false
 				done(0)
@@ -411,7 +388,7 @@
 			switch a.Status {
 			case 200:
 				n.member, n.memberAt = true, n.now
-				done(renewEvery)
+				done(n.renewEvery)
 			case 400:
 				n.lease = 0
 				done(0)
@@ -420,10 +397,10 @@
 			}
 		})
 	default:
-		n.state(StateCall{Renew: n.lease, Timeout: time.Second}, func(a StateAnswer) {
+		n.state(StateCall{Renew: n.lease, Timeout: renewTimeout}, func(a StateAnswer) {
 			switch a.Status {
 			case 200:
-				done(renewEvery)
+				done(n.renewEvery)
 			case 404:
 				n.lease, n.member = 0, false
 				done(0)
@@ -643,14 +620,14 @@
 		switch {
 		case t != nil:
 			home := n.home(p)
-			t.leaving = home != n.cfg.Label && n.live(home) && n.now.Sub(n.liveSince[home]) > settleTime
+			t.leaving = home != n.cfg.Label && n.live(home) && n.now.Sub(n.liveSince[home]) > n.settleTime
 			if t.leaving {
 				n.handOver(t, home)
 			}
 		case n.claiming[p] || n.now < n.claimAfter[p]:
 		case owner == n.cfg.Label:
 			n.claim(p, nil)
-		case owner == "" && (n.home(p) == n.cfg.Label || n.now.Sub(n.startedAt) > settleTime) && n.heir(p) == n.cfg.Label:
+		case owner == "" && (n.home(p) == n.cfg.Label || n.now.Sub(n.startedAt) > n.settleTime) && n.heir(p) == n.cfg.Label:
 			n.claim(p, nil)
 		case owner != "" && !n.live(owner) && n.heir(p) == n.cfg.Label:
 			n.claim(p, []api.Condition{{Key: keyMember + string(owner)}})
--- a/control/silence.go
+++ b/control/silence.go
@@ -21,7 +21,7 @@
 		}
 	}
 	quiet := n.now.Sub(last)
-	patience := n.givenUpAfter()
+	patience := n.givenUpAfter
 	if m.notice {
 		patience = n.cfg.ReportEvery() + 2*time.Second
 	}
@@ -37,6 +37,12 @@
 		return // still booting, as far as we know
 	}
 	lease := n.cfg.WorkerLease()
+	if n.mustGo(m) {
+		// However likely it is that the network is at fault: somebody who is cut off
+		// from us may keep its lease alive.
+		n.remove(m, t, cancelledWhy)
+		return
+	}
 	switch busy := len(n.book.on(m.ID)) > 0; {
 	case n.lately(n.allMute(), "") && quiet < 2*lease:
 		return // it is we who do not hear, as it seems
@@ -50,6 +56,14 @@
 	n.remove(m, t, unreachableWhy)
 }
 
+// mustGo reports whether a machine holds a task whose cancellation was told so long ago
+// that only the machine's deletion can still end it in time.
+func (n *Node) mustGo(m *Machine) bool {
+	return slices.ContainsFunc(n.book.on(m.ID), func(p *Place) bool {
+		return !p.over && p.job.Cancelled && time.Duration(n.wall-p.job.CancelledAt)*time.Millisecond >= n.cancelLimit
+	})
+}
+
 // lately reports whether a zone, or all machines where none is named, is mute or was
 // until just now: when a cut ends, the last ones must have time to be heard again.
 func (n *Node) lately(mute bool, zone api.Zone) bool {
@@ -57,14 +71,9 @@
 		n.muteAt[zone] = n.now
 	}
 	at, ever := n.muteAt[zone]
-	return ever && n.now.Sub(at) < n.silentAfter()+workerTimeout
+	return ever && n.now.Sub(at) < n.silentAfter+workerTimeout
 }
 
-// givenUpAfter is how long a machine may be silent: long enough for the others of
-// its zone to be found silent too, and that to be told, if it is the zone that is
-// cut off.
-func (n *Node) givenUpAfter() time.Duration { return 2*n.cfg.ReportEvery() + 2*workerTimeout }
-
 // enoughMissed is how many direct calls in a row must go unanswered before a
 // machine is given up.
 const enoughMissed = 3
@@ -255,7 +264,7 @@
 				}
 				n.fleet.gone[d.m.ID] = n.now
 				delete(n.fleet.refused, offer{d.m.typ, d.m.zone, d.m.spot}) // there may be room again
-				if d.m.spot && (d.why == unreachableWhy || d.m.notice) {
+				if d.m.spot && (d.why == unreachableWhy || d.why == cancelledWhy || d.m.notice) {
 					n.fleet.spotTaken++
 				}
 				n.unlend(d.t, d.m.ID)
@@ -299,4 +308,5 @@
 const (
 	idleWhy        = "idle"
 	unreachableWhy = "not reachable"
+	cancelledWhy   = "not reachable, with a cancelled task"
 )
--- /dev/null
+++ b/control/timetable.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/config"
+)
+
+// Timing that no setting bears on. None is needed for safety.
+const (
+	stateTimeout  = 1500 * time.Millisecond // answers take a few hundred milliseconds at most
+	renewTimeout  = time.Second
+	watchWait     = 10 * time.Second
+	workerTimeout = 1500 * time.Millisecond
+	cloudTimeout  = 6 * time.Second
+	peerTimeout   = 2 * time.Second
+	gossipEvery   = 500 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
+)
+
+// timetable is how often and how long, as the settings allow. TestTimetableFitsSettings holds
+// it for every setting that is accepted. None is needed for safety.
+type timetable struct {
+	renewEvery time.Duration // of our lease
+	memberTTL  time.Duration // that lease's life
+	settleTime time.Duration // a returned node's parts go home after this
+	roundGap   time.Duration // between a part's rounds
+	syncGap    time.Duration // between current reads
+	rentGap    time.Duration // between rentals, and between deletions
+
+	silentAfter  time.Duration // how long no report may come before a machine is asked
+	givenUpAfter time.Duration // how long a machine may be silent, see checkSilence
+	cancelLimit  time.Duration // how long after a cancellation a machine that is silent is deleted for it
+	returnTime   time.Duration // how soon a worker is back that was sent to a node which does not answer
+}
+
+func timetableOf(cfg *config.Config) timetable {
+	d := cfg.Deployment
+	nodes := float64(len(cfg.Peers) + 1)
+	report, cancel := cfg.ReportEvery(), api.Seconds(d.Workers.Cancel)
+	t := timetable{
+		// A twentieth of the requests keeps all leases alive.
+		renewEvery: min(maxRenew, max(900*time.Millisecond, api.Seconds(20*nodes/d.State.RPS))),
+		// Half of the write limit is for rounds, the rest for jobs, checkpoints and
+		// members; a third of the requests for current reads and watches.
+		roundGap: max(50*time.Millisecond, api.Seconds(float64(d.Size)/(d.State.WriteRPS*0.5))),
+		syncGap:  max(40*time.Millisecond, api.Seconds(nodes*3/d.State.RPS)),
+		// A third of the cloud's calls may be rentals: offers are refused one by
+		// one, and a burst should not wait for that.
+		rentGap: max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS)),
+
+		silentAfter: report*5/4 + 500*time.Millisecond,
+		// Long enough for the others of its zone to be found silent too, and that to
+		// be told, if it is the zone that is cut off.
+		givenUpAfter: 2*report + 2*workerTimeout,
+		returnTime:   max(20*time.Second, report*5/2),
+	}
+	// A renewal may go unanswered once, and be late.
+	t.memberTTL = max(t.renewEvery*10/3, t.renewEvery+renewTimeout+2*retryPause)
+	// Time enough for a deletion that goes unanswered once, with the read before it.
+	t.cancelLimit = max(cancel/2, cancel-2*cloudTimeout-2*sweepEvery)
+	t.settleTime = max(5*time.Second, t.memberTTL)
+	return t
+}
+
+// maxRenew keeps a lease's life within the ten minutes that the state service allows.
+const maxRenew = 2 * time.Minute
--- a/control/user.go
+++ b/control/user.go
@@ -395,7 +395,7 @@
 		return
 	}
 	v := j.jobValue
-	v.Cancelled = true
+	v.Cancelled, v.CancelledAt = true, n.wall
 	data, err := json.Marshal(v)
 	if err != nil {
 		fail()
