--- /dev/null
+++ b/tools/regress/main.go
@@ -0,0 +1,218 @@
+// Command regress runs a set of the users' deployments on the bench, shows each one's
+// figure beside the last of its kind in the journal, and fails on a broken rule, a day
+// that failed, or a fall beyond noise. docs/regression.md says which set is for what.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+// sets are the deployments by what a change touches, as files below the sites' folder.
+var sets = map[string][]string{
+	"landing": {"next/kippermulde-grown.toml", "next/lopresti-mercato-grown.toml", "added/sortierwerk-erding.toml"},
+	"state":   {"more/fleet/kippermulde-fleet.toml", "more/fleet/lopresti-mercato-fleet.toml"},
+	"early":   {"sites/kippermulde.toml", "sites/lopresti-mercato.toml"},
+}
+
+// noise is by how much a deployment's figure may differ with nothing changed.
+const noise = 0.03
+
+var cli struct {
+	Bench   string `required:"" type:"existingfile" help:"The bench's program."`
+	Sites   string `required:"" type:"existingdir" help:"The folder with the deployments."`
+	Journal string `default:"journal" type:"existingdir" help:"Where the bench writes its entries."`
+	Why     string `required:"" help:"What the run is for, in a sentence under 120 characters."`
+	Jobs    int    `default:"6" help:"Days at once."`
+	Hunt    int    `default:"0" help:"Days to draw on each deployment after the score."`
+	Set     string `arg:"" enum:"landing,state,full" help:"landing: every change; state: also what touches storage, membership, timers or messages; full: all days of all deployments."`
+}
+
+// entry is what the tool reads of an entry in the journal.
+type entry struct {
+	ID    string   `json:"id"`
+	At    []string `json:"at"`
+	Cmd   string   `json:"cmd"`
+	Argv  []string `json:"argv"`
+	Site  string   `json:"site"`
+	OK    bool     `json:"ok"`
+	Error string   `json:"error"`
+	Score *float64 `json:"score"`
+	Days  []day    `json:"days"`
+}
+
+type day struct {
+	Name     string         `json:"name"`
+	Score    float64        `json:"score"`
+	Rules    map[string]int `json:"rules"`
+	Fault    string         `json:"fault"`
+	Restarts float64        `json:"restarts"`
+}
+
+func (e *entry) quick() bool { return slices.Contains(e.Argv, "--quick") }
+
+// trouble lists what must never be: a broken rule, a failed day, a process that ended.
+func (e *entry) trouble() []string {
+	var out []string
+	for _, d := range e.Days {
+		for _, rule := range slices.Sorted(maps.Keys(d.Rules)) {
+			out = append(out, fmt.Sprintf("%s, day %s: rule %s broken %d times", e.Site, d.Name, rule, d.Rules[rule]))
+		}
+		if d.Fault != "" {
+			out = append(out, fmt.Sprintf("%s, day %s: %s", e.Site, d.Name, d.Fault))
+		}
+		if d.Restarts > 0 {
+			out = append(out, fmt.Sprintf("%s, day %s: a controller ended by itself", e.Site, d.Name))
+		}
+	}
+	if !e.OK {
+		out = append(out, fmt.Sprintf("%s: %s", e.Site, e.Error))
+	}
+	return out
+}
+
+// readJournal reads all entries, the oldest first.
+func readJournal(dir string) ([]*entry, error) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	slices.Sort(names) // they begin with the time
+	var out []*entry
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("journal: %w", err)
+		}
+		e := &entry{}
+		if err := json.Unmarshal(data, e); err != nil {
+			return nil, fmt.Errorf("journal: %s: %w", filepath.Base(name), err)
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+// last is the newest score of a deployment; a quick one estimates one of all days, and is
+// compared with such where there is none of its kind.
+func last(journal []*entry, site string, quick bool) *entry {
+	var other *entry
+	for _, e := range slices.Backward(journal) {
+		if e.Cmd != "score" || e.Site != site || e.Score == nil {
+			continue
+		}
+		if e.quick() == quick {
+			return e
+		}
+		if other == nil {
+			other = e
+		}
+	}
+	return other
+}
+
+// best is the highest score of a deployment: many small falls in a row show against it.
+func best(journal []*entry, site string) float64 {
+	top := 0.0
+	for _, e := range journal {
+		if e.Cmd == "score" && e.Site == site && e.Score != nil {
+			top = max(top, *e.Score)
+		}
+	}
+	return top
+}
+
+func bench(args ...string) error {
+	c := exec.Command(cli.Bench, args...)
+	c.Stdout, c.Stderr = os.Stdout, os.Stderr
+	return c.Run()
+}
+
+func run() error {
+	files := slices.Clone(sets["landing"])
+	quick := cli.Set != "full"
+	if cli.Set != "landing" {
+		files = append(files, sets["state"]...)
+	}
+	if !quick {
+		files = append(files, sets["early"]...)
+	}
+	for i, f := range files {
+		files[i] = filepath.Join(cli.Sites, f)
+	}
+	before, err := readJournal(cli.Journal)
+	if err != nil {
+		return err
+	}
+	known := map[string]bool{}
+	for _, e := range before {
+		known[e.ID] = true
+	}
+	args := append([]string{"score"}, files...)
+	if quick {
+		args = append(args, "--quick")
+	}
+	// What the bench makes of it is in the journal, so its exit code alone is not the verdict.
+	failed := bench(append(args, "--jobs", fmt.Sprint(cli.Jobs), "--why", cli.Why)...)
+	if cli.Hunt > 0 {
+		for _, f := range files {
+			if err := bench("hunt", f, "--days", fmt.Sprint(cli.Hunt), "--jobs", fmt.Sprint(cli.Jobs), "--why", cli.Why); err != nil {
+				failed = errors.Join(failed, err)
+			}
+		}
+	}
+	after, err := readJournal(cli.Journal)
+	if err != nil {
+		return err
+	}
+	var bad []string
+	seen := map[string]bool{}
+	fmt.Printf("\n%-26s %8s %8s %8s %8s  (simulated)\n", "deployment", "best", "before", "now", "change")
+	for _, e := range after {
+		if known[e.ID] || e.Cmd != "score" && e.Cmd != "hunt" {
+			continue
+		}
+		bad = append(bad, e.trouble()...)
+		if e.Cmd != "score" || e.Score == nil {
+			continue
+		}
+		seen[e.Site] = true
+		old := last(before, e.Site, quick)
+		if old == nil {
+			fmt.Printf("%-26s %8s %8s %8.3f\n", e.Site, "-", "-", *e.Score)
+			continue
+		}
+		change := *e.Score - *old.Score
+		fmt.Printf("%-26s %8.3f %8.3f %8.3f %+8.3f  against %s\n", e.Site, best(before, e.Site), *old.Score, *e.Score, change, old.ID)
+		if change < -noise {
+			bad = append(bad, fmt.Sprintf("%s fell by %.3f: repeat it, or with --no-cpu, then trace it", e.Site, -change))
+		}
+	}
+	for _, f := range files {
+		if site := strings.TrimSuffix(filepath.Base(f), ".toml"); !seen[site] {
+			bad = append(bad, site+": no score was written")
+		}
+	}
+	if len(bad) > 0 {
+		return errors.New(strings.Join(bad, "\n"))
+	}
+	return failed
+}
+
+func main() {
+	ctx := kong.Parse(&cli, kong.Description("Runs a set of deployments on the bench and compares it with the journal."))
+	ctx.FatalIfErrorf(run())
+}
