A job is put off for others no longer than three times its last limit; frozen controllers

It did: work that can still be in time goes first, so a job that can't waited for as long as there was more work than room, without a bound. Change: past three times its last limit a job goes first among its equals. The stand-ins can make a controller stand still while its clocks run on, also among the faults drawn by chance.

--- a/control/part.go
+++ b/control/part.go
@@ -611,9 +611,18 @@
 		left := float64(j.Spec.Tasks-j.doneN) * j.demand.CPU.Float() * j.Spec.Estimate
 		return (0.2 + 0.8/(1+left/(cpus*10+1))) / float64(1+i)
 	}
-	return 0.05 * min(1, elapsed/(10*limits[len(limits)-1]))
+	last := limits[len(limits)-1]
+	if elapsed > overdue*last {
+		return 1
+	}
+	return 0.05 * min(1, elapsed/(10*last))
 }
 
+// overdue is how many times its last limit a job may be put off for others that can
+// still be in time: after that it goes first among its equals, or it would wait for as
+// long as there is more work than room.
+const overdue = 3
+
 func (n *Node) totalUsage() map[api.Team]api.Resources {
 	total := map[api.Team]api.Resources{}
 	for p := range n.book.parts {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -17,6 +17,7 @@
 //	cancel AT REF
 //	ask AT REF                          a poll for a job nobody submitted
 //	crash AT NODE|all BACK              a controller ends and returns after BACK seconds
+//	freeze AT FOR NODE|all              a controller stands still while its clocks run on
 //	roll AT EVERY                       all controllers restart one after the other
 //	cut AT FOR NODE SIDE hold|drop      SIDE: state, workers, peers, cloud, users or all
 //	cutzone AT FOR ZONE hold|drop       a zone's machines are cut off
@@ -270,7 +271,7 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "roll": "dd",
+	forms := map[string]string{"capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
@@ -297,6 +298,8 @@
 		w.After(ds[0], func() { w.Users.Ask(api.JobRef(ss[0])) })
 	case "crash":
 		w.After(ds[0], func() { r.eachNode(ss[0], func(n string) { w.Crash(n, ds[1]) }) })
+	case "freeze":
+		w.After(ds[0], func() { r.eachNode(ss[0], func(n string) { w.Freeze(n, ds[1]) }) })
 	case "roll":
 		for i, c := range r.cfgs {
 			w.After(ds[0]+time.Duration(i)*ds[1], func() { w.Crash(string(c.Label), 3*time.Second) })
@@ -525,6 +528,7 @@
 		faults := []func(){
 			func() { r.w.Crash(node, time.Duration(1+rnd.IntN(8))*time.Second) },
 			func() { r.eachNode("all", func(n string) { r.w.Crash(n, 3*time.Second) }) },
+			func() { r.w.Freeze(node, length) },
 			func() { r.cut(node, "state", length, hold) },
 			func() { r.cut(node, "workers", length, hold) },
 			func() { r.cut(node, "all", length, hold) },
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -110,6 +110,8 @@
 	inbox []control.Command
 	woken bool
 	begun time.Duration
+
+	frozen time.Duration // stands still until then
 }
 
 // NewWorld builds a deployment; StartAll starts its controllers.
@@ -201,8 +203,22 @@
 	}
 }
 
+// Freeze makes a controller stand still while its clocks run on: what reaches it waits.
+func (w *World) Freeze(name string, length time.Duration) {
+	h := w.nodes[name]
+	if h == nil || h.node == nil {
+		return
+	}
+	h.frozen = w.Now + length
+	w.After(length, func() { w.step(h) })
+}
+
 func (w *World) step(h *host) {
-	if h.node == nil {
+	if h.node == nil || w.nodes[h.name] != h {
+		return
+	}
+	if w.Now < h.frozen {
+		h.woken = false
 		return
 	}
 	cmds := h.inbox
