--- a/control/stock.go
+++ b/control/stock.go
@@ -260,8 +260,8 @@
 			before += c.Up - c.Lasting
 			if t := n.turfs[p]; t != nil {
 				n.chooseSurplus(p, s, take)
-				if over := (excess - free) / len(parts); st.ahead != nil && over > 0 {
-					n.gather(t, s, 1+over/gatherIn)
+				if st.ahead != nil && (excess-free)/len(parts) > 0 {
+					n.gather(t, s)
 				}
 			}
 		}
@@ -298,14 +298,11 @@
 // settled is how long a service must have run before it is moved.
 const settled = time.Minute
 
-// gatherIn is in how many seconds about two thirds of what is too much is cleared.
-const gatherIn = 8
-
-// gather has the services of some machines, those that hold fewest, move to others
-// that have room and their image, so that they can be returned: services that came
-// while there was much other work are spread over many machines when that is gone.
-// The cost is a moment without the replica.
-func (n *Node) gather(t *turf, s Supply, most int) {
+// gather has the services of a machine, that which holds fewest, move to others that
+// have room and their image, so that it can be returned: services that came while there
+// was much other work are spread over many machines when that is gone. The cost is a
+// moment without the replica.
+func (n *Node) gather(t *turf, s Supply) {
 	if n.now.Sub(t.since) < n.hold(s.Type) {
 		return
 	}
@@ -321,36 +318,33 @@
 			from = append(from, m)
 		}
 	}
-	slices.SortStableFunc(from, func(a, b *Machine) int { return len(n.book.on(a.ID)) - len(n.book.on(b.ID)) })
-	taken := map[*Machine]api.Resources{} // room that is spoken for
-	for _, m := range from[:min(most, len(from))] {
-		if _, used := taken[m]; used || !n.fitElsewhere(m, t, to, taken) {
-			continue
-		}
-		m.clearing = n.now.Add(keepTime)
-		slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(n.book.on(m.ID)))
-		for _, p := range slices.Clone(n.book.on(m.ID)) {
-			n.stop(p)
-		}
+	if len(from) == 0 {
+		return
+	}
+	m := slices.MinFunc(from, func(a, b *Machine) int { return len(n.book.on(a.ID)) - len(n.book.on(b.ID)) })
+	if !n.fitElsewhere(m, t, to) {
+		return
+	}
+	m.clearing = n.now.Add(keepTime)
+	slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(n.book.on(m.ID)))
+	for _, p := range slices.Clone(n.book.on(m.ID)) {
+		n.stop(p)
 	}
 }
 
-// fitElsewhere finds room for all that a machine holds on others that have the
-// images, and notes it as taken.
-func (n *Node) fitElsewhere(from *Machine, t *turf, to []*Machine, taken map[*Machine]api.Resources) bool {
-	mine := map[*Machine]api.Resources{}
+// fitElsewhere reports whether others that have the images have room for all that a
+// machine holds.
+func (n *Node) fitElsewhere(from *Machine, t *turf, to []*Machine) bool {
+	taken := map[*Machine]api.Resources{}
 	for _, p := range n.book.on(from.ID) {
 		i := slices.IndexFunc(to, func(m *Machine) bool {
 			_, has := m.images[p.job.Spec.Image]
-			return has && m != from && n.now >= m.clearing && p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m]).Minus(mine[m]))
+			return has && m != from && p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m]))
 		})
 		if i < 0 {
 			return false
 		}
-		mine[to[i]] = mine[to[i]].Plus(p.job.demand)
-	}
-	for m, r := range mine {
-		taken[m] = taken[m].Plus(r)
+		taken[to[i]] = taken[to[i]].Plus(p.job.demand)
 	}
 	return true
 }
