--- /dev/null
+++ b/book/book.go
@@ -0,0 +1,522 @@
+package book
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"basaltwall/api"
+)
+
+// Place is a task's durable start that has not been proven over. P is what its owner
+// notes of it.
+type Place[J, P any] struct {
+	Task    api.TaskID
+	Part    api.PartID
+	Machine api.MachineID
+	Session api.Session
+	Attempt api.Attempt
+	Job     *Job[J, P]
+	Over    bool // evidence is collected, its record not yet durable; see SetOver
+	Note    P
+}
+
+// Job is an accepted job that is not yet put away. J is what owners note of it.
+type Job[J, P any] struct {
+	JobValue
+	Ref    api.JobRef
+	Demand api.Resources
+	Ver    api.Revision
+	Done   Set
+	DoneN  int
+	Places map[int]*Place[J, P] // by task
+	Placed map[api.PartID]int   // how many places by part
+	OverN  int                  // places that are over but not yet recorded so
+	Again  int                  // starts that ended otherwise than by completing, since this process knows the job
+	Note   J
+
+	doneBy map[api.PartID]*Set
+}
+
+// State is what users are told. A job all of whose tasks are done is done even
+// when a cancellation is recorded too: no completion is recorded after a
+// cancellation, so the completion came first.
+func (j *Job[J, P]) State() api.JobState {
+	switch {
+	case j.DoneN >= j.Spec.Tasks:
+		return api.JobDone
+	case j.Cancelled:
+		return api.JobCancelled
+	case len(j.Places) > 0:
+		return api.JobRunning
+	}
+	return api.JobPending
+}
+
+// Final reports whether the job is done or cancelled.
+func (j *Job[J, P]) Final() bool { return j.DoneN >= j.Spec.Tasks || j.Cancelled }
+
+// Waits reports whether some task of the job is neither done nor placed, places that
+// are over aside.
+func (j *Job[J, P]) Waits() bool { return j.DoneN+len(j.Places)-j.OverN < j.Spec.Tasks }
+
+// Waiting counts the job's tasks in a part that are neither done nor placed. It
+// does not look at each task: there may be very many.
+func (j *Job[J, P]) Waiting(p api.PartID) int {
+	if j.DoneN+len(j.Places) >= j.Spec.Tasks {
+		return 0
+	}
+	c := 0
+	for _, r := range j.Split {
+		if r.Part == p {
+			c += r.To - r.From - j.Done.Count(r.From, r.To)
+		}
+	}
+	return max(0, c-j.Placed[p])
+}
+
+func (j *Job[J, P]) complete(part api.PartID, i int) {
+	if i < 0 || i >= j.Spec.Tasks {
+		return
+	}
+	if j.doneBy[part] == nil {
+		j.doneBy[part] = &Set{}
+	}
+	j.doneBy[part].Set(i)
+	if j.Done.Set(i) {
+		j.DoneN++
+	}
+}
+
+// Part is a part of the machines by the record.
+type Part struct {
+	Use   map[api.Team]api.Resources // of the places that are not over
+	Ranks [4]int                     // places by priority, gangs' aside
+	Owner api.Label
+	Term  api.Revision
+	Seq   uint64 // its latest round
+	Head  HeadValue
+	given map[api.PartID]map[api.Team]api.Resources
+}
+
+// hosted is what a machine holds by the durable record, in order of task.
+type hosted[J, P any] struct {
+	places []*Place[J, P]
+	need   api.Resources // of the places that are not over
+}
+
+// Book is the durable state up to a revision.
+type Book[J, P any] struct {
+	Rev     api.Revision
+	Members map[api.Label]MemberValue
+	Parts   []Part
+	Jobs    map[api.JobRef]*Job[J, P]
+	OnPart  []map[*Place[J, P]]bool     // places by part
+	Open    map[api.JobRef]*Job[J, P]   // with tasks that wait
+	Ended   map[api.JobRef]*Job[J, P]   // over, no place left, not yet put away
+	Lent    map[api.MachineID]Lent      // machines that were given to another part
+	Lends   int                         // changes to Lent, so that what follows from it can be kept
+	Finals  map[api.JobRef]api.JobState // of late, at most maxFinals
+
+	kinds  []Kind
+	vers   map[string]api.Revision
+	raw    map[string]json.RawMessage // only while loading
+	onHost map[api.MachineID]*hosted[J, P]
+	oldest []api.JobRef // finals in the order they came, to bound them
+}
+
+const maxFinals = 50_000
+
+// New returns an empty book of so many parts that folds the given kinds of records
+// beside its own.
+func New[J, P any](parts int, kinds ...Kind) *Book[J, P] {
+	b := &Book[J, P]{
+		vers: map[string]api.Revision{}, Members: map[api.Label]MemberValue{},
+		Parts: make([]Part, parts), Jobs: map[api.JobRef]*Job[J, P]{},
+		OnPart: make([]map[*Place[J, P]]bool, parts), onHost: map[api.MachineID]*hosted[J, P]{},
+		Open: map[api.JobRef]*Job[J, P]{}, Ended: map[api.JobRef]*Job[J, P]{},
+		Finals: map[api.JobRef]api.JobState{}, Lent: map[api.MachineID]Lent{},
+	}
+	for i := range b.Parts {
+		b.Parts[i].given = map[api.PartID]map[api.Team]api.Resources{}
+		b.Parts[i].Use = map[api.Team]api.Resources{}
+		b.OnPart[i] = map[*Place[J, P]]bool{}
+	}
+	b.kinds = append([]Kind{
+		{KeyMember, b.putMember, func(name string) { delete(b.Members, api.Label(name)) }},
+		{KeyPart, b.putPart, nil},
+		{KeyHead, b.putHead, nil},
+		{KeyRound, b.putRound, nil},
+		{KeyJob, b.putJob, b.dropJob},
+		{KeyLend, b.putLend, func(name string) {
+			delete(b.Lent, api.MachineID(name))
+			b.Lends++
+		}},
+	}, kinds...)
+	return b
+}
+
+// kindOf finds the kind of a key and what follows its prefix.
+func (b *Book[J, P]) kindOf(key string) (*Kind, string) {
+	for i := range b.kinds {
+		if name, ok := cutPrefix(key, b.kinds[i].Prefix); ok {
+			return &b.kinds[i], name
+		}
+	}
+	return nil, ""
+}
+
+// cutPrefix is strings.CutPrefix, but a prefix that does not end with a slash must be
+// the whole key.
+func cutPrefix(key, prefix string) (string, bool) {
+	name, ok := strings.CutPrefix(key, prefix)
+	return name, ok && (name == "" || strings.HasSuffix(prefix, "/"))
+}
+
+// If is the condition that a key is as it was folded, or absent.
+func (b *Book[J, P]) If(key string) api.Condition {
+	return api.Condition{Key: key, Version: b.vers[key]}
+}
+
+// Version is the revision of a key's latest change, 0 if it does not exist.
+func (b *Book[J, P]) Version(key string) api.Revision { return b.vers[key] }
+
+// Wrote notes the version of a key that its owner wrote itself, so that the next write
+// need not wait for the log.
+func (b *Book[J, P]) Wrote(key string, rev api.Revision) { b.vers[key] = max(b.vers[key], rev) }
+
+// Put applies a changed key. While loading, it only gathers.
+func (b *Book[J, P]) Put(key string, value json.RawMessage, ver api.Revision) error {
+	if b.vers[key] >= ver {
+		return nil
+	}
+	b.vers[key] = ver
+	if b.raw != nil {
+		b.raw[key] = value
+		return nil
+	}
+	return b.apply(key, value, ver)
+}
+
+func (b *Book[J, P]) apply(key string, value json.RawMessage, ver api.Revision) error {
+	if k, name := b.kindOf(key); k != nil {
+		if err := k.Put(name, value, ver); err != nil {
+			return fmt.Errorf("key %s: %w", key, err)
+		}
+	}
+	return nil
+}
+
+// Drop applies a deletion.
+func (b *Book[J, P]) Drop(key string, ver api.Revision) {
+	if b.vers[key] > ver {
+		return
+	}
+	delete(b.vers, key)
+	if b.raw != nil {
+		delete(b.raw, key)
+		return
+	}
+	if k, name := b.kindOf(key); k != nil && k.Drop != nil {
+		k.Drop(name)
+	}
+}
+
+func (b *Book[J, P]) putMember(name string, value json.RawMessage, _ api.Revision) error {
+	var m MemberValue
+	if err := json.Unmarshal(value, &m); err != nil {
+		return err
+	}
+	b.Members[api.Label(name)] = m
+	return nil
+}
+
+func (b *Book[J, P]) putPart(name string, value json.RawMessage, ver api.Revision) error {
+	p, err := partOf(name, len(b.Parts))
+	if err != nil {
+		return err
+	}
+	var v PartValue
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	b.Parts[p].Owner, b.Parts[p].Term = v.Owner, ver
+	return nil
+}
+
+func (b *Book[J, P]) putHead(name string, value json.RawMessage, _ api.Revision) error {
+	p, err := partOf(name, len(b.Parts))
+	if err != nil {
+		return err
+	}
+	var v HeadValue
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	b.Parts[p].Head = v
+	return nil
+}
+
+func (b *Book[J, P]) putRound(name string, value json.RawMessage, _ api.Revision) error {
+	p, err := partOf(name, len(b.Parts))
+	if err != nil {
+		return err
+	}
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return err
+	}
+	b.FoldRecord(p, &r)
+	return nil
+}
+
+func (b *Book[J, P]) putLend(name string, value json.RawMessage, ver api.Revision) error {
+	var v LendValue
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	if v.Part < 0 || int(v.Part) >= len(b.Parts) {
+		return fmt.Errorf("part: %d: no such part", v.Part)
+	}
+	b.Lent[api.MachineID(name)] = Lent{v, ver}
+	b.Lends++
+	return nil
+}
+
+func (b *Book[J, P]) putJob(name string, value json.RawMessage, ver api.Revision) error {
+	var v JobValue
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	if v.Spec == nil {
+		return errors.New("no job in it")
+	}
+	ref := api.JobRef(name)
+	j := b.Jobs[ref]
+	if j == nil {
+		j = &Job[J, P]{Ref: ref, doneBy: map[api.PartID]*Set{}, Places: map[int]*Place[J, P]{}, Placed: map[api.PartID]int{}}
+		b.Jobs[ref] = j
+	}
+	j.JobValue, j.Demand, j.Ver = v, v.Spec.Demand(), ver
+	b.index(j)
+	return nil
+}
+
+func (b *Book[J, P]) dropJob(name string) {
+	ref := api.JobRef(name)
+	j := b.Jobs[ref]
+	if j == nil {
+		return
+	}
+	if j.Final() {
+		b.SetFinal(ref, j.State())
+	}
+	for _, p := range j.Places {
+		b.dropPlace(p)
+	}
+	delete(b.Jobs, ref)
+	delete(b.Open, ref)
+	delete(b.Ended, ref)
+}
+
+// Attempt numbers the starts of a round: unique for a task wherever it moves.
+func (b *Book[J, P]) Attempt(p api.PartID, seq uint64) api.Attempt {
+	return api.Attempt(seq*uint64(len(b.Parts)) + uint64(p) + 1)
+}
+
+// comparePlaces orders the places on a machine.
+func comparePlaces[J, P any](a, b *Place[J, P]) int {
+	return cmp.Or(strings.Compare(string(a.Task.Job), string(b.Task.Job)), cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Attempt, b.Attempt))
+}
+
+// AddPlace takes in a start.
+func (b *Book[J, P]) AddPlace(p *Place[J, P]) {
+	p.Job.Places[p.Task.Index] = p
+	p.Job.Placed[p.Part]++
+	b.OnPart[p.Part][p] = true
+	h := b.onHost[p.Machine]
+	if h == nil {
+		h = &hosted[J, P]{}
+		b.onHost[p.Machine] = h
+	}
+	i, _ := slices.BinarySearchFunc(h.places, p, comparePlaces)
+	h.places = slices.Insert(h.places, i, p)
+	b.weigh(p, 1)
+	if p.Job.Spec.Kind != api.Gang {
+		b.Parts[p.Part].Ranks[p.Job.Spec.Priority.Rank()]++
+	}
+	b.index(p.Job)
+}
+
+func (b *Book[J, P]) dropPlace(p *Place[J, P]) {
+	b.SetOver(p, true)
+	p.Job.OverN--
+	delete(p.Job.Places, p.Task.Index)
+	p.Job.Placed[p.Part]--
+	delete(b.OnPart[p.Part], p)
+	if h := b.onHost[p.Machine]; h != nil {
+		if i := slices.Index(h.places, p); i >= 0 {
+			h.places = slices.Delete(h.places, i, i+1)
+		}
+		if len(h.places) == 0 {
+			delete(b.onHost, p.Machine)
+		}
+	}
+	if p.Job.Spec.Kind != api.Gang {
+		b.Parts[p.Part].Ranks[p.Job.Spec.Priority.Rank()]--
+	}
+	b.index(p.Job)
+}
+
+// weigh counts what a place takes, or no longer takes, of its machine and of
+// its team's limit.
+func (b *Book[J, P]) weigh(p *Place[J, P], n int) {
+	need := p.Job.Demand.Times(n)
+	if h := b.onHost[p.Machine]; h != nil {
+		h.need = h.need.Plus(need)
+	}
+	use := b.Parts[p.Part].Use
+	use[p.Job.Spec.Team] = use[p.Job.Spec.Team].Plus(need)
+}
+
+// SetOver notes whether there is evidence that a place is over.
+func (b *Book[J, P]) SetOver(p *Place[J, P], over bool) {
+	if p.Over == over {
+		return
+	}
+	p.Over = over
+	if over {
+		p.Job.OverN++
+		b.weigh(p, -1)
+	} else {
+		p.Job.OverN--
+		b.weigh(p, 1)
+	}
+	b.index(p.Job)
+}
+
+// index keeps the sets of jobs by what is still to be done for them, so that
+// no round looks at the many that need nothing.
+func (b *Book[J, P]) index(j *Job[J, P]) {
+	delete(b.Open, j.Ref)
+	delete(b.Ended, j.Ref)
+	switch {
+	case j.Final() && len(j.Places) == 0:
+		b.Ended[j.Ref] = j
+	case !j.Final() && j.Waits():
+		b.Open[j.Ref] = j
+	}
+}
+
+// On lists the places on a machine, in order.
+func (b *Book[J, P]) On(id api.MachineID) []*Place[J, P] {
+	if h := b.onHost[id]; h != nil {
+		return h.places
+	}
+	return nil
+}
+
+// Need is what the places on a machine take, those that are over aside.
+func (b *Book[J, P]) Need(id api.MachineID) api.Resources {
+	if h := b.onHost[id]; h != nil {
+		return h.need
+	}
+	return api.Resources{}
+}
+
+// fold applies a part's deltas.
+func (b *Book[J, P]) fold(part api.PartID, seq uint64, deltas []JobDelta) {
+	for _, d := range deltas {
+		j := b.Jobs[d.Job]
+		if j == nil {
+			continue
+		}
+		for _, i := range slices.Concat(d.Done, d.Lost) {
+			if p := j.Places[i]; p != nil && p.Part == part {
+				b.dropPlace(p)
+			}
+		}
+		j.Again += len(d.Lost)
+		for _, i := range d.Done {
+			j.complete(part, i)
+		}
+		if len(d.Bits) > 0 {
+			var set Set
+			set.addBytes(d.Bits, j.Spec.Tasks)
+			for i := range j.Spec.Tasks {
+				if set.Has(i) {
+					j.complete(part, i)
+				}
+			}
+		}
+		for _, s := range d.Starts {
+			attempt := s.Attempt
+			if attempt == 0 {
+				attempt = b.Attempt(part, seq)
+			}
+			if s.Task < 0 || s.Task >= j.Spec.Tasks || j.Places[s.Task] != nil {
+				continue
+			}
+			b.AddPlace(&Place[J, P]{Task: api.TaskID{Job: d.Job, Index: s.Task}, Part: part, Machine: s.Machine,
+				Session: s.Session, Attempt: attempt, Job: j})
+		}
+		b.index(j)
+	}
+}
+
+func (b *Book[J, P]) addGifts(part api.PartID, gifts []Gift) {
+	for _, g := range gifts {
+		m := b.Parts[part].given[g.To]
+		if m == nil {
+			m = map[api.Team]api.Resources{}
+			b.Parts[part].given[g.To] = m
+		}
+		m[g.Team] = m[g.Team].Plus(g.Amount)
+	}
+}
+
+// FoldRecord applies a round unless it was applied before.
+func (b *Book[J, P]) FoldRecord(part api.PartID, r *Record) {
+	ps := &b.Parts[part]
+	if r.Seq != ps.Seq+1 {
+		return
+	}
+	ps.Seq = r.Seq
+	b.fold(part, r.Seq, r.Jobs)
+	b.addGifts(part, r.Gifts)
+}
+
+// SetFinal notes a job's final state, for some time.
+func (b *Book[J, P]) SetFinal(ref api.JobRef, s api.JobState) {
+	if _, known := b.Finals[ref]; !known {
+		b.oldest = append(b.oldest, ref)
+		if len(b.oldest) > maxFinals {
+			delete(b.Finals, b.oldest[0])
+			b.oldest = b.oldest[1:]
+		}
+	}
+	b.Finals[ref] = s
+}
+
+// Share is the part of a team's limit that a part may use.
+func (b *Book[J, P]) Share(p api.PartID, team api.Team, limit api.Resources) api.Resources {
+	n := api.Amount(len(b.Parts))
+	s := api.Resources{CPU: limit.CPU / n, GPU: limit.GPU / n}
+	if p == 0 { // what can't be divided
+		s.CPU += limit.CPU % n
+		s.GPU += limit.GPU % n
+	}
+	for i := range b.Parts {
+		if api.PartID(i) != p {
+			s = s.Plus(b.Parts[i].given[p][team])
+		}
+	}
+	for _, teams := range b.Parts[p].given {
+		s = s.Minus(teams[team])
+	}
+	return s
+}
--- /dev/null
+++ b/book/keys.go
@@ -0,0 +1,83 @@
+// Package book is the durable state as a controller knows it: the fold of every key
+// under Root in the state service, in the order of their revisions. Two books at the
+// same revision agree. It decides nothing; what an owner notes of jobs and places
+// beyond the record are types of the caller's.
+package book
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"basaltwall/api"
+)
+
+// Keys in the state service. Everything a controller follows lies under Root;
+// final states lie outside, so that what a restart reads stays bounded.
+const (
+	Root      = "b/"
+	KeyMember = Root + "member/"
+	KeyPart   = Root + "part/"
+	KeyHead   = Root + "head/"
+	KeySnap   = Root + "snap/"
+	KeyRound  = Root + "round/"
+	KeyJob    = Root + "job/"
+	KeyLend   = Root + "lend/"
+	KeyFinal  = "final/"
+)
+
+// RingSize is how many round records a part keeps before their keys are used
+// again; a checkpoint must have covered a record by then. A checkpoint grows with
+// the tasks that run, a record with those that start or end, so checkpoints must
+// be much rarer than rounds, or they would use up the writes; what is read after
+// a crash stays some hundred records.
+const RingSize = 128
+
+// PartKey is the key of a part under a prefix.
+func PartKey(prefix string, p api.PartID) string { return prefix + strconv.Itoa(int(p)) }
+
+// RoundKey is the key of a part's round in its ring.
+func RoundKey(p api.PartID, seq uint64) string {
+	return fmt.Sprintf("%s%d/%d", KeyRound, p, seq%RingSize)
+}
+
+// SnapKey is the key of a piece of a part's checkpoint; two generations take turns.
+func SnapKey(p api.PartID, gen uint64, i int) string {
+	return fmt.Sprintf("%s%d/%d/%d", KeySnap, p, gen%2, i)
+}
+
+// Kind is a kind of durable record: all keys that begin with a prefix, or the key that
+// is the prefix. It is declared in one place: a key's value is the record's whole state,
+// so it needs no place in the checkpoints, and what a restart reads of it are its keys.
+// A write of it is conditional on If, and on the part or member whose right it is.
+type Kind struct {
+	Prefix string
+	// Put takes in a value; name is what follows the prefix. It leaves all as it was
+	// when it returns an error.
+	Put func(name string, value json.RawMessage, ver api.Revision) error
+	// Drop takes in a deletion; nil where nothing is kept of the key.
+	Drop func(name string)
+}
+
+// One is the kind of a single key whose value is read into to.
+func One[T any](key string, to *T) Kind {
+	return Kind{Prefix: key, Put: func(_ string, value json.RawMessage, _ api.Revision) error {
+		var v T
+		if err := json.Unmarshal(value, &v); err != nil {
+			return err
+		}
+		*to = v
+		return nil
+	}}
+}
+
+// partOf reads the part's number from what follows a prefix.
+func partOf(name string, parts int) (api.PartID, error) {
+	num, _, _ := strings.Cut(name, "/")
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 || n >= parts {
+		return 0, fmt.Errorf("%q: no such part", num)
+	}
+	return api.PartID(n), nil
+}
--- a/control/ask.go
+++ b/control/ask.go
@@ -121,7 +121,7 @@
 		}
 		n.reply(c.Req, 200, n.viewJobs(api.Team(c.Team), c.Limit), 0)
 	case "job":
-		j := n.book.jobs[api.JobRef(c.ID)]
+		j := n.book.Jobs[api.JobRef(c.ID)]
 		if j == nil {
 			n.refuse(c.Req, 404, "no such job, or it is over")
 			return
@@ -150,7 +150,7 @@
 }
 
 func (n *Node) settingsNow() SettingsAt {
-	return SettingsAt{n.book.settings, n.book.vers[keySettings]}
+	return SettingsAt{n.settings, n.book.Version(keySettings)}
 }
 
 // change writes settings; it must name the revision that it replaces.
@@ -179,8 +179,8 @@
 	out := []MemberView{}
 	for _, l := range n.all {
 		v := MemberView{Label: l, Live: n.live(l), Parts: []api.PartID{}, Self: l == n.cfg.Label}
-		for i, p := range n.book.parts {
-			if p.owner == l {
+		for i, p := range n.book.Parts {
+			if p.Owner == l {
 				v.Parts = append(v.Parts, api.PartID(i))
 			}
 		}
@@ -191,11 +191,11 @@
 
 func (n *Node) viewParts() []PartView {
 	out := []PartView{}
-	for i, p := range n.book.parts {
-		v := PartView{Part: api.PartID(i), Owner: p.owner, Term: p.term, Rounds: p.seq, Tasks: len(n.book.onPart[i])}
-		for _, j := range n.book.jobs {
-			if !j.final() {
-				v.Waiting += j.waiting(v.Part)
+	for i, p := range n.book.Parts {
+		v := PartView{Part: api.PartID(i), Owner: p.Owner, Term: p.Term, Rounds: p.Seq, Tasks: len(n.book.OnPart[i])}
+		for _, j := range n.book.Jobs {
+			if !j.Final() {
+				v.Waiting += j.Waiting(v.Part)
 			}
 		}
 		out = append(out, v)
@@ -208,7 +208,7 @@
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		for _, m := range n.machinesOf(p) {
 			v := MachineView{ID: m.ID, Part: p, Type: m.typ, Zone: m.zone, Spot: m.spot, Tasks: []string{}, Avoided: n.avoided(m, n.turfs[p])}
-			for _, pl := range n.book.on(m.ID) {
+			for _, pl := range n.book.On(m.ID) {
 				v.Tasks = append(v.Tasks, pl.Task.String())
 			}
 			out = append(out, v)
@@ -226,7 +226,7 @@
 	switch {
 	case m.deleting:
 		return "is being returned"
-	case slices.Contains(n.book.settings.Drained, m.ID):
+	case slices.Contains(n.settings.Drained, m.ID):
 		return "drained by an operator"
 	case m.heard == 0:
 		return "has not been heard yet"
@@ -258,9 +258,9 @@
 		v := TeamView{Team: name, CPUs: use[name].CPU.Float(), GPUs: use[name].GPU.Float(), Guaranteed: t.CPUs,
 			GPUsGuar: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
 		if t.CPUsMax > 0 || t.GPUsMax > 0 {
-			v.Shares = slices.Grow(v.Shares, len(n.book.parts))[:len(n.book.parts)]
-			for i := range n.book.parts {
-				s := n.book.share(api.PartID(i), name, limitOf(t))
+			v.Shares = slices.Grow(v.Shares, len(n.book.Parts))[:len(n.book.Parts)]
+			for i := range n.book.Parts {
+				s := n.book.Share(api.PartID(i), name, limitOf(t))
 				v.Shares[i].Part = api.PartID(i)
 				if t.CPUsMax > 0 {
 					v.Shares[i].CPUs = s.CPU.Float()
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -8,34 +8,21 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 )
 
 // checkpoint writes the part's state when enough rounds have passed, so that
 // recovery reads a bounded amount and the ring of records can go round.
 func (n *Node) checkpoint(t *turf) {
-	ps := &n.book.parts[t.part]
-	if t.saving || t.handing || ps.seq < ps.head.Seq+ringSize/2 || n.now < t.putNext {
+	ps := &n.book.Parts[t.part]
+	if t.saving || t.handing || ps.Seq < ps.Head.Seq+book.RingSize/2 || n.now < t.putNext {
 		return
 	}
-	c := n.book.checkpointOf(t.part)
-	blob, err := pack(c)
+	writes, err := n.book.Pieces(t.part, int(n.cfg.Deployment.State.ValueKB*1024)-64)
 	if err != nil {
 		slog.Error("checkpoint not written", "err", err)
 		return
 	}
-	// Base64 makes four bytes of three.
-	size := int(n.cfg.Deployment.State.ValueKB*1024-64) / 4 * 3
-	head := headValue{Seq: c.Seq, Gen: ps.head.Gen + 1}
-	var writes []api.Write
-	for len(blob) > 0 {
-		k := min(size, len(blob))
-		v, _ := json.Marshal(blob[:k])
-		writes = append(writes, api.Write{Put: snapKey(t.part, head.Gen, head.Chunks), Value: v})
-		blob = blob[k:]
-		head.Chunks++
-	}
-	v, _ := json.Marshal(head)
-	writes = append(writes, api.Write{Put: partKey(keyHead, t.part), Value: v})
 	t.saving = true
 	n.saveNext(t, writes)
 }
@@ -44,9 +31,9 @@
 // the last transaction. Each is conditional on the versions it replaces.
 func (n *Node) saveNext(t *turf, writes []api.Write) {
 	k := min(len(writes), n.cfg.Deployment.State.TxnOps, max(1, int(56/n.cfg.Deployment.State.ValueKB)))
-	tx := api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}}, Writes: writes[:k]}
+	tx := api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}}, Writes: writes[:k]}
 	for _, w := range writes[:k] {
-		tx.If = append(tx.If, api.Condition{Key: w.Put, Version: n.book.vers[w.Put]})
+		tx.If = append(tx.If, n.book.If(w.Put))
 	}
 	n.txn(tx, func(a StateAnswer) {
 		if n.turfs[t.part] != t {
@@ -54,15 +41,15 @@
 		}
 		if a.Status == 200 {
 			for _, w := range writes[:k] {
-				n.book.vers[w.Put] = max(n.book.vers[w.Put], a.Txn.Revision)
+				n.book.Wrote(w.Put, a.Txn.Revision)
 			}
 			if k < len(writes) {
 				n.saveNext(t, writes[k:])
 				return
 			}
-			var head headValue
+			var head book.HeadValue
 			if json.Unmarshal(writes[k-1].Value, &head) == nil {
-				n.book.parts[t.part].head = head
+				n.book.Parts[t.part].Head = head
 			}
 			t.saving, t.dirty = false, true
 			return
@@ -81,24 +68,24 @@
 		return
 	}
 	var tx api.Txn
-	for _, ref := range slices.Sorted(maps.Keys(n.book.ended)) {
-		j := n.book.ended[ref]
+	for _, ref := range slices.Sorted(maps.Keys(n.book.Ended)) {
+		j := n.book.Ended[ref]
 		if len(j.Split) == 0 || j.Split[0].Part != t.part {
 			continue
 		}
 		if len(tx.Writes)+2 > n.cfg.Deployment.State.TxnOps {
 			break
 		}
-		v, _ := json.Marshal(j.state())
-		job, final := keyJob+string(ref), keyFinal+string(ref)
-		tx.If = append(tx.If, api.Condition{Key: job, Version: j.ver}, api.Condition{Key: final})
+		v, _ := json.Marshal(j.State())
+		job, final := book.KeyJob+string(ref), book.KeyFinal+string(ref)
+		tx.If = append(tx.If, api.Condition{Key: job, Version: j.Ver}, api.Condition{Key: final})
 		tx.Writes = append(tx.Writes, api.Write{Drop: job}, api.Write{Put: final, Value: v})
 	}
 	t.putNext = n.now.Add(2 * time.Second)
 	if len(tx.Writes) == 0 {
 		return
 	}
-	tx.If = append(tx.If, api.Condition{Key: partKey(keyPart, t.part), Version: t.term})
+	tx.If = append(tx.If, api.Condition{Key: book.PartKey(book.KeyPart, t.part), Version: t.term})
 	t.putting = true
 	n.txn(tx, func(StateAnswer) { t.putting = false })
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/sched"
 )
 
@@ -141,10 +142,10 @@
 		}
 		f.typesNext = n.now.Add(typesEvery)
 		n.learnTypes(a.Types)
-		if t := n.turfs[0]; t != nil && len(n.book.types) != len(a.Types) {
+		if t := n.turfs[0]; t != nil && len(n.known.Types) != len(a.Types) {
 			// Kept so that a node that starts while the cloud is down knows them.
 			v, _ := json.Marshal(api.MachineTypes{Types: a.Types})
-			n.txn(api.Txn{If: []api.Condition{{Key: partKey(keyPart, 0), Version: t.term}},
+			n.txn(api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, 0), Version: t.term}},
 				Writes: []api.Write{{Put: keyTypes, Value: v}}}, func(StateAnswer) {})
 		}
 	})
@@ -252,7 +253,7 @@
 		idle = false
 	}
 	m.closing = idle && n.accelerated(m.typ)
-	if m.deleting || len(n.book.on(m.ID)) > 0 {
+	if m.deleting || len(n.book.On(m.ID)) > 0 {
 		return
 	}
 	_, listed := f.hosts[m.ID]
@@ -269,8 +270,8 @@
 // keeps reports whether a machine has work that it is kept for: any, but on
 // one with accelerators only such as needs them.
 func (n *Node) keeps(id api.MachineID, typ api.TypeName) bool {
-	for _, p := range n.book.on(id) {
-		if !n.accelerated(typ) || !n.plain(p.job.Spec) {
+	for _, p := range n.book.On(id) {
+		if !n.accelerated(typ) || !n.plain(p.Job.Spec) {
 			return true
 		}
 	}
@@ -280,7 +281,7 @@
 // hold is how long a machine may stand idle: as long as fetching another would
 // take. By then it has cost what returning it too early would cost.
 func (n *Node) hold(t api.TypeName) time.Duration {
-	if h := n.book.settings.IdleHold; h > 0 {
+	if h := n.settings.IdleHold; h > 0 {
 		return api.Seconds(h)
 	}
 	typ := n.types[t]
@@ -294,7 +295,7 @@
 // what is coming, and rents the cheapest machines for them.
 func (n *Node) rent(t *turf) {
 	f := &n.fleet
-	if n.book.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 {
+	if n.settings.NoRent || f.renting || n.now < f.rentNext || f.listed == 0 {
 		return
 	}
 	// After a takeover the machines there are must be heard of first; on an empty
@@ -330,27 +331,27 @@
 	for name, team := range n.teams {
 		left[name] = limitOf(team).Minus(use[name])
 	}
-	jobs := slices.SortedFunc(maps.Values(n.book.open), func(a, b *Job) int {
+	jobs := slices.SortedFunc(maps.Values(n.book.Open), func(a, b *Job) int {
 		if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
 			return d
 		}
-		return cmp.Compare(a.ref, b.ref)
+		return cmp.Compare(a.Ref, b.Ref)
 	})
 	need := map[offer]int{}
 	var first []offer // in the order of the work that needs them
 	budget := 20000   // tasks looked at
 	queued := 0       // tasks that wait for accelerators
 	for _, j := range jobs {
-		if j.hold > n.now {
+		if j.Note.hold > n.now {
 			continue
 		}
 		waiting := 0
-		for p := range n.book.parts {
-			waiting += j.waiting(api.PartID(p))
+		for p := range n.book.Parts {
+			waiting += j.Waiting(api.PartID(p))
 		}
-		waiting = min(waiting, j.demand.Slots(left[j.Spec.Team]), budget)
+		waiting = min(waiting, j.Demand.Slots(left[j.Spec.Team]), budget)
 		budget -= waiting
-		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(waiting))
+		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(waiting))
 		if waiting <= 0 {
 			continue
 		}
@@ -360,7 +361,7 @@
 			room := map[api.Zone]int{}
 			for _, s := range spaces {
 				if sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
-					room[s.zone] += j.demand.Slots(s.free)
+					room[s.zone] += j.Demand.Slots(s.free)
 				}
 			}
 			// Where there is some room, the rest is rented beside it.
@@ -399,8 +400,8 @@
 				break
 			}
 			if open(s.zone) && !(plain && s.closed) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
-				k := min(spread(s.zone), j.demand.Slots(s.free))
-				s.free = s.free.Minus(j.demand.Times(k))
+				k := min(spread(s.zone), j.Demand.Slots(s.free))
+				s.free = s.free.Minus(j.Demand.Times(k))
 				waiting -= k
 				zones[s.zone] += k
 			}
@@ -423,10 +424,10 @@
 				zone = o.zone
 			}
 			free := n.types[o.typ].Capacity()
-			k := min(spread(o.zone), j.demand.Slots(free))
+			k := min(spread(o.zone), j.Demand.Slots(free))
 			waiting -= k
 			zones[o.zone] += k
-			spaces = append(spaces, space{o, free.Minus(j.demand.Times(k)), false})
+			spaces = append(spaces, space{o, free.Minus(j.Demand.Times(k)), false})
 		}
 	}
 	n.rentAhead(need, coming)
@@ -454,7 +455,7 @@
 	f := &n.fleet
 	up := map[api.MachineID]bool{}
 	for id := range f.hosts {
-		if m := n.machines[id]; m != nil && m.heard != 0 || len(n.book.on(id)) > 0 {
+		if m := n.machines[id]; m != nil && m.heard != 0 || len(n.book.On(id)) > 0 {
 			up[id] = true // the list lags
 		}
 	}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/sched"
 )
 
@@ -64,9 +65,9 @@
 
 func (n *Node) withLowerGone(id api.MachineID, free api.Resources) api.Resources {
 	could := free
-	for _, p := range n.book.on(id) {
-		if !p.over && p.job.Spec.Kind != api.Gang && p.job.Spec.Priority.Rank() < urgentRank {
-			could = could.Plus(p.job.demand)
+	for _, p := range n.book.On(id) {
+		if !p.Over && p.Job.Spec.Kind != api.Gang && p.Job.Spec.Priority.Rank() < urgentRank {
+			could = could.Plus(p.Job.Demand)
 		}
 	}
 	return could
@@ -158,10 +159,7 @@
 		}
 	}
 	n.eachUntold(func(p api.PartID, h api.Host) {
-		free := n.types[h.Type].Capacity()
-		if on := n.book.onHost[h.ID]; on != nil {
-			free = free.Minus(on.need)
-		}
+		free := n.types[h.Type].Capacity().Minus(n.book.Need(h.ID))
 		visit(p, Kind{h.Type, h.Zone, h.Spot, true, false}, Room{Count: 1, Free: free, Could: n.withLowerGone(h.ID, free)})
 	})
 }
@@ -171,7 +169,7 @@
 // have not reported since we took them over. What they hold is in the book. Without
 // them a cut between controllers or a takeover would look like a loss of machines.
 func (n *Node) eachUntold(visit func(p api.PartID, h api.Host)) {
-	told := make([]bool, len(n.book.parts))
+	told := make([]bool, len(n.book.Parts))
 	all := true
 	for _, pn := range n.othersNews() {
 		told[pn.Part] = true
@@ -209,7 +207,7 @@
 			continue
 		}
 		for _, pn := range p.gossip.Parts {
-			if int(pn.Part) < len(n.book.parts) && pn.Part >= 0 && n.book.parts[pn.Part].owner == l {
+			if int(pn.Part) < len(n.book.Parts) && pn.Part >= 0 && n.book.Parts[pn.Part].Owner == l {
 				out = append(out, pn)
 			}
 		}
@@ -230,12 +228,12 @@
 
 // gifts gives shares of teams' limits that this part does not use to parts
 // that could use them.
-func (n *Node) gifts(t *turf) []gift {
+func (n *Node) gifts(t *turf) []book.Gift {
 	left := n.leftOf(t.part)
 	if t.writing != nil {
 		return nil
 	}
-	var out []gift
+	var out []book.Gift
 	for _, pn := range n.newsBesides(t) {
 		if n.now < t.gaveAt[pn.Part] {
 			continue
@@ -250,7 +248,7 @@
 			if t.planned[team] {
 				continue
 			}
-			g := gift{To: pn.Part, Team: team, Amount: api.Resources{
+			g := book.Gift{To: pn.Part, Team: team, Amount: api.Resources{
 				CPU: max(0, min(want.CPU, spare.CPU)), GPU: max(0, min(want.GPU, spare.GPU))}}
 			limit := limitOf(n.teams[team])
 			if n.teams[team].CPUsMax <= 0 {
@@ -277,12 +275,12 @@
 	}
 	t.moveAt = n.now.Add(gossipEvery)
 	looks := maxMoveLooks
-	for _, ref := range t.turn(slices.Sorted(maps.Keys(n.book.open))) {
-		j := n.book.open[ref]
-		if j.hold > n.now || n.now.Sub(j.moved) < 3*gossipEvery && j.moved != 0 {
+	for _, ref := range t.turn(slices.Sorted(maps.Keys(n.book.Open))) {
+		j := n.book.Open[ref]
+		if j.Note.hold > n.now || n.now.Sub(j.Note.moved) < 3*gossipEvery && j.Note.moved != 0 {
 			continue
 		}
-		waiting := j.waiting(t.part)
+		waiting := j.Waiting(t.part)
 		if waiting == 0 {
 			continue
 		}
@@ -299,7 +297,7 @@
 			if api.PartID(q) == t.part {
 				continue
 			}
-			if r := room[q] - n.waitingIn(api.PartID(q), j.demand); r > most {
+			if r := room[q] - n.waitingIn(api.PartID(q), j.Demand); r > most {
 				best, most = api.PartID(q), r
 			}
 		}
@@ -335,16 +333,16 @@
 		if !ok {
 			continue
 		}
-		v := j.jobValue
+		v := j.JobValue
 		v.Split = split
 		data, err := json.Marshal(v)
 		if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
 			continue
 		}
-		j.moved = n.now
+		j.Note.moved = n.now
 		t.moving = true
-		key := keyJob + string(ref)
-		tx := api.Txn{If: []api.Condition{{Key: key, Version: j.ver}, {Key: partKey(keyPart, t.part), Version: t.term}},
+		key := book.KeyJob + string(ref)
+		tx := api.Txn{If: []api.Condition{{Key: key, Version: j.Ver}, {Key: book.PartKey(book.KeyPart, t.part), Version: t.term}},
 			Writes: []api.Write{{Put: key, Value: data}}}
 		n.txn(tx, func(a StateAnswer) {
 			if a.Status == 200 {
@@ -371,12 +369,12 @@
 
 // moved returns the job's split with up to most of the waiting tasks of one
 // part given to another; jobs whose tasks belong together move whole or not.
-func moved(j *Job, from, to api.PartID, most int) ([]Range, bool) {
+func moved(j *Job, from, to api.PartID, most int) ([]book.Range, bool) {
 	if j.Spec.Whole() {
-		if len(j.places) > 0 || j.Spec.Kind == api.Gang && most < j.Spec.Tasks {
+		if len(j.Places) > 0 || j.Spec.Kind == api.Gang && most < j.Spec.Tasks {
 			return nil, false
 		}
-		return []Range{{0, j.Spec.Tasks, to}}, true
+		return []book.Range{{From: 0, To: j.Spec.Tasks, Part: to}}, true
 	}
 	if len(j.Split) >= maxRanges {
 		return nil, false
@@ -387,18 +385,18 @@
 			continue
 		}
 		end := r.To
-		for end > r.From && (j.done.has(end-1) || j.places[end-1] != nil) {
+		for end > r.From && (j.Done.Has(end-1) || j.Places[end-1] != nil) {
 			end--
 		}
 		begin := end
-		for begin > r.From && end-begin < most && !j.done.has(begin-1) && j.places[begin-1] == nil {
+		for begin > r.From && end-begin < most && !j.Done.Has(begin-1) && j.Places[begin-1] == nil {
 			begin--
 		}
 		if begin == end {
 			continue
 		}
-		var out []Range
-		for _, p := range []Range{{r.From, begin, from}, {begin, end, to}, {end, r.To, from}} {
+		var out []book.Range
+		for _, p := range []book.Range{{From: r.From, To: begin, Part: from}, {From: begin, To: end, Part: to}, {From: end, To: r.To, Part: from}} {
 			if p.To > p.From {
 				out = append(out, p)
 			}
@@ -490,7 +488,7 @@
 					n.accelerated(m.typ) && plain || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) {
 					continue
 				}
-				if len(n.book.on(m.ID)) == 0 && !m.strange && m.extra == (api.Resources{}) {
+				if len(n.book.On(m.ID)) == 0 && !m.strange && m.extra == (api.Resources{}) {
 					if l.Spec.Demand().Fits(n.freeOn(m, t)) {
 						n.lendTo(t, m.ID, pn.Part, l.Spec.Ref)
 						return
@@ -501,7 +499,7 @@
 					continue
 				}
 				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks, false)
-				if w.tasks > 0 && len(w.victims) == len(n.book.on(m.ID)) && (best.m == nil || w.loss < best.loss) {
+				if w.tasks > 0 && len(w.victims) == len(n.book.On(m.ID)) && (best.m == nil || w.loss < best.loss) {
 					best = w
 				}
 			}
@@ -515,9 +513,9 @@
 
 func (n *Node) lendTo(t *turf, id api.MachineID, to api.PartID, ref api.JobRef) {
 	t.lending = true
-	key := keyLend + string(id)
-	v, _ := json.Marshal(lendValue{Part: to, For: ref})
-	tx := api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}, {Key: key, Version: n.book.vers[key]}},
+	key := book.KeyLend + string(id)
+	v, _ := json.Marshal(book.LendValue{Part: to, For: ref})
+	tx := api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}, n.book.If(key)},
 		Writes: []api.Write{{Put: key, Value: v}}}
 	// No round is planned before the outcome is known: a late write must not
 	// give away a machine that has got a task meanwhile.
@@ -545,9 +543,9 @@
 
 // unlend forgets that a machine was lent once it is gone.
 func (n *Node) unlend(t *turf, id api.MachineID) {
-	if _, ok := n.book.lent[id]; !ok {
+	if _, ok := n.book.Lent[id]; !ok {
 		return
 	}
-	n.txn(api.Txn{If: []api.Condition{{Key: partKey(keyPart, t.part), Version: t.term}},
-		Writes: []api.Write{{Drop: keyLend + string(id)}}}, func(StateAnswer) {})
+	n.txn(api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}},
+		Writes: []api.Write{{Drop: book.KeyLend + string(id)}}}, func(StateAnswer) {})
 }
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/config"
 )
 
@@ -25,19 +26,19 @@
 	n := New(cfg, 1)
 	n.now, n.loaded = api.Time(time.Minute), true
 	n.learnTypes([]api.MachineType{{Name: "c8", CPUs: 8, MemGB: 32, Zones: []api.Zone{"a", "b"}}})
-	for key, v := range map[string]any{keyPart + "0": partValue{Owner: "n"}, keyJob + string(spec.Ref): jobValue{Spec: spec, Split: []Range{{0, spec.Tasks, 0}}}} {
+	for key, v := range map[string]any{book.KeyPart + "0": book.PartValue{Owner: "n"}, book.KeyJob + string(spec.Ref): book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: spec.Tasks}}}} {
 		data, err := json.Marshal(v)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := n.book.put(key, data, 7); err != nil {
+		if err := n.book.Put(key, data, 7); err != nil {
 			t.Fatal(err)
 		}
 	}
 	n.beginPart(0, 7)
 	m := n.machine("i-000000")
 	m.typ, m.zone, m.heard, m.session, m.token = "c8", "a", n.now, 1, 7
-	return n, n.turfs[0], m, n.book.jobs[spec.Ref]
+	return n, n.turfs[0], m, n.book.Jobs[spec.Ref]
 }
 
 // A deposed owner's late round must not be written even into a slot that nobody
@@ -45,9 +46,9 @@
 func TestRoundNamesItsTerm(t *testing.T) {
 	n, turf, _, _ := owner(t, testSpec(2))
 	n.runPart(turf)
-	want := api.Condition{Key: keyPart + "0", Version: 7}
+	want := api.Condition{Key: book.KeyPart + "0", Version: 7}
 	for _, e := range n.effects {
-		if c, ok := e.(StateCall); ok && c.Txn != nil && len(c.Txn.Writes) == 1 && c.Txn.Writes[0].Put == roundKey(0, 1) {
+		if c, ok := e.(StateCall); ok && c.Txn != nil && len(c.Txn.Writes) == 1 && c.Txn.Writes[0].Put == book.RoundKey(0, 1) {
 			if !slices.Contains(c.Txn.If, want) {
 				t.Errorf("the round is written on %v, without %v", c.Txn.If, want)
 			}
@@ -85,7 +86,7 @@
 		spec := testSpec(4)
 		spec.Spread = bound
 		n, turf, _, j := owner(t, spec)
-		n.book.addPlace(&Place{Task: api.TaskID{Job: j.ref, Index: 0}, Machine: "i-000009", Session: 1, Attempt: 1, job: j})
+		n.book.AddPlace(&Place{Task: api.TaskID{Job: j.Ref, Index: 0}, Machine: "i-000009", Session: 1, Attempt: 1, Job: j})
 		w := n.plan(turf)
 		if got := len(w.starts) > 0; got == bound {
 			t.Errorf("spread %v, a place in an unknown zone: %d starts", bound, len(w.starts))
@@ -102,8 +103,8 @@
 	for i := range 1200 {
 		m := n.machine(api.MachineID(fmt.Sprintf("i-%06d", i)))
 		m.typ, m.zone, m.heard, m.session, m.token = "c8", "a", n.now, 1, 7
-		p := &Place{Task: api.TaskID{Job: j.ref, Index: i}, Machine: m.ID, Session: 1, Attempt: 1, job: j}
-		n.book.addPlace(p)
+		p := &Place{Task: api.TaskID{Job: j.Ref, Index: i}, Machine: m.ID, Session: 1, Attempt: 1, Job: j}
+		n.book.AddPlace(p)
 		n.end(turf, p, i%2 == 0, "test")
 	}
 	rounds := 0
@@ -116,7 +117,7 @@
 		if len(w.ends)+len(w.starts) == 0 {
 			t.Fatal("a round that does nothing while there is work")
 		}
-		n.book.foldRecord(0, &w.rec)
+		n.book.FoldRecord(0, &w.rec)
 	}
 	if rounds > 20 {
 		t.Errorf("%d rounds for 1200 ends", rounds)
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -44,9 +44,9 @@
 		late float64
 	}
 	v := JobsView{Jobs: []JobView{}}
-	entries := make([]entry, 0, len(n.book.jobs))
-	for _, j := range n.book.jobs {
-		if j.final() || team != "" && j.Spec.Team != team {
+	entries := make([]entry, 0, len(n.book.Jobs))
+	for _, j := range n.book.Jobs {
+		if j.Final() || team != "" && j.Spec.Team != team {
 			continue
 		}
 		late := n.lateness(j)
@@ -57,7 +57,7 @@
 	}
 	v.Open = len(entries)
 	slices.SortFunc(entries, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(b.late, a.late), cmp.Compare(a.j.Accepted, b.j.Accepted), cmp.Compare(a.j.ref, b.j.ref))
+		return cmp.Or(cmp.Compare(b.late, a.late), cmp.Compare(a.j.Accepted, b.j.Accepted), cmp.Compare(a.j.Ref, b.j.Ref))
 	})
 	rooms := n.rooms()
 	for _, e := range entries[:min(limit, len(entries))] {
@@ -70,7 +70,7 @@
 // if it can still be in time.
 func (n *Node) lateness(j *Job) float64 {
 	elapsed := max(0, float64(n.wall-j.Accepted)/1000)
-	waits := j.doneN+len(j.places)-j.overN < j.Spec.Tasks
+	waits := j.DoneN+len(j.Places)-j.OverN < j.Spec.Tasks
 	if j.Spec.Kind != api.Array { // what counts is when all of it runs
 		if within := n.startAim(j.Spec.Class); within > 0 && waits {
 			return max(0, elapsed-within)
@@ -118,34 +118,34 @@
 }
 
 func (n *Node) viewJob(j *Job, rooms []room) JobView {
-	v := JobView{Ref: j.ref, Class: j.Spec.Class, Team: j.Spec.Team, State: j.state(), Tasks: j.Spec.Tasks, Done: j.doneN,
-		Placed: len(j.places), Parts: []api.PartID{}, Elapsed: tenths(float64(n.wall-j.Accepted) / 1000)}
+	v := JobView{Ref: j.Ref, Class: j.Spec.Class, Team: j.Spec.Team, State: j.State(), Tasks: j.Spec.Tasks, Done: j.DoneN,
+		Placed: len(j.Places), Parts: []api.PartID{}, Elapsed: tenths(float64(n.wall-j.Accepted) / 1000)}
 	for _, r := range j.Split {
 		if !slices.Contains(v.Parts, r.Part) {
 			v.Parts = append(v.Parts, r.Part)
 		}
 	}
-	if j.final() {
+	if j.Final() {
 		return v
 	}
 	v.LateBy = tenths(n.lateness(j))
 	for _, p := range v.Parts {
-		if w := j.waiting(p); w > 0 {
+		if w := j.Waiting(p); w > 0 {
 			v.Why = append(v.Why, fmt.Sprintf("part %d: %d tasks wait: %s", p, w, n.whyWaiting(j, p, rooms)))
 		}
 	}
 	fetching := 0
-	for _, p := range j.places {
-		if p.reported && p.state == api.TaskFetching {
+	for _, p := range j.Places {
+		if p.Note.reported && p.Note.state == api.TaskFetching {
 			fetching++
 		}
 	}
 	for _, r := range []struct {
 		count int
 		what  string
-	}{{fetching, "image being fetched for %d tasks"}, {j.lostWith, "machine lost under %d tasks"},
-		{j.madeWay, "%d tasks made way for more urgent work"},
-		{j.again - j.lostWith - j.madeWay, "%d more starts did not end with a result"}} {
+	}{{fetching, "image being fetched for %d tasks"}, {j.Note.lostWith, "machine lost under %d tasks"},
+		{j.Note.madeWay, "%d tasks made way for more urgent work"},
+		{j.Again - j.Note.lostWith - j.Note.madeWay, "%d more starts did not end with a result"}} {
 		if r.count > 0 {
 			v.Why = append(v.Why, fmt.Sprintf(r.what, r.count))
 		}
@@ -155,16 +155,16 @@
 
 // whyWaiting says what keeps a job's tasks from starting in a part.
 func (n *Node) whyWaiting(j *Job, p api.PartID, rooms []room) string {
-	owner := n.book.parts[p].owner
+	owner := n.book.Parts[p].Owner
 	switch {
 	case !n.live(owner):
 		return "the part has no living owner"
-	case j.hold > n.now:
-		return fmt.Sprintf("backs off for another %.0f s after failures", j.hold.Sub(n.now).Seconds())
-	case j.Spec.Kind == api.Gang && len(j.places) > 0:
+	case j.Note.hold > n.now:
+		return fmt.Sprintf("backs off for another %.0f s after failures", j.Note.hold.Sub(n.now).Seconds())
+	case j.Spec.Kind == api.Gang && len(j.Places) > 0:
 		return "the gang's last attempt has not ended everywhere"
 	}
-	need := j.demand
+	need := j.Demand
 	if j.Spec.Kind == api.Gang {
 		need = need.Times(j.Spec.Tasks)
 	}
@@ -181,7 +181,7 @@
 		allowed += r.Count
 		if r.kind.Usable && !(r.kind.Closed && n.plain(j.Spec)) {
 			usable += r.Count
-			free += r.Count * j.demand.Slots(r.Free)
+			free += r.Count * j.Demand.Slots(r.Free)
 		}
 	}
 	why := fmt.Sprintf("%d machines are allowed, %d usable, with room for %d tasks", allowed, usable, free)
--- a/control/jobs_test.go
+++ b/control/jobs_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/config"
 )
 
@@ -25,11 +26,11 @@
 		if i%2 == 1 {
 			s.Team = "blue"
 		}
-		data, err := json.Marshal(jobValue{Spec: &s, Split: []Range{{0, s.Tasks, 0}}, Accepted: n.wall - api.Wall(1000*i)})
+		data, err := json.Marshal(book.JobValue{Spec: &s, Split: []book.Range{{From: 0, To: s.Tasks}}, Accepted: n.wall - api.Wall(1000*i)})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := n.book.put(keyJob+string(s.Ref), data, 7); err != nil {
+		if err := n.book.Put(book.KeyJob+string(s.Ref), data, 7); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -74,16 +74,16 @@
 }
 
 func (n *Node) partOf(id api.MachineID) api.PartID {
-	if l, ok := n.book.lent[id]; ok {
-		return l.part
+	if l, ok := n.book.Lent[id]; ok {
+		return l.Part
 	}
-	return hashPart(id, len(n.book.parts))
+	return hashPart(id, len(n.book.Parts))
 }
 
 // base is the lowest token under which the owner of a part may command a
 // machine: its term or, for a machine lent to it since, the lending's revision.
 func (n *Node) base(t *turf, id api.MachineID) api.Token {
-	return api.Token(max(t.term, n.book.lent[id].rev))
+	return api.Token(max(t.term, n.book.Lent[id].Rev))
 }
 
 func (n *Node) machine(id api.MachineID) *Machine {
@@ -108,7 +108,7 @@
 	p := n.partOf(r.Machine)
 	t := n.turfs[p]
 	if t == nil {
-		n.sendOn(c, n.book.parts[p].owner)
+		n.sendOn(c, n.book.Parts[p].Owner)
 		return
 	}
 	if n.fleet.gone[r.Machine] != 0 {
@@ -159,25 +159,25 @@
 // arrange lists the machines in order, all and by part, anew when some came or
 // went or changed parts.
 func (n *Node) arrange() {
-	if n.sorted != nil && n.sortedAt == n.book.lends {
+	if n.sorted != nil && n.sortedAt == n.book.Lends {
 		return
 	}
-	if n.sortedAt != n.book.lends {
+	if n.sortedAt != n.book.Lends {
 		n.noteLendings()
 	}
-	n.sortedAt = n.book.lends
+	n.sortedAt = n.book.Lends
 	n.sorted = make([]*Machine, 0, len(n.machines))
 	for _, m := range n.machines {
 		n.sorted = append(n.sorted, m)
 	}
 	slices.SortFunc(n.sorted, func(a, b *Machine) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	n.byPart = make([][]*Machine, len(n.book.parts))
+	n.byPart = make([][]*Machine, len(n.book.Parts))
 	for _, m := range n.sorted {
 		p := n.partOf(m.ID)
 		n.byPart[p] = append(n.byPart[p], m)
-		if l := n.book.lent[m.ID]; l.rev != m.lentAt {
+		if l := n.book.Lent[m.ID]; l.Rev != m.lentAt {
 			// It came for a job: until that has it, it is no one else's.
-			m.lentAt, m.kept, m.keptTill = l.rev, l.ref, n.now.Add(keepTime)
+			m.lentAt, m.kept, m.keptTill = l.Rev, l.For, n.now.Add(keepTime)
 		}
 	}
 }
@@ -189,13 +189,13 @@
 }
 
 func (n *Node) noteLendings() {
-	for id, l := range n.book.lent {
-		if n.lendings[id].rev != l.rev {
-			n.lendings[id] = lending{l.rev, n.now}
+	for id, l := range n.book.Lent {
+		if n.lendings[id].rev != l.Rev {
+			n.lendings[id] = lending{l.Rev, n.now}
 		}
 	}
 	for id := range n.lendings {
-		if _, ok := n.book.lent[id]; !ok {
+		if _, ok := n.book.Lent[id]; !ok {
 			delete(n.lendings, id)
 		}
 	}
@@ -205,7 +205,7 @@
 // likely to have heard it yet: it is in nobody's account of what is free.
 func (n *Node) onItsWay(id api.MachineID) bool {
 	l, ok := n.lendings[id]
-	if !ok || n.now.Sub(l.at) > n.silentAfter || len(n.book.on(id)) > 0 || n.fleet.gone[id] != 0 {
+	if !ok || n.now.Sub(l.at) > n.silentAfter || len(n.book.On(id)) > 0 || n.fleet.gone[id] != 0 {
 		return false
 	}
 	m, t := n.machines[id], n.turfs[n.partOf(id)]
@@ -261,8 +261,8 @@
 
 // sentToken is the highest token under which a launch of the place may still
 // be on its way. Launches by former owners carry less than our term.
-func (p *Place) sentToken(t *turf) api.Token {
-	return max(p.sent, api.Token(t.term)-1)
+func sentToken(p *Place, t *turf) api.Token {
+	return max(p.Note.sent, api.Token(t.term)-1)
 }
 
 // process takes in a report if it is newer than what is known.
@@ -289,8 +289,8 @@
 		}
 		m.tasks[taskKey{id, tr.Attempt}] = tr
 	}
-	for _, p := range n.book.on(m.ID) {
-		if p.Part != t.part || p.over {
+	for _, p := range n.book.On(m.ID) {
+		if p.Part != t.part || p.Over {
 			continue
 		}
 		if p.Session < m.session {
@@ -300,24 +300,24 @@
 		tr, ok := m.tasks[taskKey{p.Task, p.Attempt}]
 		switch {
 		case !ok:
-			p.reported = false
-			if p.job.final() || p.stop {
-				if m.token > p.sentToken(t) {
+			p.Note.reported = false
+			if p.Job.Final() || p.Note.stop {
+				if m.token > sentToken(p, t) {
 					n.end(t, p, false, "never started")
 				} else {
-					m.doubt = max(m.doubt, p.sentToken(t))
+					m.doubt = max(m.doubt, sentToken(p, t))
 				}
 			}
 		case tr.State == api.TaskExited:
 			n.exited(t, m, p, tr)
 		default:
-			if tr.State == api.TaskRunning && p.state != api.TaskRunning {
-				p.running = n.now
+			if tr.State == api.TaskRunning && p.Note.state != api.TaskRunning {
+				p.Note.running = n.now
 			}
 			if tr.State != api.TaskFetching {
-				n.cacheImage(m, p.job.Spec)
+				n.cacheImage(m, p.Job.Spec)
 			}
-			p.reported, p.state = true, tr.State
+			p.Note.reported, p.Note.state = true, tr.State
 		}
 	}
 	if r.Notice != nil {
@@ -330,15 +330,15 @@
 // there, and the sooner it runs again elsewhere the better. What is likely to end
 // is left alone.
 func (n *Node) leaveInTime(m *Machine, t *turf, notice float64) {
-	for _, p := range n.book.on(m.ID) {
-		if p.Part != t.part || p.over || p.job.Spec.Kind == api.Gang {
+	for _, p := range n.book.On(m.ID) {
+		if p.Part != t.part || p.Over || p.Job.Spec.Kind == api.Gang {
 			continue
 		}
-		rest := p.job.Spec.Estimate
-		if p.running != 0 {
-			rest -= n.now.Sub(p.running).Seconds()
+		rest := p.Job.Spec.Estimate
+		if p.Note.running != 0 {
+			rest -= n.now.Sub(p.Note.running).Seconds()
 		}
-		if p.job.Spec.Kind == api.Service || rest > notice {
+		if p.Job.Spec.Kind == api.Service || rest > notice {
 			n.stop(p)
 		}
 	}
@@ -352,8 +352,8 @@
 		if tr.State == api.TaskExited || n.placeOn(m.ID, k) != nil {
 			continue
 		}
-		if j := n.book.jobs[k.id.Job]; j != nil {
-			m.extra = m.extra.Plus(j.demand)
+		if j := n.book.Jobs[k.id.Job]; j != nil {
+			m.extra = m.extra.Plus(j.Demand)
 		} else {
 			m.strange = true
 		}
@@ -362,7 +362,7 @@
 
 // placeOn finds the place of an attempt on a machine.
 func (n *Node) placeOn(id api.MachineID, k taskKey) *Place {
-	for _, p := range n.book.on(id) {
+	for _, p := range n.book.On(id) {
 		if p.Task == k.id && p.Attempt == k.attempt {
 			return p
 		}
@@ -372,29 +372,29 @@
 
 // exited handles a task that ended on its machine.
 func (n *Node) exited(t *turf, m *Machine, p *Place, tr api.TaskReport) {
-	j := p.job
+	j := p.Job
 	switch tr.Reason {
 	case api.ReasonDone:
 		n.cacheImage(m, j.Spec)
-		delete(m.failed, j.ref)
-		j.fails = 0
-		if p.running != 0 {
-			n.learnPace(m, j, n.now.Sub(p.running).Seconds())
+		delete(m.failed, j.Ref)
+		j.Note.fails = 0
+		if p.Note.running != 0 {
+			n.learnPace(m, j, n.now.Sub(p.Note.running).Seconds())
 		}
 		n.end(t, p, true, "done")
 		return
 	case api.ReasonError:
-		j.fails++
-		if j.failedOn == nil {
-			j.failedOn = map[api.MachineID]bool{}
+		j.Note.fails++
+		if j.Note.failedOn == nil {
+			j.Note.failedOn = map[api.MachineID]bool{}
 		}
-		j.failedOn[m.ID] = true
-		m.failed[j.ref] = n.now
+		j.Note.failedOn[m.ID] = true
+		m.failed[j.Ref] = n.now
 		n.judge(m, j)
 	case api.ReasonNoRoom:
 		m.fullTill = n.now.Add(2 * time.Second)
 	case api.ReasonUnknown:
-		j.hold = n.now.Add(time.Second)
+		j.Note.hold = n.now.Add(time.Second)
 	}
 	n.end(t, p, false, string(tr.Reason))
 }
@@ -405,15 +405,15 @@
 	if j.Spec.Kind != api.Array {
 		return
 	}
-	if j.runs >= 2 && j.ran > 0 {
-		ratio := took / (j.ran / float64(j.runs))
+	if j.Note.runs >= 2 && j.Note.ran > 0 {
+		ratio := took / (j.Note.ran / float64(j.Note.runs))
 		if m.pace == 0 {
 			m.pace = 1
 		}
 		m.pace += 0.4 * (min(ratio, 4) - m.pace)
 	}
-	j.ran += took
-	j.runs++
+	j.Note.ran += took
+	j.Note.runs++
 }
 
 // judge decides whether a failure speaks against the machine or the job.
@@ -433,8 +433,8 @@
 	// A job that fails on several machines is more likely at fault itself: it
 	// backs off, so that it neither wins the same machines every round nor
 	// condemns them.
-	if len(j.failedOn) >= 2 {
-		j.hold = n.now.Add(min(30*time.Second, time.Second<<min(j.fails, 5)))
+	if len(j.Note.failedOn) >= 2 {
+		j.Note.hold = n.now.Add(min(30*time.Second, time.Second<<min(j.Note.fails, 5)))
 	}
 }
 
@@ -469,23 +469,23 @@
 		return out // the term is announced first
 	}
 	var launch []api.Order
-	for _, p := range n.book.on(m.ID) {
-		if p.Part != t.part || p.over || p.Session != m.session {
+	for _, p := range n.book.On(m.ID) {
+		if p.Part != t.part || p.Over || p.Session != m.session {
 			continue
 		}
 		_, there := m.tasks[taskKey{p.Task, p.Attempt}]
 		switch {
-		case p.job.final():
+		case p.Job.Final():
 			if there {
 				out = append(out, api.Order{Op: api.OpStop, Task: p.Task.String(), Attempt: p.Attempt})
 			}
-		case p.stop:
+		case p.Note.stop:
 			if there {
-				out = append(out, api.Order{Op: api.OpStop, Task: p.Task.String(), Attempt: p.Attempt, Grace: p.grace})
+				out = append(out, api.Order{Op: api.OpStop, Task: p.Task.String(), Attempt: p.Attempt, Grace: p.Note.grace})
 			}
 		case !there:
 			launch = append(launch, api.Order{Op: api.OpStart, Task: p.Task.String(), Attempt: p.Attempt})
-			p.sent = max(p.sent, m.cmd)
+			p.Note.sent = max(p.Note.sent, m.cmd)
 		}
 	}
 	// An unanswered direct command may still arrive. Forgetting a task before
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -144,14 +144,14 @@
 		StateRequests: m.StateRequests, StateWrites: m.StateWrites, StateFailures: m.StateFailures,
 		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
 		CloudRequests: m.CloudRequests, CloudRPS: n.cfg.Deployment.Cloud.RPS, WorkerCalls: m.WorkerCalls, Reports: m.Reports,
-		FlowTasks: m.FlowTasks, FlowMachines: m.FlowMachines, Jobs: len(n.book.jobs), Calls: len(n.calls),
+		FlowTasks: m.FlowTasks, FlowMachines: m.FlowMachines, Jobs: len(n.book.Jobs), Calls: len(n.calls),
 		Times: map[string]timing{}, Work: map[string]float64{}, Process: m.spent.Process.Seconds(), Queue: m.spent.Queue, Shed: m.Shed}
 	for w, d := range m.spent.Work {
 		v.Work[workNames[w]] = d.Seconds()
 	}
-	for _, j := range n.book.open {
-		for p := range n.book.parts {
-			v.Waiting += j.waiting(api.PartID(p))
+	for _, j := range n.book.Open {
+		for p := range n.book.Parts {
+			v.Waiting += j.Waiting(api.PartID(p))
 		}
 	}
 	for p, t := range n.turfs {
--- a/control/node.go
+++ b/control/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/config"
 )
 
@@ -29,7 +30,9 @@
 	calls   map[CallID]func(any)
 	last    CallID
 
-	book      *book
+	book      *theBook
+	settings  Settings         // what operators set
+	known     api.MachineTypes // the types as they were written, for a start while the cloud is down
 	loaded    bool
 	loading   bool
 	loadAt    api.Time
@@ -119,11 +122,18 @@
 	return p.heard != 0 && now.Sub(p.heard) <= 5*time.Second
 }
 
+// newBook is an empty book; the kinds of records that stand for themselves are
+// registered here.
+func (n *Node) newBook() *theBook {
+	n.settings, n.known = Settings{}, api.MachineTypes{}
+	return book.New[jobNote, placeNote](n.cfg.Deployment.Size, book.One(keySettings, &n.settings), book.One(keyTypes, &n.known))
+}
+
 // New returns a controller; born tells this run of the process from others.
 func New(cfg *config.Config, born int64) *Node {
 	d := cfg.Deployment
 	n := &Node{
-		cfg: cfg, born: born, calls: map[CallID]func(any){}, asked: map[CallID]api.Time{}, book: newBook(d.Size),
+		cfg: cfg, born: born, calls: map[CallID]func(any){}, asked: map[CallID]api.Time{},
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
 		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
@@ -136,6 +146,7 @@
 		n.peers[p.Label] = &peerNews{}
 	}
 	n.timetable = timetableOf(cfg)
+	n.book = n.newBook()
 	// Sockets are for workers' and users' connections in the first place.
 	n.maxDirects = 64
 	if fds := d.Limits.FDLimit; fds > 0 {
@@ -383,8 +394,8 @@
 			done(retryPause)
 		})
 	case !n.member:
-		v, _ := json.Marshal(memberValue{Born: n.born})
-		n.txn(api.Txn{Writes: []api.Write{{Put: keyMember + string(n.cfg.Label), Value: v, Lease: n.lease}}}, func(a StateAnswer) {
+		v, _ := json.Marshal(book.MemberValue{Born: n.born})
+		n.txn(api.Txn{Writes: []api.Write{{Put: book.KeyMember + string(n.cfg.Label), Value: v, Lease: n.lease}}}, func(a StateAnswer) {
 			switch a.Status {
 			case 200:
 				n.member, n.memberAt = true, n.now
@@ -418,8 +429,8 @@
 		return
 	}
 	n.loading = true
-	n.book = newBook(n.cfg.Deployment.Size)
-	n.book.raw = map[string]json.RawMessage{}
+	n.book = n.newBook()
+	n.book.Load()
 	n.loadPage("", 0)
 }
 
@@ -437,7 +448,7 @@
 			from = a.Page.Revision
 		}
 		for _, p := range a.Page.Pairs {
-			if err := n.book.put(p.Key, p.Value, p.Version); err != nil {
+			if err := n.book.Put(p.Key, p.Value, p.Version); err != nil {
 				slog.Error("state not understood", "err", err)
 			}
 		}
@@ -451,14 +462,14 @@
 				return
 			}
 			n.takeChanges(a.Changes)
-			if err := n.book.finishLoad(); err != nil {
+			if err := n.book.FinishLoad(); err != nil {
 				slog.Error("state could not be read", "err", err)
 				n.loadFailed()
 				return
 			}
 			n.loading, n.loaded = false, true
-			n.learnTypes(n.book.types)
-			slog.Info("state read", "revision", n.book.rev, "jobs", len(n.book.jobs))
+			n.learnTypes(n.known.Types)
+			slog.Info("state read", "revision", n.book.Rev, "jobs", len(n.book.Jobs))
 		})
 	})
 }
@@ -466,22 +477,22 @@
 // takeChanges folds a log; changes that were folded before are skipped.
 func (n *Node) takeChanges(c api.Changes) {
 	for _, ch := range c.Log {
-		if ch.Version <= n.book.rev {
+		if ch.Version <= n.book.Rev {
 			continue
 		}
 		if ch.Drop != "" {
-			n.book.drop(ch.Drop, ch.Version)
-		} else if err := n.book.put(ch.Put, ch.Value, ch.Version); err != nil {
+			n.book.Drop(ch.Drop, ch.Version)
+		} else if err := n.book.Put(ch.Put, ch.Value, ch.Version); err != nil {
 			slog.Error("change not understood", "err", err)
 		}
 	}
-	n.book.rev = max(n.book.rev, c.Revision)
+	n.book.Rev = max(n.book.Rev, c.Revision)
 	if !n.loaded {
 		return
 	}
 	if len(c.Log) > 0 {
-		if len(n.book.types) > 0 && len(n.types) == 0 {
-			n.learnTypes(n.book.types)
+		if len(n.known.Types) > 0 && len(n.types) == 0 {
+			n.learnTypes(n.known.Types)
 		}
 		for _, t := range n.turfs {
 			t.dirty = true
@@ -509,7 +520,7 @@
 	reading := n.now.Sub(n.wantedAt) < time.Second && n.wantedAt != 0
 	if !n.watching && !reading && n.now >= n.watchNext {
 		n.watching = true
-		since := n.book.rev
+		since := n.book.Rev
 		n.state(StateCall{Changes: &ChangesAsk{Since: since, Wait: watchWait}, Timeout: watchWait + 2*time.Second}, func(a StateAnswer) {
 			n.watching = false
 			n.watchNext = n.now.Add(n.syncGap)
@@ -522,7 +533,7 @@
 	n.syncing, n.syncNext = true, n.now.Add(n.syncGap)
 	now := n.waiters
 	n.waiters = nil
-	since := n.book.rev
+	since := n.book.Rev
 	n.state(StateCall{Changes: &ChangesAsk{Since: since}}, func(a StateAnswer) {
 		n.syncing = false
 		ok := n.changesAnswer(a, since)
@@ -544,7 +555,7 @@
 
 func (n *Node) changesAnswer(a StateAnswer, since api.Revision) bool {
 	switch {
-	case !n.loaded || since > n.book.rev:
+	case !n.loaded || since > n.book.Rev:
 		return false // asked before a reload
 	case a.Status == 200:
 		n.takeChanges(a.Changes)
@@ -581,7 +592,7 @@
 func (n *Node) home(p api.PartID) api.Label { return n.all[int(p)%len(n.all)] }
 
 func (n *Node) live(l api.Label) bool {
-	_, ok := n.book.members[l]
+	_, ok := n.book.Members[l]
 	return ok
 }
 
@@ -590,7 +601,7 @@
 	if h := n.home(p); n.live(h) {
 		return h
 	}
-	l := slices.Sorted(maps.Keys(n.book.members))
+	l := slices.Sorted(maps.Keys(n.book.Members))
 	if len(l) == 0 {
 		return ""
 	}
@@ -605,7 +616,7 @@
 			delete(n.liveSince, l)
 		}
 	}
-	for l := range n.book.members {
+	for l := range n.book.Members {
 		if _, ok := n.liveSince[l]; !ok {
 			n.liveSince[l] = n.now
 		}
@@ -613,9 +624,9 @@
 	if !n.member {
 		return
 	}
-	for i := range n.book.parts {
+	for i := range n.book.Parts {
 		p := api.PartID(i)
-		owner := n.book.parts[i].owner
+		owner := n.book.Parts[i].Owner
 		t := n.turfs[p]
 		switch {
 		case t != nil:
@@ -630,7 +641,7 @@
 		case owner == "" && (n.home(p) == n.cfg.Label || n.now.Sub(n.startedAt) > n.settleTime) && n.heir(p) == n.cfg.Label:
 			n.claim(p, nil)
 		case owner != "" && !n.live(owner) && n.heir(p) == n.cfg.Label:
-			n.claim(p, []api.Condition{{Key: keyMember + string(owner)}})
+			n.claim(p, []api.Condition{{Key: book.KeyMember + string(owner)}})
 		}
 	}
 }
@@ -639,9 +650,9 @@
 // another's part, on its owner's absence.
 func (n *Node) claim(p api.PartID, extra []api.Condition) {
 	n.claiming[p] = true
-	key := partKey(keyPart, p)
-	v, _ := json.Marshal(partValue{Owner: n.cfg.Label})
-	cond := append([]api.Condition{{Key: key, Version: n.book.parts[p].term}}, extra...)
+	key := book.PartKey(book.KeyPart, p)
+	v, _ := json.Marshal(book.PartValue{Owner: n.cfg.Label})
+	cond := append([]api.Condition{{Key: key, Version: n.book.Parts[p].Term}}, extra...)
 	n.txn(api.Txn{If: cond, Writes: []api.Write{{Put: key, Value: v}}}, func(a StateAnswer) {
 		if a.Status != 200 {
 			n.claimAfter[p] = n.now.Add(retryPause)
@@ -653,7 +664,7 @@
 		// nothing of it can follow.
 		n.current(func() {
 			delete(n.claiming, p)
-			if n.book.parts[p].term != term || n.book.parts[p].owner != n.cfg.Label {
+			if n.book.Parts[p].Term != term || n.book.Parts[p].Owner != n.cfg.Label {
 				return
 			}
 			n.beginPart(p, term)
@@ -667,8 +678,8 @@
 		return
 	}
 	t.handing = true
-	key := partKey(keyPart, t.part)
-	v, _ := json.Marshal(partValue{Owner: home})
+	key := book.PartKey(book.KeyPart, t.part)
+	v, _ := json.Marshal(book.PartValue{Owner: home})
 	n.txn(api.Txn{If: []api.Condition{{Key: key, Version: t.term}}, Writes: []api.Write{{Put: key, Value: v}}}, func(a StateAnswer) {
 		t.handing = false
 		if a.Status == 200 && n.turfs[t.part] == t {
@@ -682,8 +693,8 @@
 // checkDeposed drops the parts that the book says are no longer ours.
 func (n *Node) checkDeposed() {
 	for p, t := range n.turfs {
-		if ps := n.book.parts[p]; ps.owner != n.cfg.Label || ps.term != t.term {
-			slog.Info("part lost", "part", p, "to", ps.owner)
+		if ps := n.book.Parts[p]; ps.Owner != n.cfg.Label || ps.Term != t.term {
+			slog.Info("part lost", "part", p, "to", ps.Owner)
 			delete(n.turfs, p)
 		}
 	}
--- a/control/part.go
+++ b/control/part.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/sched"
 )
 
@@ -44,7 +45,7 @@
 
 // writing is a round's record on its way to the state service.
 type writing struct {
-	rec    record
+	rec    book.Record
 	txn    api.Txn
 	starts []*Place // as they will be once durable
 	ends   map[*Place]bool
@@ -55,11 +56,11 @@
 	t := &turf{part: p, term: term, since: n.now, lastRev: term, ends: map[*Place]bool{}, dirty: true,
 		gaveAt: map[api.PartID]api.Time{}}
 	n.turfs[p] = t
-	for pl := range n.book.onPart[p] {
-		n.book.setOver(pl, false)
-		pl.stop, pl.sent, pl.reported = false, 0, false
-		if pl.since == 0 {
-			pl.since = n.now
+	for pl := range n.book.OnPart[p] {
+		n.book.SetOver(pl, false)
+		pl.Note.stop, pl.Note.sent, pl.Note.reported = false, 0, false
+		if pl.Note.since == 0 {
+			pl.Note.since = n.now
 		}
 		if n.fleet.gone[pl.Machine] == 0 {
 			n.machine(pl.Machine)
@@ -71,21 +72,21 @@
 		m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 	}
 	n.metrics.Takeovers++
-	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.onPart[p]))
+	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.OnPart[p]))
 }
 
 // end notes evidence that a place is over; the next round records it.
 func (n *Node) end(t *turf, p *Place, done bool, why string) {
-	if p.over {
+	if p.Over {
 		return
 	}
-	n.book.setOver(p, true)
+	n.book.SetOver(p, true)
 	t.ends[p] = done
 	t.dirty = true
 	if !done {
 		if why == lostWhy || why == sessionWhy {
-			p.job.lostWith++
-			p.job.lostAt, p.job.quick = n.now, false
+			p.Job.Note.lostWith++
+			p.Job.Note.lostAt, p.Job.Note.quick = n.now, false
 		}
 		slog.Info("task over", "task", p.Task, "machine", p.Machine, "why", why)
 	}
@@ -117,7 +118,7 @@
 	if t.writing != nil || t.leaving || t.lending || n.now < t.next || !t.dirty && !t.wantRev {
 		return
 	}
-	if n.book.parts[t.part].seq+1 >= n.book.parts[t.part].head.Seq+ringSize {
+	if n.book.Parts[t.part].Seq+1 >= n.book.Parts[t.part].Head.Seq+book.RingSize {
 		return // the record would overwrite one that no checkpoint covers
 	}
 	t.dirty = false
@@ -132,14 +133,14 @@
 		slog.Error("round not written", "err", err)
 		return
 	}
-	slot := roundKey(t.part, w.rec.Seq)
-	w.txn.If = append(w.txn.If, api.Condition{Key: slot, Version: n.book.vers[slot]},
-		api.Condition{Key: partKey(keyPart, t.part), Version: t.term})
+	slot := book.RoundKey(t.part, w.rec.Seq)
+	w.txn.If = append(w.txn.If, n.book.If(slot),
+		api.Condition{Key: book.PartKey(book.KeyPart, t.part), Version: t.term})
 	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
 	w.begun = n.now
 	t.writing, t.coming = w, map[api.MachineID]api.Resources{}
 	for _, s := range w.starts {
-		t.coming[s.Machine] = t.coming[s.Machine].Plus(s.job.demand)
+		t.coming[s.Machine] = t.coming[s.Machine].Plus(s.Job.Demand)
 	}
 	n.write(t)
 }
@@ -157,7 +158,7 @@
 		switch {
 		case a.Status == 200:
 			n.durable(t, a.Txn.Revision)
-		case a.Status == 409 && slices.Contains(a.Txn.Failed, partKey(keyPart, t.part)):
+		case a.Status == 409 && slices.Contains(a.Txn.Failed, book.PartKey(book.KeyPart, t.part)):
 			n.deposed(t)
 		case a.Status == 409 && slices.Contains(a.Txn.Failed, slot):
 			// An earlier sending may have got through: the book tells.
@@ -184,8 +185,8 @@
 		if n.turfs[t.part] != t || t.writing != w {
 			return
 		}
-		if n.book.parts[t.part].seq >= w.rec.Seq {
-			n.durable(t, n.book.vers[w.txn.Writes[0].Put])
+		if n.book.Parts[t.part].Seq >= w.rec.Seq {
+			n.durable(t, n.book.Version(w.txn.Writes[0].Put))
 			return
 		}
 		n.abandon(t, w)
@@ -197,8 +198,8 @@
 	if n.turfs[t.part] != t || t.writing != w {
 		return
 	}
-	if n.book.parts[t.part].seq >= w.rec.Seq {
-		n.durable(t, n.book.vers[w.txn.Writes[0].Put])
+	if n.book.Parts[t.part].Seq >= w.rec.Seq {
+		n.durable(t, n.book.Version(w.txn.Writes[0].Put))
 		return
 	}
 	t.writing, t.coming = nil, nil
@@ -217,18 +218,18 @@
 	n.metrics.Ends += uint64(len(w.ends))
 	n.metrics.took("round", n.now.Sub(w.begun))
 	slot := w.txn.Writes[0].Put
-	n.book.vers[slot] = max(n.book.vers[slot], rev)
-	n.book.foldRecord(t.part, &w.rec)
+	n.book.Wrote(slot, rev)
+	n.book.FoldRecord(t.part, &w.rec)
 	for _, d := range w.rec.Jobs {
 		n.metrics.Completions += uint64(len(d.Done))
-		if j := n.book.jobs[d.Job]; j != nil && len(d.Done) > 0 && j.state() == api.JobDone {
+		if j := n.book.Jobs[d.Job]; j != nil && len(d.Done) > 0 && j.State() == api.JobDone {
 			slog.Info("job done", "job", d.Job, "class", j.Spec.Class, "tasks", j.Spec.Tasks, "estimate", j.Spec.Estimate,
 				"after", float64(n.wall-j.Accepted)/1000, "limits", n.limits(j.Spec))
 		}
 	}
 	for _, s := range w.starts {
-		if p := s.job.places[s.Task.Index]; p != nil {
-			p.since = n.now
+		if p := s.Job.Places[s.Task.Index]; p != nil {
+			p.Note.since = n.now
 		}
 		if m := n.machines[s.Machine]; m != nil {
 			m.idle = n.now
@@ -247,14 +248,14 @@
 
 // plan composes a round: the ends that evidence has shown, then new starts.
 func (n *Node) plan(t *turf) *writing {
-	w := &writing{rec: record{Seq: n.book.parts[t.part].seq + 1}, ends: map[*Place]bool{}}
-	deltas := map[api.JobRef]*jobDelta{}
+	w := &writing{rec: book.Record{Seq: n.book.Parts[t.part].Seq + 1}, ends: map[*Place]bool{}}
+	deltas := map[api.JobRef]*book.JobDelta{}
 	cond := map[api.JobRef]bool{}
-	delta := func(j *Job) *jobDelta {
-		d := deltas[j.ref]
+	delta := func(j *Job) *book.JobDelta {
+		d := deltas[j.Ref]
 		if d == nil {
-			d = &jobDelta{Job: j.ref}
-			deltas[j.ref] = d
+			d = &book.JobDelta{Job: j.Ref}
+			deltas[j.Ref] = d
 		}
 		return d
 	}
@@ -269,25 +270,25 @@
 		return a.Task.Index - b.Task.Index
 	})
 	for _, p := range ends {
-		if p.job.places[p.Task.Index] != p {
+		if p.Job.Places[p.Task.Index] != p {
 			delete(t.ends, p) // put away with its job
 			continue
 		}
 		// The evidence may have come before the cancellation: a completion
 		// that is not recorded by then never is, or the job would be called
 		// done after it was called cancelled.
-		done := t.ends[p] && !p.job.Cancelled
-		if p.job.Spec.Kind == api.Gang && !done && !p.job.Cancelled && n.gangDone(t, p.job) {
+		done := t.ends[p] && !p.Job.Cancelled
+		if p.Job.Spec.Kind == api.Gang && !done && !p.Job.Cancelled && n.gangDone(t, p.Job) {
 			done = true // when one task of a gang is done, all are
 		}
-		if room < 64 || done && !cond[p.job.ref] && len(cond) >= maxCond {
+		if room < 64 || done && !cond[p.Job.Ref] && len(cond) >= maxCond {
 			t.dirty = true
 			continue
 		}
-		d := delta(p.job)
+		d := delta(p.Job)
 		if done {
 			d.Done = append(d.Done, p.Task.Index)
-			cond[p.job.ref] = true
+			cond[p.Job.Ref] = true
 		} else {
 			d.Lost = append(d.Lost, p.Task.Index)
 		}
@@ -301,20 +302,20 @@
 	t.planned = map[api.Team]bool{}
 	most := room / 64
 	for _, s := range n.schedule(t, w, most) {
-		if !cond[s.job.ref] && len(cond) >= maxCond {
+		if !cond[s.Job.Ref] && len(cond) >= maxCond {
 			t.dirty = true
 			continue
 		}
-		cond[s.job.ref] = true
-		t.planned[s.job.Spec.Team] = true
-		d := delta(s.job)
-		d.Starts = append(d.Starts, startEntry{Task: s.Task.Index, Machine: s.Machine, Session: s.Session})
+		cond[s.Job.Ref] = true
+		t.planned[s.Job.Spec.Team] = true
+		d := delta(s.Job)
+		d.Starts = append(d.Starts, book.StartEntry{Task: s.Task.Index, Machine: s.Machine, Session: s.Session})
 		w.starts = append(w.starts, s)
 	}
 	for _, ref := range slices.Sorted(maps.Keys(deltas)) {
 		w.rec.Jobs = append(w.rec.Jobs, *deltas[ref])
 		if cond[ref] {
-			w.txn.If = append(w.txn.If, api.Condition{Key: keyJob + string(ref), Version: n.book.jobs[ref].ver})
+			w.txn.If = append(w.txn.If, api.Condition{Key: book.KeyJob + string(ref), Version: n.book.Jobs[ref].Ver})
 		}
 	}
 	w.rec.Gifts = n.gifts(t)
@@ -322,10 +323,10 @@
 }
 
 func (n *Node) gangDone(t *turf, j *Job) bool {
-	if j.doneN > 0 {
+	if j.DoneN > 0 {
 		return true
 	}
-	for _, p := range j.places {
+	for _, p := range j.Places {
 		if t.ends[p] {
 			return true
 		}
@@ -345,20 +346,16 @@
 	if m.strange {
 		return api.Resources{} // something unknown runs there
 	}
-	free := typ.Capacity().Minus(m.extra).Minus(t.coming[m.ID])
-	if h := n.book.onHost[m.ID]; h != nil {
-		free = free.Minus(h.need)
-	}
-	return free
+	return typ.Capacity().Minus(m.extra).Minus(t.coming[m.ID]).Minus(n.book.Need(m.ID))
 }
 
 // fetching is what images a machine has still to fetch for its tasks, as far as is
 // known.
 func (n *Node) fetching(m *Machine) []sched.Image {
 	var out []sched.Image
-	for _, p := range n.book.on(m.ID) {
-		img := sched.Image{Name: p.job.Spec.Image, GB: p.job.Spec.ImageGB}
-		if _, has := m.images[img.Name]; has || p.over || p.reported && p.state != api.TaskFetching {
+	for _, p := range n.book.On(m.ID) {
+		img := sched.Image{Name: p.Job.Spec.Image, GB: p.Job.Spec.ImageGB}
+		if _, has := m.images[img.Name]; has || p.Over || p.Note.reported && p.Note.state != api.TaskFetching {
 			continue
 		}
 		if !slices.ContainsFunc(out, func(o sched.Image) bool { return o.Name == img.Name }) {
@@ -370,11 +367,11 @@
 
 // leftOf is what each team may still start in the part.
 func (n *Node) leftOf(p api.PartID) map[api.Team]api.Resources {
-	use := n.book.parts[p].use
+	use := n.book.Parts[p].Use
 	left := map[api.Team]api.Resources{}
 	for name, team := range n.teams {
 		limit := limitOf(team)
-		l := n.book.share(p, name, limit).Minus(use[name])
+		l := n.book.Share(p, name, limit).Minus(use[name])
 		l.Mem = limit.Mem
 		left[name] = l
 	}
@@ -386,21 +383,21 @@
 	t.want, t.lack, t.waiting = map[api.Team]api.Resources{}, nil, 0
 	var jobs []*Job
 	var least api.Resources
-	for _, ref := range slices.Sorted(maps.Keys(n.book.open)) {
-		j := n.book.open[ref]
-		waiting := j.waiting(t.part)
-		if j.hold > n.now {
+	for _, ref := range slices.Sorted(maps.Keys(n.book.Open)) {
+		j := n.book.Open[ref]
+		waiting := j.Waiting(t.part)
+		if j.Note.hold > n.now {
 			t.dirty = t.dirty || waiting > 0
 			continue
 		}
-		if waiting == 0 && j.overN == 0 {
+		if waiting == 0 && j.OverN == 0 {
 			continue
 		}
 		t.waiting += waiting
 		if len(jobs) == 0 {
-			least = j.demand
+			least = j.Demand
 		}
-		least = api.Resources{CPU: min(least.CPU, j.demand.CPU), GPU: min(least.GPU, j.demand.GPU), Mem: min(least.Mem, j.demand.Mem)}
+		least = api.Resources{CPU: min(least.CPU, j.Demand.CPU), GPU: min(least.GPU, j.Demand.GPU), Mem: min(least.Mem, j.Demand.Mem)}
 		jobs = append(jobs, j)
 	}
 	if len(jobs) == 0 {
@@ -435,10 +432,10 @@
 		if !known && (j.Spec.OneZone || j.Spec.Spread) {
 			continue // where its other tasks are is not known yet
 		}
-		sj := sched.Job{Spec: j.Spec, Demand: j.demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
-			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.failedOn,
+		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
+			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn,
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
-		if len(j.failedOn)*2 > usable {
+		if len(j.Note.failedOn)*2 > usable {
 			sj.AvoidedBy = nil
 		}
 		in.Jobs = append(in.Jobs, sj)
@@ -457,11 +454,11 @@
 	for _, pl := range sched.Round(in) {
 		m, j := machines[pl.Machine], jobs[pl.Job]
 		placed[pl.Job]++
-		if !j.begun {
-			j.begun = true
-			slog.Info("job starts", "job", j.ref, "class", j.Spec.Class, "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
+		if !j.Note.begun {
+			j.Note.begun = true
+			slog.Info("job starts", "job", j.Ref, "class", j.Spec.Class, "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
 		}
-		starts = append(starts, &Place{Task: api.TaskID{Job: j.ref, Index: pl.Task}, Part: t.part, Machine: m.ID, Session: m.session, job: j})
+		starts = append(starts, &Place{Task: api.TaskID{Job: j.Ref, Index: pl.Task}, Part: t.part, Machine: m.ID, Session: m.session, Job: j})
 	}
 	n.unplaced(t, in, jobs, placed)
 	if len(starts) > 0 {
@@ -477,7 +474,7 @@
 		if len(j.Split) == 0 || j.Split[0].Part != t.part {
 			return nil
 		}
-		for _, p := range j.places {
+		for _, p := range j.Places {
 			if _, ending := w.ends[p]; !ending {
 				return nil
 			}
@@ -490,10 +487,10 @@
 			continue
 		}
 		for i := r.From; i < r.To && len(out) < most; i++ {
-			if j.done.has(i) {
+			if j.Done.Has(i) {
 				continue
 			}
-			if p := j.places[i]; p != nil {
+			if p := j.Places[i]; p != nil {
 				if done, ending := w.ends[p]; !ending || done || p.Part != t.part {
 					continue
 				}
@@ -511,8 +508,8 @@
 // included; known is false when a machine's zone is not known.
 func (n *Node) zonesOf(j *Job) (zones map[api.Zone]int, known bool) {
 	zones, known = map[api.Zone]int{}, true
-	for _, p := range j.places {
-		if p.over {
+	for _, p := range j.Places {
+		if p.Over {
 			continue
 		}
 		m := n.machines[p.Machine]
@@ -556,7 +553,7 @@
 		}
 		fatal := min(run, max(0, once+n.givenUpAfter.Seconds()+once-left))
 		survives := math.Exp(-n.fleet.spotLossRate() * fatal)
-		return 1 - math.Pow(survives, float64(j.Spec.Tasks-j.doneN))
+		return 1 - math.Pow(survives, float64(j.Spec.Tasks-j.DoneN))
 	}
 	return 0
 }
@@ -608,7 +605,7 @@
 		if elapsed+j.Spec.Estimate > l {
 			continue
 		}
-		left := float64(j.Spec.Tasks-j.doneN) * j.demand.CPU.Float() * j.Spec.Estimate
+		left := float64(j.Spec.Tasks-j.DoneN) * j.Demand.CPU.Float() * j.Spec.Estimate
 		return (0.2 + 0.8/(1+left/(cpus*10+1))) / float64(1+i)
 	}
 	last := limits[len(limits)-1]
@@ -625,8 +622,8 @@
 
 func (n *Node) totalUsage() map[api.Team]api.Resources {
 	total := map[api.Team]api.Resources{}
-	for p := range n.book.parts {
-		for team, u := range n.book.parts[p].use {
+	for p := range n.book.Parts {
+		for team, u := range n.book.Parts[p].Use {
 			total[team] = total[team].Plus(u)
 		}
 	}
@@ -636,8 +633,8 @@
 // entitled reports whether one more task keeps the team within its guarantee.
 func (n *Node) entitled(j *Job, total map[api.Team]api.Resources) bool {
 	team := n.teams[j.Spec.Team]
-	use := total[j.Spec.Team].Plus(j.demand)
-	if j.demand.GPU > 0 {
+	use := total[j.Spec.Team].Plus(j.Demand)
+	if j.Demand.GPU > 0 {
 		return use.GPU <= api.ToAmount(team.GPUs)
 	}
 	return use.CPU <= api.ToAmount(team.CPUs)
@@ -649,15 +646,15 @@
 	left := n.leftOf(t.part)
 	searches := maxPreempt
 	for i, j := range jobs {
-		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.demand.Times(placed[i]))
+		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(placed[i]))
 	}
 	for i, j := range jobs {
 		missing := len(in.Jobs[i].Pending) - placed[i]
 		if missing <= 0 {
 			continue
 		}
-		if can := j.demand.Slots(left[j.Spec.Team]); can < missing {
-			need := j.demand.Times(missing)
+		if can := j.Demand.Slots(left[j.Spec.Team]); can < missing {
+			need := j.Demand.Times(missing)
 			need.Mem = 0
 			t.want[j.Spec.Team] = t.want[j.Spec.Team].Plus(need)
 			if can == 0 || j.Spec.Kind == api.Gang {
@@ -667,9 +664,9 @@
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
 			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec)})
 		}
-		if placed[i] == 0 && searches > 0 && n.now >= j.wayAt && n.anyBelow(t.part, j.Spec.Priority.Rank()) {
+		if placed[i] == 0 && searches > 0 && n.now >= j.Note.wayAt && n.anyBelow(t.part, j.Spec.Priority.Rank()) {
 			searches--
-			j.wayAt = n.now.Add(time.Second) // what was stopped takes a while to end
+			j.Note.wayAt = n.now.Add(time.Second) // what was stopped takes a while to end
 			n.preempt(t, &in.Jobs[i], j, missing, 0)
 		}
 	}
@@ -677,12 +674,12 @@
 
 // stop has a task stopped with the grace its checkpoint needs.
 func (n *Node) stop(p *Place) {
-	if p.stop {
+	if p.Note.stop {
 		return
 	}
-	p.stop, p.stopAt = true, n.now
-	if p.job.Spec.Checkpoint > 0 {
-		p.grace = p.job.Spec.Save + 1
+	p.Note.stop, p.Note.stopAt = true, n.now
+	if p.Job.Spec.Checkpoint > 0 {
+		p.Note.grace = p.Job.Spec.Save + 1
 	}
 	if m := n.machines[p.Machine]; m != nil {
 		n.kick(m)
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -16,7 +16,7 @@
 
 // anyBelow reports whether a part runs anything that could give way.
 func (n *Node) anyBelow(p api.PartID, rank int) bool {
-	for _, count := range n.book.parts[p].ranks[:rank] {
+	for _, count := range n.book.Parts[p].Ranks[:rank] {
 		if count > 0 {
 			return true
 		}
@@ -34,7 +34,7 @@
 	if m.kept == "" || n.now >= m.keptTill {
 		return ""
 	}
-	if j := n.book.jobs[m.kept]; j == nil || j.final() || j.doneN+len(j.places)-j.overN >= j.Spec.Tasks {
+	if j := n.book.Jobs[m.kept]; j == nil || j.Final() || j.DoneN+len(j.Places)-j.OverN >= j.Spec.Tasks {
 		m.kept = ""
 	}
 	return m.kept
@@ -54,13 +54,13 @@
 	rank, demand := s.Priority.Rank(), s.Demand()
 	coming := n.freeOn(m, t)
 	var lower []*Place
-	for _, p := range n.book.on(m.ID) {
-		if p.over {
+	for _, p := range n.book.On(m.ID) {
+		if p.Over {
 			continue
 		}
-		if p.stop || p.job.final() {
-			coming = coming.Plus(p.job.demand)
-		} else if p.job.Spec.Priority.Rank() < rank && p.Part == t.part && p.job.Spec.Kind != api.Gang &&
+		if p.Note.stop || p.Job.Final() {
+			coming = coming.Plus(p.Job.Demand)
+		} else if p.Job.Spec.Priority.Rank() < rank && p.Part == t.part && p.Job.Spec.Kind != api.Gang &&
 			!(sparing && n.lateBy(p) > 0) {
 			lower = append(lower, p)
 		}
@@ -72,7 +72,7 @@
 		if w.tasks == most {
 			break
 		}
-		coming = coming.Plus(p.job.demand)
+		coming = coming.Plus(p.Job.Demand)
 		loss += n.harm(p)
 		if slots := min(most, demand.Slots(coming)); slots > w.tasks {
 			w.tasks, w.victims, w.loss = slots, lower[:k+1], loss
@@ -84,16 +84,16 @@
 // harm is what stopping a task would lose, in seconds of its CPUs: what it has run
 // and, when its job would be late by it, as much as the whole job's limit.
 func (n *Node) harm(p *Place) float64 {
-	return (n.now.Sub(p.since).Seconds()+n.lateBy(p))*p.job.demand.CPU.Float() + 1
+	return (n.now.Sub(p.Note.since).Seconds()+n.lateBy(p))*p.Job.Demand.CPU.Float() + 1
 }
 
 // lateBy is the limit that a task's job could keep but would not if the task had to
 // run again, or 0.
 func (n *Node) lateBy(p *Place) float64 {
-	elapsed := max(0, float64(n.wall-p.job.Accepted)/1000)
-	run := p.job.Spec.Estimate * longer
-	for _, l := range n.limits(p.job.Spec) {
-		if rest := max(0, p.job.Spec.Estimate-n.now.Sub(p.since).Seconds()); elapsed+rest <= l {
+	elapsed := max(0, float64(n.wall-p.Job.Accepted)/1000)
+	run := p.Job.Spec.Estimate * longer
+	for _, l := range n.limits(p.Job.Spec) {
+		if rest := max(0, p.Job.Spec.Estimate-n.now.Sub(p.Note.since).Seconds()); elapsed+rest <= l {
 			if elapsed+run > l {
 				return l
 			}
@@ -117,7 +117,7 @@
 	within := n.startAim(j.Spec.Class)
 	byZone := map[api.Zone][]way{}
 	for _, m := range n.machinesOf(t.part) {
-		if kept := n.keptFor(m); kept != "" && kept != j.ref || !n.usable(m, t) || !sched.Allowed(j.Spec, m.typ, m.zone, m.spot) ||
+		if kept := n.keptFor(m); kept != "" && kept != j.Ref || !n.usable(m, t) || !sched.Allowed(j.Spec, m.typ, m.zone, m.spot) ||
 			sj.AvoidedBy[m.ID] || sj.Plain && n.accelerated(m.typ) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
 			continue
 		}
@@ -132,7 +132,7 @@
 		if within > 0 {
 			// A fetch that takes the time in which the task should start weighs
 			// like a minute of work lost.
-			w.loss += 60 * j.demand.CPU.Float() * min(1, fetch/within)
+			w.loss += 60 * j.Demand.CPU.Float() * min(1, fetch/within)
 		}
 		zone := m.zone
 		if !j.Spec.OneZone && !j.Spec.Spread {
@@ -170,8 +170,8 @@
 		best = any[:min(len(any), need)]
 	}
 	for _, w := range best {
-		w.m.kept, w.m.keptTill = j.ref, n.now.Add(keepTime)
-		n.clear(w, j.ref)
+		w.m.kept, w.m.keptTill = j.Ref, n.now.Add(keepTime)
+		n.clear(w, j.Ref)
 	}
 	return len(best)
 }
@@ -187,8 +187,8 @@
 // was accepted, or since a service lost replicas, which should be back as soon.
 func (n *Node) awaited(j *Job) float64 {
 	since := max(0, float64(n.wall-j.Accepted)/1000)
-	if j.Spec.Kind == api.Service && j.lostAt != 0 {
-		since = min(since, n.now.Sub(j.lostAt).Seconds())
+	if j.Spec.Kind == api.Service && j.Note.lostAt != 0 {
+		since = min(since, n.now.Sub(j.Note.lostAt).Seconds())
 	}
 	return since
 }
@@ -204,7 +204,7 @@
 func (n *Node) clearQuick(t *turf, in *sched.Input, sj *sched.Job, j *Job) {
 	slack := sj.Within - n.awaited(j) - clearTime.Seconds()
 	rank := j.Spec.Priority.Rank()
-	if sj.Within <= 0 || slack <= 0 || j.quick || rank < urgentRank || !n.anyBelow(t.part, rank) {
+	if sj.Within <= 0 || slack <= 0 || j.Note.quick || rank < urgentRank || !n.anyBelow(t.part, rank) {
 		return
 	}
 	byZone := map[api.Zone]int{}
@@ -217,8 +217,8 @@
 		}
 		slots := 1
 		if j.Spec.Kind == api.Gang {
-			slots = j.demand.Slots(m.Free)
-		} else if !j.demand.Fits(m.Free) {
+			slots = j.Demand.Slots(m.Free)
+		} else if !j.Demand.Fits(m.Free) {
 			continue
 		}
 		if fetch := slowest * m.FetchTime(j.Spec); fetch > slack {
@@ -240,7 +240,7 @@
 	if need <= 0 {
 		return
 	}
-	j.quick = true
+	j.Note.quick = true
 	quick := slack
 	if j.Spec.Kind == api.Gang {
 		need, all = len(sj.Pending), 0
@@ -250,7 +250,7 @@
 	}
 	if n.preempt(t, sj, j, need, quick) > 0 {
 		sj.Pending = sj.Pending[:all]
-		j.hold = n.now.Add(clearTime)
+		j.Note.hold = n.now.Add(clearTime)
 		t.dirty = true
 	}
 }
@@ -259,7 +259,7 @@
 func (n *Node) clear(w way, ref api.JobRef) {
 	for _, p := range w.victims {
 		n.metrics.Preempted++
-		p.job.madeWay++
+		p.Job.Note.madeWay++
 		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", ref)
 		n.stop(p)
 	}
--- a/control/silence.go
+++ b/control/silence.go
@@ -33,7 +33,7 @@
 	if quiet <= patience || m.missed < enoughMissed && m.addr != "" {
 		return
 	}
-	if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
+	if m.heard == 0 && !n.listedRunning(m) && len(n.book.On(m.ID)) == 0 {
 		return // still booting, as far as we know
 	}
 	lease := n.cfg.WorkerLease()
@@ -43,7 +43,7 @@
 		n.remove(m, t, cancelledWhy)
 		return
 	}
-	switch busy := len(n.book.on(m.ID)) > 0; {
+	switch busy := len(n.book.On(m.ID)) > 0; {
 	case n.lately(n.allMute(), "") && quiet < 2*lease:
 		return // it is we who do not hear, as it seems
 	case n.lately(n.zoneMute(m.zone), m.zone) && (quiet < lease || !busy && quiet < 3*lease):
@@ -59,8 +59,8 @@
 // mustGo reports whether a machine holds a task whose cancellation was told so long ago
 // that only the machine's deletion can still end it in time.
 func (n *Node) mustGo(m *Machine) bool {
-	return slices.ContainsFunc(n.book.on(m.ID), func(p *Place) bool {
-		return !p.over && p.job.Cancelled && time.Duration(n.wall-p.job.CancelledAt)*time.Millisecond >= n.cancelLimit
+	return slices.ContainsFunc(n.book.On(m.ID), func(p *Place) bool {
+		return !p.Over && p.Job.Cancelled && time.Duration(n.wall-p.Job.CancelledAt)*time.Millisecond >= n.cancelLimit
 	})
 }
 
@@ -165,7 +165,7 @@
 func (n *Node) muteOf(t *turf) map[api.Zone]Mute {
 	zones := map[api.Zone]Mute{}
 	for _, m := range n.machinesOf(t.part) {
-		if m.heard == 0 && !n.listedRunning(m) && len(n.book.on(m.ID)) == 0 {
+		if m.heard == 0 && !n.listedRunning(m) && len(n.book.On(m.ID)) == 0 {
 			continue // booting
 		}
 		z := zones[m.zone]
@@ -244,11 +244,11 @@
 		var ids []api.MachineID
 		var sure []doomed
 		for _, d := range batch {
-			if n.turfs[d.t.part] != d.t || n.partOf(d.m.ID) != d.t.part || d.why == idleWhy && len(n.book.on(d.m.ID)) > 0 {
+			if n.turfs[d.t.part] != d.t || n.partOf(d.m.ID) != d.t.part || d.why == idleWhy && len(n.book.On(d.m.ID)) > 0 {
 				keep(d)
 				continue
 			}
-			slog.Info("deleting a machine", "machine", d.m.ID, "why", d.why, "tasks", len(n.book.on(d.m.ID)))
+			slog.Info("deleting a machine", "machine", d.m.ID, "why", d.why, "tasks", len(n.book.On(d.m.ID)))
 			ids, sure = append(ids, d.m.ID), append(sure, d)
 		}
 		if len(ids) == 0 {
@@ -269,8 +269,8 @@
 				}
 				n.unlend(d.t, d.m.ID)
 				if n.turfs[d.t.part] == d.t {
-					for _, p := range n.book.on(d.m.ID) {
-						if p.Part == d.t.part && !p.over {
+					for _, p := range n.book.On(d.m.ID) {
+						if p.Part == d.t.part && !p.Over {
 							n.end(d.t, p, false, lostWhy)
 						}
 					}
@@ -290,8 +290,8 @@
 // lasting counts the tasks on a machine that are not of an array.
 func (n *Node) lasting(m *Machine) int {
 	count := 0
-	for _, p := range n.book.on(m.ID) {
-		if p.job.Spec.Kind != api.Array && !p.job.final() {
+	for _, p := range n.book.On(m.ID) {
+		if p.Job.Spec.Kind != api.Array && !p.Job.Final() {
 			count++
 		}
 	}
--- a/control/stock.go
+++ b/control/stock.go
@@ -41,8 +41,8 @@
 // lastingOn reports whether a machine with accelerators has a service or a gang
 // that needs them.
 func (n *Node) lastingOn(id api.MachineID) bool {
-	for _, p := range n.book.on(id) {
-		if p.job.Spec.Kind != api.Array && !n.plain(p.job.Spec) {
+	for _, p := range n.book.On(id) {
+		if p.Job.Spec.Kind != api.Array && !n.plain(p.Job.Spec) {
 			return true
 		}
 	}
@@ -119,8 +119,8 @@
 	n.fleet.useNext = n.now.Add(useEvery)
 	n.countSpot()
 	now := map[api.TypeName]load{}
-	for _, j := range n.book.jobs {
-		if j.final() || n.plain(j.Spec) {
+	for _, j := range n.book.Jobs {
+		if j.Final() || n.plain(j.Spec) {
 			continue
 		}
 		typ := n.bestType(j.Spec)
@@ -128,7 +128,7 @@
 			continue
 		}
 		l := now[typ.Name]
-		machines := float64(j.Spec.Tasks-j.doneN) / float64(max(1, j.demand.Slots(typ.Capacity())))
+		machines := float64(j.Spec.Tasks-j.DoneN) / float64(max(1, j.Demand.Slots(typ.Capacity())))
 		l.all += machines
 		st := n.stockOf(typ.Name)
 		switch {
@@ -285,7 +285,7 @@
 		if m.spare || n.now < m.clearing {
 			return 0
 		}
-		return 1 + len(n.book.on(m.ID))
+		return 1 + len(n.book.On(m.ID))
 	}
 	slices.SortStableFunc(free, func(a, b *Machine) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.ID, a.ID))
@@ -308,7 +308,7 @@
 	}
 	var from, to []*Machine
 	for _, m := range n.machinesOf(t.part) {
-		if m.typ != s.Type || m.spot != s.Spot || m.spare || n.now < m.clearing || !n.usable(m, t) || len(n.book.on(m.ID)) == 0 {
+		if m.typ != s.Type || m.spot != s.Spot || m.spare || n.now < m.clearing || !n.usable(m, t) || len(n.book.On(m.ID)) == 0 {
 			continue
 		}
 		if n.keptFor(m) == "" {
@@ -321,13 +321,13 @@
 	if len(from) == 0 {
 		return
 	}
-	m := slices.MinFunc(from, func(a, b *Machine) int { return len(n.book.on(a.ID)) - len(n.book.on(b.ID)) })
+	m := slices.MinFunc(from, func(a, b *Machine) int { return len(n.book.On(a.ID)) - len(n.book.On(b.ID)) })
 	if !n.fitElsewhere(m, t, to) {
 		return
 	}
 	m.clearing = n.now.Add(keepTime)
-	slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(n.book.on(m.ID)))
-	for _, p := range slices.Clone(n.book.on(m.ID)) {
+	slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(n.book.On(m.ID)))
+	for _, p := range slices.Clone(n.book.On(m.ID)) {
 		n.stop(p)
 	}
 }
@@ -336,25 +336,25 @@
 // machine holds.
 func (n *Node) fitElsewhere(from *Machine, t *turf, to []*Machine) bool {
 	taken := map[*Machine]api.Resources{}
-	for _, p := range n.book.on(from.ID) {
+	for _, p := range n.book.On(from.ID) {
 		i := slices.IndexFunc(to, func(m *Machine) bool {
-			_, has := m.images[p.job.Spec.Image]
-			return has && m != from && p.job.demand.Fits(n.freeOn(m, t).Minus(taken[m]))
+			_, has := m.images[p.Job.Spec.Image]
+			return has && m != from && p.Job.Demand.Fits(n.freeOn(m, t).Minus(taken[m]))
 		})
 		if i < 0 {
 			return false
 		}
-		taken[to[i]] = taken[to[i]].Plus(p.job.demand)
+		taken[to[i]] = taken[to[i]].Plus(p.Job.Demand)
 	}
 	return true
 }
 
 // movable reports whether all that a machine holds are services that may move.
 func (n *Node) movable(m *Machine, t *turf) bool {
-	for _, p := range n.book.on(m.ID) {
-		s := p.job.Spec
-		if s.Kind != api.Service || s.Spread || s.OneZone || p.Part != t.part || p.over || p.stop || p.job.final() ||
-			p.running == 0 || n.now.Sub(p.running) < settled {
+	for _, p := range n.book.On(m.ID) {
+		s := p.Job.Spec
+		if s.Kind != api.Service || s.Spread || s.OneZone || p.Part != t.part || p.Over || p.Note.stop || p.Job.Final() ||
+			p.Note.running == 0 || n.now.Sub(p.Note.running) < settled {
 			return false
 		}
 	}
--- a/control/user.go
+++ b/control/user.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/config"
 	"basaltwall/sched"
 )
@@ -22,16 +23,16 @@
 
 // status describes a job that the book holds.
 func (n *Node) status(ref api.JobRef) (api.JobStatus, bool) {
-	if j := n.book.jobs[ref]; j != nil {
-		s := api.JobStatus{Ref: ref, State: j.state()}
-		done, running := j.doneN, len(j.places)
-		if j.final() {
+	if j := n.book.Jobs[ref]; j != nil {
+		s := api.JobStatus{Ref: ref, State: j.State()}
+		done, running := j.DoneN, len(j.Places)
+		if j.Final() {
 			running = 0
 		}
 		s.Done, s.Running = &done, &running
 		return s, true
 	}
-	if f, ok := n.book.finals[ref]; ok {
+	if f, ok := n.book.Finals[ref]; ok {
 		return api.JobStatus{Ref: ref, State: f}, true
 	}
 	return api.JobStatus{}, false
@@ -50,11 +51,11 @@
 			found(s)
 			return
 		}
-		n.state(StateCall{Get: keyFinal + string(ref)}, func(a StateAnswer) {
+		n.state(StateCall{Get: book.KeyFinal + string(ref)}, func(a StateAnswer) {
 			var s api.JobState
 			switch {
 			case a.Status == 200 && json.Unmarshal(a.Pair.Value, &s) == nil:
-				n.book.setFinal(ref, s)
+				n.book.SetFinal(ref, s)
 				found(api.JobStatus{Ref: ref, State: s})
 			case a.Status == 404:
 				absent()
@@ -181,7 +182,7 @@
 		elsewhere()
 		return
 	}
-	if _, ok := n.book.jobs[spec.Ref]; ok {
+	if _, ok := n.book.Jobs[spec.Ref]; ok {
 		n.lookup(spec.Ref, known, elsewhere, elsewhere)
 		return
 	}
@@ -194,12 +195,12 @@
 		n.refuse(c.Req, 503, "more submissions at once than the state service can take")
 		return
 	}
-	v, err := json.Marshal(jobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
+	v, err := json.Marshal(book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
 	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
 		n.refuse(c.Req, 400, "banchi: too long")
 		return
 	}
-	job, final := keyJob+string(spec.Ref), keyFinal+string(spec.Ref)
+	job, final := book.KeyJob+string(spec.Ref), book.KeyFinal+string(spec.Ref)
 	// With a peer that can help, an answer that does not come soon is not
 	// waited for: the peer may write the same job, and one of the two counts.
 	timeout := stateTimeout
@@ -229,7 +230,7 @@
 // maySubmit takes one of the writes that submissions may use, of which every living
 // controller has as many.
 func (n *Node) maySubmit() bool {
-	rate := submitShare * n.cfg.Deployment.State.WriteRPS / float64(max(1, len(n.book.members)))
+	rate := submitShare * n.cfg.Deployment.State.WriteRPS / float64(max(1, len(n.book.Members)))
 	n.allowance = min(max(1, rate), n.allowance+rate*n.now.Sub(n.allowedAt).Seconds())
 	n.allowedAt = n.now
 	if n.allowance < 1 {
@@ -240,8 +241,8 @@
 }
 
 // split gives a new job's tasks to parts by their free room.
-func (n *Node) split(s *api.JobSpec) []Range {
-	parts := len(n.book.parts)
+func (n *Node) split(s *api.JobSpec) []book.Range {
+	parts := len(n.book.Parts)
 	weight := make([]float64, parts)
 	demand := s.Demand()
 	room := n.roomByPart(s)
@@ -269,14 +270,14 @@
 		}
 	}
 	if s.Whole() || s.Tasks == 1 {
-		return []Range{{0, s.Tasks, api.PartID(best)}}
+		return []book.Range{{From: 0, To: s.Tasks, Part: api.PartID(best)}}
 	}
 	total := 0.0
 	for i := range weight {
 		weight[i] = max(weight[i], 0.01)
 		total += weight[i]
 	}
-	var out []Range
+	var out []book.Range
 	at, sum := 0, 0.0
 	for i := range weight {
 		sum += weight[i]
@@ -285,7 +286,7 @@
 			to = s.Tasks
 		}
 		if to > at {
-			out = append(out, Range{at, to, api.PartID(i)})
+			out = append(out, book.Range{From: at, To: to, Part: api.PartID(i)})
 			at = to
 		}
 	}
@@ -294,7 +295,7 @@
 
 // roomByPart counts how many tasks of a job each part could start now.
 func (n *Node) roomByPart(s *api.JobSpec) []int {
-	room := make([]int, len(n.book.parts))
+	room := make([]int, len(n.book.Parts))
 	demand := s.Demand()
 	plain := n.plain(s)
 	n.eachRoom(func(p api.PartID, k Kind, r Room) {
@@ -308,7 +309,7 @@
 // capacityByPart counts how many tasks of a job each part's machines could
 // hold if they were empty.
 func (n *Node) capacityByPart(s *api.JobSpec) []int {
-	out := make([]int, len(n.book.parts))
+	out := make([]int, len(n.book.Parts))
 	demand, plain := s.Demand(), n.plain(s)
 	n.eachRoom(func(p api.PartID, k Kind, r Room) {
 		typ := n.types[k.Type]
@@ -328,13 +329,13 @@
 // waitingIn counts tasks of a part that wait, in units of a demand.
 func (n *Node) waitingIn(p api.PartID, demand api.Resources) int {
 	count := 0
-	for _, j := range n.book.open {
-		if demand.GPU > 0 && j.demand.GPU == 0 {
+	for _, j := range n.book.Open {
+		if demand.GPU > 0 && j.Demand.GPU == 0 {
 			continue
 		}
-		if w := j.waiting(p); w > 0 {
-			if demand.CPU > 0 && j.demand.CPU > 0 {
-				w = int(float64(w) * float64(j.demand.CPU) / float64(demand.CPU))
+		if w := j.Waiting(p); w > 0 {
+			if demand.CPU > 0 && j.Demand.CPU > 0 {
+				w = int(float64(w) * float64(j.Demand.CPU) / float64(demand.CPU))
 			}
 			count += w
 		}
@@ -342,21 +343,6 @@
 	return count
 }
 
-// waiting counts the job's tasks in a part that are neither done nor placed. It
-// does not look at each task: there may be very many.
-func (j *Job) waiting(p api.PartID) int {
-	if j.doneN+len(j.places) >= j.Spec.Tasks {
-		return 0
-	}
-	c := 0
-	for _, r := range j.Split {
-		if r.Part == p {
-			c += r.To - r.From - j.done.count(r.From, r.To)
-		}
-	}
-	return max(0, c-j.placed[p])
-}
-
 func (n *Node) cancel(c Cancel) {
 	ref := api.JobRef(c.Ref)
 	if !api.ValidRef(c.Ref) {
@@ -383,10 +369,10 @@
 		fail()
 		return
 	}
-	j := n.book.jobs[ref]
-	if j == nil || j.final() {
+	j := n.book.Jobs[ref]
+	if j == nil || j.Final() {
 		n.lookup(ref, func(s api.JobStatus) {
-			if j := n.book.jobs[ref]; j != nil && !j.final() {
+			if j := n.book.Jobs[ref]; j != nil && !j.Final() {
 				n.tryCancel(ref, tries-1, answer, absent, fail)
 				return
 			}
@@ -394,15 +380,15 @@
 		}, absent, fail)
 		return
 	}
-	v := j.jobValue
+	v := j.JobValue
 	v.Cancelled, v.CancelledAt = true, n.wall
 	data, err := json.Marshal(v)
 	if err != nil {
 		fail()
 		return
 	}
-	key := keyJob + string(ref)
-	n.txn(api.Txn{If: []api.Condition{{Key: key, Version: j.ver}}, Writes: []api.Write{{Put: key, Value: data}}}, func(a StateAnswer) {
+	key := book.KeyJob + string(ref)
+	n.txn(api.Txn{If: []api.Condition{{Key: key, Version: j.Ver}}, Writes: []api.Write{{Put: key, Value: data}}}, func(a StateAnswer) {
 		if a.Status != 200 && a.Status != 409 {
 			fail()
 			return
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -116,7 +116,9 @@
 }
 
 // Run plays a scenario.
-func Run(data []byte) (Result, error) {
+func Run(data []byte) (Result, error) { return run(data, func(*standin.World) {}) }
+
+func run(data []byte, watch func(*standin.World)) (Result, error) {
 	cfgs, err := configs()
 	if err != nil {
 		return Result{}, err
@@ -172,6 +174,7 @@
 	if r.end == 0 {
 		return Result{}, fmt.Errorf("no end")
 	}
+	watch(r.w)
 	r.w.StartAll()
 	r.w.Run(r.end)
 	res := Result{Problems: r.w.Check.Broken, World: r.w}
