--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -116,9 +116,7 @@
 }
 
 // Run plays a scenario.
-func Run(data []byte) (Result, error) { return run(data, func(*standin.World) {}) }
-
-func run(data []byte, watch func(*standin.World)) (Result, error) {
+func Run(data []byte) (Result, error) {
 	cfgs, err := configs()
 	if err != nil {
 		return Result{}, err
@@ -174,7 +172,6 @@
 	if r.end == 0 {
 		return Result{}, fmt.Errorf("no end")
 	}
-	watch(r.w)
 	r.w.StartAll()
 	r.w.Run(r.end)
 	res := Result{Problems: r.w.Check.Broken, World: r.w}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -88,9 +88,6 @@
 	// arrive seconds late, after their sender has given up.
 	LoseAnswers, DelayState float64
 
-	// OnEffect, if set, sees every effect before it is carried out.
-	OnEffect func(node string, e control.Effect)
-
 	// Direct counts direct calls that reached a worker.
 	Direct int
 
@@ -234,9 +231,6 @@
 
 // perform carries out an effect through the real adapters.
 func (w *World) perform(h *host, e control.Effect) {
-	if w.OnEffect != nil {
-		w.OnEffect(h.name, e)
-	}
 	switch e := e.(type) {
 	case control.Reply:
 		if answer := h.reqs[e.Req]; answer != nil {
