A new owner knows where machines are while the cloud is down, and deletes none unasked

After a takeover a machine's address came with the next list only. With the cloud down there was none: the new owner called nobody, held its 484 machines for lost after 19 s, and deleted 334 living ones with 2,400 tasks when the cloud was back. Change: a new owner takes addresses from the list it has; a machine that nobody could call for want of a list is not held for lost.

--- a/control/part.go
+++ b/control/part.go
@@ -68,6 +68,7 @@
 			n.end(t, pl, false, lostWhy)
 		}
 	}
+	n.useList() // the list we have tells where they are; the next may be long in coming
 	for _, m := range n.machinesOf(p) {
 		m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 	}
--- a/control/silence.go
+++ b/control/silence.go
@@ -33,6 +33,9 @@
 	if quiet <= patience || m.missed < enoughMissed && m.addr != "" {
 		return
 	}
+	if m.addr == "" && (n.fleet.listed == 0 || n.fleet.listed.Sub(t.since) < 2*api.Seconds(n.cfg.Deployment.Cloud.ListLag)) {
+		return // nobody has called it yet, for want of a list that could show where it is
+	}
 	if m.heard == 0 && !n.listedRunning(m) && len(n.book.On(m.ID)) == 0 {
 		return // still booting, as far as we know
 	}
