--- a/node/node_test.go
+++ b/node/node_test.go
@@ -201,6 +201,7 @@
 			}
 		})
 	}
+	doc := readDocument(t)
 	call := func(node int, key, method, path, body string) (int, string) {
 		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+l.Configs[node].APIAddr+path, strings.NewReader(body))
 		if err != nil {
@@ -218,6 +219,7 @@
 		if err != nil {
 			return 0, ""
 		}
+		doc.check(t, method, path, res.StatusCode, string(data))
 		return res.StatusCode, string(data)
 	}
 	expect := func(what string, code int, part string) func(int, string) string {
--- /dev/null
+++ b/node/openapi_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/getkin/kin-openapi/openapi3"
+
+	"basaltwall/config"
+	"basaltwall/httpx"
+)
+
+// document is what docs/openapi.yaml says of the hosted service.
+type document struct{ doc *openapi3.T }
+
+func readDocument(t *testing.T) document {
+	t.Helper()
+	doc, err := openapi3.NewLoader().LoadFromFile("../docs/openapi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := doc.Validate(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return document{doc}
+}
+
+// find is what the document says of a path.
+func (d document) find(path string) *openapi3.PathItem {
+	path, _, _ = strings.Cut(path, "?")
+	parts := strings.Split(path, "/")
+	for template, item := range d.doc.Paths.Map() {
+		if slices.EqualFunc(strings.Split(template, "/"), parts, func(a, b string) bool { return a == b || strings.HasPrefix(a, "{") }) {
+			return item
+		}
+	}
+	return nil
+}
+
+// check holds an answer against the document.
+func (d document) check(t *testing.T, method, path string, code int, body string) {
+	t.Helper()
+	item := d.find(path)
+	if item == nil || item.GetOperation(method) == nil {
+		return // not of the hosted service's document
+	}
+	res := item.GetOperation(method).Responses.Status(code)
+	if res == nil {
+		t.Errorf("%s %s: %d %s, which the document does not name", method, path, code, body)
+		return
+	}
+	var v any
+	if err := json.Unmarshal([]byte(body), &v); err != nil {
+		t.Errorf("%s %s: %s: %v", method, path, body, err)
+		return
+	}
+	if err := res.Value.Content["application/json"].Schema.Value.VisitJSON(v); err != nil {
+		t.Errorf("%s %s: %d %s: %v", method, path, code, body, err)
+	}
+}
+
+// Every request that the document names is understood, and no other of its paths.
+func TestDocumentNamesTheRequests(t *testing.T) {
+	d := readDocument(t)
+	n := &Node{cfg: &config.Config{Hosted: &config.Hosted{}}}
+	for template, item := range d.doc.Paths.Map() {
+		path := strings.NewReplacer("{ref}", "run-1", "{name}", "kipper", "{key}", "first").Replace(template)
+		for _, method := range []string{"GET", "PUT", "POST", "DELETE", "PATCH"} {
+			c, status := n.route(1, httpx.Request{Method: method, Path: path, Body: []byte("{}")})
+			if named := item.GetOperation(method) != nil; named != (c != nil) {
+				t.Errorf("%s %s: named %v, answered %v (%d)", method, path, named, c != nil, status)
+			} else if !named && status != 405 {
+				t.Errorf("%s %s: %d, expected 405", method, path, status)
+			}
+		}
+	}
+	for _, path := range []string{"/admin/v1/tenants/kipper/forget", "/admin/v1/tenants/", "/admin/v1/audit/x", "/v1/history/x"} {
+		if c, status := n.route(1, httpx.Request{Method: "GET", Path: path}); c != nil || status != 404 {
+			t.Errorf("%s: %d", path, status)
+		}
+	}
+}
