Without tenants their paths are unknown as before; one way to a tenant's job

Polls and cancellations of tenants found their job by the same lines twice. Change: the router knows those paths in a hosted service only; asJob serves both.

--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -13,6 +13,12 @@
 	"basaltwall/control"
 )
 
+// OfHosted reports whether a path is of a hosted service only.
+func OfHosted(path string) bool {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, Prefix), "/")
+	return first == "tenants" || first == "audit"
+}
+
 // tenantCommand is what a request under tenants asks of the owner.
 func tenantCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
 	acts := map[string]string{"suspend": "suspend", "resume": "resume", "remove": "remove", "keys": "key-add"}
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -159,43 +159,39 @@
 	n.forward(req, w, already)
 }
 
-func (n *Node) pollHosted(c Poll) {
-	elsewhere := func() {
-		n.forwardHosted(c.Req, hostedForward{Kind: "poll", Ref: c.Ref, Caller: c.Caller}, c.Forwarded)
-	}
-	if n.pass(c.Forwarded) {
+// asJob does something with the job that a tenant's request names: do is given the id under
+// which it is kept, and elsewhere for when this controller can't answer.
+func (n *Node) asJob(req ReqID, f hostedForward, already bool, do func(id api.JobRef, absent, elsewhere func())) {
+	elsewhere := func() { n.forwardHosted(req, f, already) }
+	if n.pass(already) {
 		elsewhere()
 		return
 	}
-	n.asTenant(c.Req, c.Caller, func(e *tenant.Entry) {
-		if !api.ValidRef(c.Ref) {
-			n.refuse(c.Req, 404, "no such job")
+	absent := func() { n.refuse(req, 404, "no such job") }
+	n.asTenant(req, f.Caller, func(e *tenant.Entry) {
+		if !api.ValidRef(f.Ref) {
+			absent()
 			return
 		}
-		n.find(tenant.JobID(e.Name, api.JobRef(c.Ref)), func(s api.JobStatus) {
+		do(tenant.JobID(e.Name, api.JobRef(f.Ref)), absent, elsewhere)
+	}, elsewhere)
+}
+
+func (n *Node) pollHosted(c Poll) {
+	n.asJob(c.Req, hostedForward{Kind: "poll", Ref: c.Ref, Caller: c.Caller}, c.Forwarded, func(id api.JobRef, absent, elsewhere func()) {
+		n.find(id, func(s api.JobStatus) {
 			s.Ref = api.JobRef(c.Ref)
 			n.reply(c.Req, 200, s, 0)
-		}, func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
-	}, elsewhere)
+		}, absent, elsewhere)
+	})
 }
 
 func (n *Node) cancelHosted(c Cancel) {
-	elsewhere := func() {
-		n.forwardHosted(c.Req, hostedForward{Kind: "cancel", Ref: c.Ref, Caller: c.Caller}, c.Forwarded)
-	}
-	if n.pass(c.Forwarded) {
-		elsewhere()
-		return
-	}
-	n.asTenant(c.Req, c.Caller, func(e *tenant.Entry) {
-		if !api.ValidRef(c.Ref) {
-			n.refuse(c.Req, 404, "no such job")
-			return
-		}
-		n.tryCancel(tenant.JobID(e.Name, api.JobRef(c.Ref)), 5, func(s api.JobStatus) {
+	n.asJob(c.Req, hostedForward{Kind: "cancel", Ref: c.Ref, Caller: c.Caller}, c.Forwarded, func(id api.JobRef, absent, elsewhere func()) {
+		n.tryCancel(id, 5, func(s api.JobStatus) {
 			n.reply(c.Req, 200, api.JobStatus{Ref: api.JobRef(c.Ref), State: s.State}, 0)
-		}, func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
-	}, elsewhere)
+		}, absent, elsewhere)
+	})
 }
 
 // submitHosted takes a tenant's submission. It is written on the condition that the
--- a/node/node.go
+++ b/node/node.go
@@ -313,6 +313,9 @@
 		return method("GET", control.History{Req: req, After: after, Limit: limit, Caller: caller})
 	}
 	if strings.HasPrefix(r.Path, admin.Prefix) {
+		if n.cfg.Hosted == nil && admin.OfHosted(r.Path) {
+			return nil, 404
+		}
 		c, status := admin.Command(req, r)
 		if ask, ok := c.(control.Ask); ok {
 			ask.Caller = caller
--- a/node/openapi_test.go
+++ b/node/openapi_test.go
@@ -82,3 +82,15 @@
 		}
 	}
 }
+
+// A service without tenants answers the paths of a hosted one as any that it does not know.
+func TestWithoutTenantsNoPathOfTheirs(t *testing.T) {
+	n := &Node{cfg: &config.Config{}}
+	for _, method := range []string{"GET", "PUT", "POST"} {
+		for _, path := range []string{"/admin/v1/tenants", "/admin/v1/tenants/kipper", "/admin/v1/tenants/kipper/suspend", "/admin/v1/audit", "/v1/history"} {
+			if c, status := n.route(1, httpx.Request{Method: method, Path: path, Body: []byte("{}")}); c != nil || status != 404 {
+				t.Errorf("%s %s: %d", method, path, status)
+			}
+		}
+	}
+}
