One way each: a part's condition, a page, tenants' work, a request from outside

Listing tenants counted every job once for each tenant, which with thousands of both would hold up the owner; draining looked at every place once for each suspended tenant; three loops counted a tenant's jobs; history and audit read their pages by the same lines; the stand-ins asked with a time limit in two places; limits of lists were parsed twice; that a part is still ours was spelt out at each write; the tenants were put in order anew every second. Change: countWork counts all at once, drainServices goes over the places once, pageOf, limit, turf.mine, World.request and errKey serve their twins, the table keeps its names in order, and what a job's putting away writes is made before it is counted. Ruled out: one function for submissions with tenants and without, whose conditions, refusals and retries differ. Conclusion: no conduct changes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -23,10 +23,11 @@
 // Prefix is where the API lies.
 const Prefix = "/admin/v1/"
 
-// How many jobs are shown when nothing else is asked for, and at most.
+// How much of a list is shown when nothing else is asked for, and at most.
 const (
-	defaultJobs = 100
-	maxJobs     = 1000
+	defaultLimit = 100
+	maxJobs      = 1000
+	maxPage      = 500
 )
 
 // Command is what a request asks of the owner, or the status that refuses it.
@@ -44,11 +45,10 @@
 		if err != nil {
 			return nil, 400
 		}
-		ask.Team, ask.Limit = q.Get("team"), defaultJobs
-		if l := q.Get("limit"); l != "" {
-			if ask.Limit, err = strconv.Atoi(l); err != nil || ask.Limit < 1 || ask.Limit > maxJobs {
-				return nil, 400
-			}
+		ask.Team = q.Get("team")
+		var ok bool
+		if ask.Limit, ok = limit(q, maxJobs); !ok {
+			return nil, 400
 		}
 	case len(parts) == 1 && slices.Contains([]string{"members", "parts", "machines", "teams", "metrics"}, parts[0]):
 	case len(parts) == 2 && parts[0] == "jobs" && parts[1] != "":
@@ -71,20 +71,26 @@
 	return ask, 0
 }
 
+// limit reads how many are asked for.
+func limit(q url.Values, most int) (int, bool) {
+	l := q.Get("limit")
+	if l == "" {
+		return defaultLimit, true
+	}
+	n, err := strconv.Atoi(l)
+	return n, err == nil && n >= 1 && n <= most
+}
+
 // Page reads which page of a list is asked for: what it comes after, and how long it may be.
-func Page(r httpx.Request) (after string, limit int, ok bool) {
+func Page(r httpx.Request) (after string, most int, ok bool) {
 	q, err := url.ParseQuery(r.Query)
 	if err != nil {
 		return "", 0, false
 	}
-	after, limit = q.Get("after"), 100
-	if l := q.Get("limit"); l != "" {
-		if limit, err = strconv.Atoi(l); err != nil || limit < 1 || limit > 500 {
-			return "", 0, false
-		}
-	}
+	after = q.Get("after")
+	most, ok = limit(q, maxPage)
 	// It becomes part of a key.
-	return after, limit, len(after) <= 100 && !strings.ContainsFunc(after, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' })
+	return after, most, ok && len(after) <= 100 && !strings.ContainsFunc(after, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' })
 }
 
 // Cmd is the client's subcommands.
--- a/control/checkpoint.go
+++ b/control/checkpoint.go
@@ -31,7 +31,7 @@
 // the last transaction. Each is conditional on the versions it replaces.
 func (n *Node) saveNext(t *turf, writes []api.Write) {
 	k := min(len(writes), n.cfg.Deployment.State.TxnOps, max(1, int(56/n.cfg.Deployment.State.ValueKB)))
-	tx := api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}}, Writes: writes[:k]}
+	tx := api.Txn{If: []api.Condition{t.mine()}, Writes: writes[:k]}
 	for _, w := range writes[:k] {
 		tx.If = append(tx.If, n.book.If(w.Put))
 	}
@@ -73,26 +73,23 @@
 		if len(j.Split) == 0 || j.Split[0].Part != t.part {
 			continue
 		}
-		writes := 2
+		v, _ := json.Marshal(j.State())
+		job, final := book.KeyJob+string(ref), book.KeyFinal+string(ref)
+		writes := []api.Write{{Drop: job}, {Put: final, Value: v}}
 		if j.Tenant != "" {
-			writes = 3
+			writes = append(writes, n.historyWrite(j))
 		}
-		if len(tx.Writes)+writes > n.cfg.Deployment.State.TxnOps {
+		if len(tx.Writes)+len(writes) > n.cfg.Deployment.State.TxnOps {
 			break
 		}
-		v, _ := json.Marshal(j.State())
-		job, final := book.KeyJob+string(ref), book.KeyFinal+string(ref)
 		tx.If = append(tx.If, api.Condition{Key: job, Version: j.Ver}, api.Condition{Key: final})
-		tx.Writes = append(tx.Writes, api.Write{Drop: job}, api.Write{Put: final, Value: v})
-		if j.Tenant != "" {
-			tx.Writes = append(tx.Writes, n.historyWrite(j))
-		}
+		tx.Writes = append(tx.Writes, writes...)
 	}
 	t.putNext = n.now.Add(2 * time.Second)
 	if len(tx.Writes) == 0 {
 		return
 	}
-	tx.If = append(tx.If, api.Condition{Key: book.PartKey(book.KeyPart, t.part), Version: t.term})
+	tx.If = append(tx.If, t.mine())
 	t.putting = true
 	n.txn(tx, func(StateAnswer) { t.putting = false })
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"basaltwall/api"
-	"basaltwall/book"
 	"basaltwall/sched"
 )
 
@@ -145,7 +144,7 @@
 		if t := n.turfs[0]; t != nil && len(n.known.Types) != len(a.Types) {
 			// Kept so that a node that starts while the cloud is down knows them.
 			v, _ := json.Marshal(api.MachineTypes{Types: a.Types})
-			n.txn(api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, 0), Version: t.term}},
+			n.txn(api.Txn{If: []api.Condition{t.mine()},
 				Writes: []api.Write{{Put: keyTypes, Value: v}}}, func(StateAnswer) {})
 		}
 	})
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -342,7 +342,7 @@
 		j.Note.moved = n.now
 		t.moving = true
 		key := book.KeyJob + string(ref)
-		tx := api.Txn{If: []api.Condition{{Key: key, Version: j.Ver}, {Key: book.PartKey(book.KeyPart, t.part), Version: t.term}},
+		tx := api.Txn{If: []api.Condition{{Key: key, Version: j.Ver}, t.mine()},
 			Writes: []api.Write{{Put: key, Value: data}}}
 		n.txn(tx, func(a StateAnswer) {
 			if a.Status == 200 {
@@ -515,7 +515,7 @@
 	t.lending = true
 	key := book.KeyLend + string(id)
 	v, _ := json.Marshal(book.LendValue{Part: to, For: ref})
-	tx := api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}, n.book.If(key)},
+	tx := api.Txn{If: []api.Condition{t.mine(), n.book.If(key)},
 		Writes: []api.Write{{Put: key, Value: v}}}
 	// No round is planned before the outcome is known: a late write must not
 	// give away a machine that has got a task meanwhile.
@@ -546,6 +546,6 @@
 	if _, ok := n.book.Lent[id]; !ok {
 		return
 	}
-	n.txn(api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}},
+	n.txn(api.Txn{If: []api.Condition{t.mine()},
 		Writes: []api.Write{{Drop: book.KeyLend + string(id)}}}, func(StateAnswer) {})
 }
--- a/control/history.go
+++ b/control/history.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"basaltwall/api"
-	"basaltwall/book"
 	"basaltwall/tenant"
 )
 
@@ -82,28 +81,31 @@
 	return api.Write{Put: fmt.Sprintf("%s%s-%s-%d", keyAudit, stamp(n.wall), n.cfg.Label, n.hosted.changes), Value: v}
 }
 
-// pageOf reads a page of what is kept under a prefix and hands each value over.
-func (n *Node) pageOf(under, after string, limit int, each func(json.RawMessage) error, done func(next string, ok bool)) {
+// pageOf reads a page of what is kept under a prefix, and what to ask for next.
+func pageOf[T any](n *Node, under, after string, limit int, done func(items []T, next string), fail func()) {
 	since := ""
 	if after != "" {
 		since = under + after
 	}
 	n.state(StateCall{Page: &PageAsk{Under: under, After: since, Limit: limit}}, func(a StateAnswer) {
 		if a.Status != 200 {
-			done("", false)
+			fail()
 			return
 		}
-		next := ""
+		items, next := []T{}, ""
 		for _, p := range a.Page.Pairs {
-			if err := each(p.Value); err != nil {
+			var x T
+			if err := json.Unmarshal(p.Value, &x); err != nil {
 				slog.Error("record not understood", "key", p.Key, "err", err)
+			} else {
+				items = append(items, x)
 			}
 			next = strings.TrimPrefix(p.Key, under)
 		}
 		if !a.Page.More {
 			next = ""
 		}
-		done(next, true)
+		done(items, next)
 	})
 }
 
@@ -126,22 +128,9 @@
 		return
 	}
 	n.asTenant(c.Req, c.Caller, func(e *tenant.Entry) {
-		v := HistoryView{Jobs: []Ended{}}
-		n.pageOf(keyHistory+string(e.Name)+"/", c.After, c.Limit, func(value json.RawMessage) error {
-			var x Ended
-			err := json.Unmarshal(value, &x)
-			if err == nil {
-				v.Jobs = append(v.Jobs, x)
-			}
-			return err
-		}, func(next string, ok bool) {
-			if !ok {
-				fail()
-				return
-			}
-			v.After = next
-			n.reply(c.Req, 200, v, 0)
-		})
+		pageOf(n, keyHistory+string(e.Name)+"/", c.After, c.Limit, func(jobs []Ended, next string) {
+			n.reply(c.Req, 200, HistoryView{jobs, next}, 0)
+		}, fail)
 	}, fail)
 }
 
@@ -150,22 +139,9 @@
 		n.refuse(c.Req, 404, "not a hosted service")
 		return
 	}
-	v := AuditView{Changes: []Change{}}
-	n.pageOf(keyAudit, c.After, c.Limit, func(value json.RawMessage) error {
-		var x Change
-		err := json.Unmarshal(value, &x)
-		if err == nil {
-			v.Changes = append(v.Changes, x)
-		}
-		return err
-	}, func(next string, ok bool) {
-		if !ok {
-			n.refuse(c.Req, 503, "state service not reachable")
-			return
-		}
-		v.After = next
-		n.reply(c.Req, 200, v, 0)
-	})
+	pageOf(n, keyAudit, c.After, c.Limit, func(changes []Change, next string) {
+		n.reply(c.Req, 200, AuditView{changes, next}, 0)
+	}, func() { n.refuse(c.Req, 503, "state service not reachable") })
 }
 
 // sweepEveryTenant is how often one list of what is kept is looked through for what is old:
@@ -190,7 +166,7 @@
 	}
 	limit := stamp(n.wall - api.Wall(keep.Milliseconds()))
 	n.state(StateCall{Page: &PageAsk{Under: under, Limit: n.cfg.Deployment.State.TxnOps}}, func(a StateAnswer) {
-		tx := api.Txn{If: []api.Condition{{Key: book.PartKey(book.KeyPart, 0), Version: t.term}}}
+		tx := api.Txn{If: []api.Condition{t.mine()}}
 		if a.Status == 200 {
 			for _, p := range a.Page.Pairs {
 				if strings.TrimPrefix(p.Key, under) < limit {
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/gob"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -78,6 +80,9 @@
 	return time.Duration(n.cfg.Deployment.ClockErrorMS * float64(time.Millisecond))
 }
 
+// errKey says as little of a key that opens nothing as of one that is not there.
+var errKey = &tenant.Error{Status: 401, Why: "not a key that opens anything"}
+
 // who finds the tenant whose key a caller brings, as far as the book has been read.
 func (n *Node) who(c Caller) (*tenant.Entry, error) {
 	s, err := c.secret()
@@ -86,7 +91,7 @@
 	}
 	e, k := n.hosted.table.Find(s.ID)
 	if e == nil || !k.Opens(s, n.wall, n.clockError()) {
-		return nil, &tenant.Error{Status: 401, Why: "not a key that opens anything"}
+		return nil, errKey
 	}
 	if !e.Networks.Allows(c.From) {
 		return nil, &tenant.Error{Status: 403, Why: "not from this address"}
@@ -302,16 +307,36 @@
 	return true, 0, ""
 }
 
-// openJobs counts a tenant's jobs that are not over: anew every second, so that what other
-// controllers have accepted since is not in it.
+// work is what there is of a tenant: jobs whose keys are there, those of them that are not
+// over, and tasks on machines.
+type work struct{ jobs, open, tasks int }
+
+// countWork counts all tenants' work at once: there may be very many jobs and tenants.
+func (n *Node) countWork() map[tenant.Name]work {
+	out := map[tenant.Name]work{}
+	for _, j := range n.book.Jobs {
+		if j.Tenant == "" {
+			continue
+		}
+		w := out[tenant.Name(j.Tenant)]
+		w.jobs++
+		if !j.Final() {
+			w.open++
+		}
+		w.tasks += len(j.Places)
+		out[tenant.Name(j.Tenant)] = w
+	}
+	return out
+}
+
+// openJobs is how many of a tenant's jobs are not over: counted anew every second, so that
+// what other controllers have accepted since is not in it.
 func (n *Node) openJobs(name tenant.Name) int {
 	h := n.hosted
 	if n.now.Sub(h.openAt) > time.Second {
 		h.open, h.openAt = map[tenant.Name]int{}, n.now
-		for _, j := range n.book.Jobs {
-			if j.Tenant != "" && !j.Final() {
-				h.open[tenant.Name(j.Tenant)]++
-			}
+		for name, w := range n.countWork() {
+			h.open[name] = w.open
 		}
 	}
 	return h.open[name]
@@ -337,45 +362,49 @@
 	}
 	h.tendAt = n.now
 	n.sweepHistory()
+	draining := map[tenant.Name][]*Place{} // services whose time is up
+	var removing []*tenant.Entry
 	for _, name := range h.table.Names() {
-		switch e := h.table.Get(name); e.State {
-		case tenant.Suspended:
-			n.drainServices(e)
-		case tenant.Removing:
-			n.drainServices(e)
-			n.goOnRemoving(e)
+		e := h.table.Get(name)
+		if e.State != tenant.Suspended && e.State != tenant.Removing {
+			continue
+		}
+		if float64(n.wall-e.SuspendedAt)/1000 >= e.Drain {
+			draining[name] = nil
 		}
+		if e.State == tenant.Removing {
+			removing = append(removing, e)
+		}
+	}
+	n.drainServices(draining)
+	for _, e := range removing {
+		n.goOnRemoving(e)
 	}
 }
 
-// drainServices stops a suspended tenant's services once their time is up, the least
-// urgent and youngest first. Whatever else runs of it ends by itself.
-func (n *Node) drainServices(e *tenant.Entry) {
-	if float64(n.wall-e.SuspendedAt)/1000 < e.Drain {
+// drainServices stops services of tenants, of each the least urgent and youngest first.
+// Whatever else runs of them ends by itself.
+func (n *Node) drainServices(of map[tenant.Name][]*Place) {
+	if len(of) == 0 {
 		return
 	}
-	var running []*Place
 	for p := range n.turfs {
 		for pl := range n.book.OnPart[p] {
-			if pl.Job.Tenant == string(e.Name) && pl.Job.Spec.Kind == api.Service && !pl.Over && !pl.Note.stop && !pl.Job.Final() {
-				running = append(running, pl)
+			name := tenant.Name(pl.Job.Tenant)
+			if running, drains := of[name]; drains && pl.Job.Spec.Kind == api.Service && !pl.Over && !pl.Note.stop && !pl.Job.Final() {
+				of[name] = append(running, pl)
 			}
 		}
 	}
-	slices.SortFunc(running, func(a, b *Place) int {
-		if d := a.Job.Spec.Priority.Rank() - b.Job.Spec.Priority.Rank(); d != 0 {
-			return d
-		}
-		if d := b.Job.Accepted - a.Job.Accepted; d != 0 {
-			return int(d)
-		}
-		if d := strings.Compare(string(a.Job.Ref), string(b.Job.Ref)); d != 0 {
-			return d
+	for _, name := range slices.Sorted(maps.Keys(of)) {
+		running := of[name]
+		slices.SortFunc(running, func(a, b *Place) int {
+			return cmp.Or(a.Job.Spec.Priority.Rank()-b.Job.Spec.Priority.Rank(), cmp.Compare(b.Job.Accepted, a.Job.Accepted),
+				cmp.Compare(a.Job.Ref, b.Job.Ref), b.Task.Index-a.Task.Index)
+		})
+		for _, pl := range running[:min(maxDrain, len(running))] {
+			n.stop(pl)
 		}
-		return b.Task.Index - a.Task.Index
-	})
-	for _, pl := range running[:min(maxDrain, len(running))] {
-		n.stop(pl)
 	}
 }
 
@@ -411,7 +440,7 @@
 			settle()
 			return
 		}
-		done, err := e.Finish(n.jobsOf(name))
+		done, err := e.Finish(n.countWork()[name].jobs)
 		if err != nil {
 			settle()
 			return
@@ -423,17 +452,6 @@
 	}, settle)
 }
 
-// jobsOf counts a tenant's jobs whose keys are there, over or not.
-func (n *Node) jobsOf(name tenant.Name) int {
-	count := 0
-	for _, j := range n.book.Jobs {
-		if j.Tenant == string(name) {
-			count++
-		}
-	}
-	return count
-}
-
 // writeTenant writes a tenant's record in place of what was read of it, nil if it is new,
 // with whatever else is to be written at once.
 func (n *Node) writeTenant(t tenant.Tenant, old *tenant.Entry, more []api.Write, answer func(status int, rev api.Revision)) {
--- a/control/hostedadmin.go
+++ b/control/hostedadmin.go
@@ -53,20 +53,12 @@
 	}
 )
 
-func (n *Node) viewTenant(e *tenant.Entry) TenantAt {
-	v := TenantAt{Tenant: e.Tenant, Keys: []KeyView{}, Revision: e.Revision}
+func viewTenant(e *tenant.Entry, w work) TenantAt {
+	v := TenantAt{Tenant: e.Tenant, Keys: []KeyView{}, Jobs: w.open, Tasks: w.tasks, Revision: e.Revision}
 	v.Tenant.Keys = nil
 	for _, k := range e.Keys {
 		v.Keys = append(v.Keys, KeyView{k.ID, k.Name, k.Created, k.Expires})
 	}
-	for _, j := range n.book.Jobs {
-		if j.Tenant == string(e.Name) {
-			if !j.Final() {
-				v.Jobs++
-			}
-			v.Tasks += len(j.Places)
-		}
-	}
 	return v
 }
 
@@ -77,7 +69,7 @@
 	}
 	s, err := c.Caller.secret()
 	if err == nil && !n.hosted.admin.Opens(s, n.wall, n.clockError()) {
-		err = &tenant.Error{Status: 401, Why: "not a key that opens anything"}
+		err = errKey
 	}
 	if err != nil {
 		n.refuseErr(c.Req, err)
@@ -100,10 +92,11 @@
 }
 
 func (n *Node) actOnTenant(c Ask) error {
+	work := n.countWork()
 	if c.What == "tenants" {
 		out := []TenantAt{}
 		for _, name := range n.hosted.table.Names() {
-			out = append(out, n.viewTenant(n.hosted.table.Get(name)))
+			out = append(out, viewTenant(n.hosted.table.Get(name), work[name]))
 		}
 		n.reply(c.Req, 200, out, 0)
 		return nil
@@ -114,7 +107,7 @@
 		return &tenant.Error{Status: 404, Field: "name", Why: "there is no tenant " + c.ID}
 	}
 	if c.What == "tenant" {
-		n.reply(c.Req, 200, n.viewTenant(e), 0)
+		n.reply(c.Req, 200, viewTenant(e, work[name]), 0)
 		return nil
 	}
 	var ask tenantAsk
@@ -132,12 +125,12 @@
 	if e != nil {
 		was = e.Tenant
 	}
-	now, secret, err := n.changed(c, was, ask)
+	now, secret, err := n.changed(c, was, ask, work[name].jobs)
 	if err != nil {
 		return err
 	}
 	if e != nil && reflect.DeepEqual(now, was) {
-		n.reply(c.Req, 200, n.viewTenant(e), 0) // it is so already: asked again, perhaps
+		n.reply(c.Req, 200, viewTenant(e, work[name]), 0) // it is so already: asked again, perhaps
 		return nil
 	}
 	var read api.Revision
@@ -159,8 +152,8 @@
 	return nil
 }
 
-// changed is a tenant after an act.
-func (n *Node) changed(c Ask, t tenant.Tenant, ask tenantAsk) (tenant.Tenant, *NewKeyView, error) {
+// changed is a tenant, who has so many jobs, after an act.
+func (n *Node) changed(c Ask, t tenant.Tenant, ask tenantAsk, jobs int) (tenant.Tenant, *NewKeyView, error) {
 	var err error
 	switch c.What {
 	case "tenant-put":
@@ -177,7 +170,7 @@
 	case "resume":
 		t, err = t.Resume()
 	case "remove":
-		t, err = t.Remove(n.jobsOf(t.Name), ask.Cancel)
+		t, err = t.Remove(jobs, ask.Cancel)
 	case "key-add":
 		if c.Random == nil {
 			return t, nil, &tenant.Error{Status: 503, Why: "no random bytes"}
@@ -223,7 +216,7 @@
 				n.current(func() {}, func() {})
 				return
 			}
-			n.reply(c.Req, 200, n.viewTenant(&tenant.Entry{Tenant: now, Revision: rev}), 0)
+			n.reply(c.Req, 200, viewTenant(&tenant.Entry{Tenant: now, Revision: rev}, n.countWork()[now.Name]), 0)
 			n.current(func() {}, func() {})
 		case 400:
 			n.refuse(c.Req, 400, "networks: the record is too large")
--- a/control/node.go
+++ b/control/node.go
@@ -686,7 +686,7 @@
 	t.handing = true
 	key := book.PartKey(book.KeyPart, t.part)
 	v, _ := json.Marshal(book.PartValue{Owner: home})
-	n.txn(api.Txn{If: []api.Condition{{Key: key, Version: t.term}}, Writes: []api.Write{{Put: key, Value: v}}}, func(a StateAnswer) {
+	n.txn(api.Txn{If: []api.Condition{t.mine()}, Writes: []api.Write{{Put: key, Value: v}}}, func(a StateAnswer) {
 		t.handing = false
 		if a.Status == 200 && n.turfs[t.part] == t {
 			slog.Info("part handed over", "part", t.part, "to", home)
--- a/control/part.go
+++ b/control/part.go
@@ -52,6 +52,11 @@
 	begun  api.Time
 }
 
+// mine is the condition that the part is still ours, under this term.
+func (t *turf) mine() api.Condition {
+	return api.Condition{Key: book.PartKey(book.KeyPart, t.part), Version: t.term}
+}
+
 func (n *Node) beginPart(p api.PartID, term api.Revision) {
 	t := &turf{part: p, term: term, since: n.now, lastRev: term, ends: map[*Place]bool{}, dirty: true,
 		gaveAt: map[api.PartID]api.Time{}}
@@ -139,7 +144,7 @@
 		w.txn.If = append(w.txn.If, n.book.If(keyGate))
 	}
 	w.txn.If = append(w.txn.If, n.book.If(slot),
-		api.Condition{Key: book.PartKey(book.KeyPart, t.part), Version: t.term})
+		t.mine())
 	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
 	w.begun = n.now
 	t.writing, t.coming = w, map[api.MachineID]api.Resources{}
--- a/internal/standin/tenants.go
+++ b/internal/standin/tenants.go
@@ -65,23 +65,13 @@
 	t.keys++
 	random := [tenant.RandomBytes]byte{2, byte(t.keys), byte(t.keys >> 8)}
 	node := t.w.Users.anyNode()
-	settled := false
-	settle := func(status int, b []byte) {
-		if !settled {
-			settled = true
-			answer(status, b)
+	t.w.request(node, 5*time.Second, func(answer func(int, []byte)) {
+		if h := t.w.nodes[node]; h != nil {
+			t.w.ask(h, func(req control.ReqID) control.Command {
+				return control.Ask{Req: req, What: what, ID: string(name), Body: data, Random: &random, Caller: control.Caller{Auth: "Bearer " + t.admin}}
+			}, answer)
 		}
-	}
-	t.w.After(5*time.Second, func() { settle(0, nil) })
-	t.w.across(node, SideUsers, func() {
-		h := t.w.nodes[node]
-		if h == nil {
-			return
-		}
-		t.w.ask(h, func(req control.ReqID) control.Command {
-			return control.Ask{Req: req, What: what, ID: string(name), Body: data, Random: &random, Caller: control.Caller{Auth: "Bearer " + t.admin}}
-		}, func(status int, b []byte) { t.w.across(node, SideUsers, func() { settle(status, b) }) })
-	})
+	}, answer)
 }
 
 // change reads a tenant and does what make says, until it is answered with 200.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -56,6 +56,12 @@
 // Request sends one request to a node and passes on its answer, status 0 when
 // none comes.
 func (u *Users) Request(name, method, path string, caller control.Caller, body []byte, timeout time.Duration, answer func(int, []byte)) {
+	u.w.request(name, timeout, func(answer func(int, []byte)) { u.w.Deliver(name, method, path, caller, body, answer) }, answer)
+}
+
+// request has something sent to a node from outside and passes its answer on, status 0
+// when none comes in time.
+func (w *World) request(name string, timeout time.Duration, send func(answer func(int, []byte)), answer func(int, []byte)) {
 	settled := false
 	settle := func(status int, b []byte) {
 		if !settled {
@@ -63,10 +69,10 @@
 			answer(status, b)
 		}
 	}
-	u.w.After(timeout, func() { settle(0, nil) })
-	u.w.across(name, SideUsers, func() {
-		u.w.Deliver(name, method, path, caller, body, func(status int, b []byte) {
-			u.w.across(name, SideUsers, func() { settle(status, b) })
+	w.After(timeout, func() { settle(0, nil) })
+	w.across(name, SideUsers, func() {
+		send(func(status int, b []byte) {
+			w.across(name, SideUsers, func() { settle(status, b) })
 		})
 	})
 }
--- a/tenant/table.go
+++ b/tenant/table.go
@@ -18,6 +18,7 @@
 type Table struct {
 	entries map[Name]*Entry
 	keys    map[KeyID]*Entry
+	names   []Name // in order; nil: to be listed anew
 }
 
 // NewTable returns a table without tenants.
@@ -36,7 +37,7 @@
 		return invalid("name", "%q in the record of %q", e.Name, name)
 	}
 	t.Drop(name)
-	t.entries[e.Name] = e
+	t.entries[e.Name], t.names = e, nil
 	for _, k := range e.Keys {
 		t.keys[k.ID] = e
 	}
@@ -50,6 +51,7 @@
 		return
 	}
 	delete(t.entries, old.Name)
+	t.names = nil
 	for _, k := range old.Keys {
 		if t.keys[k.ID] == old {
 			delete(t.keys, k.ID)
@@ -60,8 +62,13 @@
 // Get is a tenant's entry, nil if there is none. It is not to be changed.
 func (t *Table) Get(name Name) *Entry { return t.entries[name] }
 
-// Names lists the tenants in order.
-func (t *Table) Names() []Name { return slices.Sorted(maps.Keys(t.entries)) }
+// Names lists the tenants in order. The list is not to be changed.
+func (t *Table) Names() []Name {
+	if t.names == nil {
+		t.names = slices.Sorted(maps.Keys(t.entries))
+	}
+	return t.names
+}
 
 // Find is the tenant and the key that a secret names, whether it opens it or not.
 func (t *Table) Find(id KeyID) (*Entry, *Key) {
