Ports of tests stay reserved until their servers listen

Ruled out: trying again on a conflict, which would hide a real one; ports outside the range that the system hands out, which other tests could pick too.

internal/loopback binds a port with SO_REUSEADDR and keeps it without listening: the kernel gives it to no connection, and the server's own listener is let in.

--- a/httpx/server_test.go
+++ b/httpx/server_test.go
@@ -8,24 +8,19 @@
 	"sync"
 	"testing"
 	"time"
-)
 
-// freeAddr finds a loopback address that nobody listens on.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+	"basaltwall/internal/loopback"
+)
 
 // serve starts a server that answers, from another goroutine, with what the
 // request carried.
 func serve(t *testing.T, maxConns int) string {
 	t.Helper()
-	addr := freeAddr(t)
+	addr, release, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
 	var s *Server
 	s = NewServer([]int{1000}, maxConns, func(id ConnID, _ int, r Request) {
 		go s.Answer(id, 200, []byte(r.Method+" "+r.Path+" "+string(r.Body)), 0)
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -15,6 +15,7 @@
 	"basaltwall/api"
 	"basaltwall/config"
 	"basaltwall/control"
+	"basaltwall/internal/loopback"
 )
 
 // Live runs the stand-ins in real time on loopback, for controllers that are
@@ -96,14 +97,12 @@
 	for i := range controllers {
 		p := peer{label: "stone-" + strconv.Itoa(i)}
 		for _, addr := range []*string{&p.api, &p.peer} {
-			ln, err := listen()
+			a, release, err := loopback.Reserve()
 			if err != nil {
-				return err
-			}
-			*addr = ln.Addr().String()
-			if err := ln.Close(); err != nil {
 				return fmt.Errorf("stand-in: %w", err)
 			}
+			context.AfterFunc(l.ctx, release)
+			*addr = a
 		}
 		all = append(all, p)
 	}
