--- a/admin/admin.go
+++ b/admin/admin.go
@@ -60,6 +60,10 @@
 		if ask.After, ask.Limit, ok = Page(r); !ok {
 			return nil, 400
 		}
+	case parts[0] == "operators":
+		return operatorsCommand(ask, parts[1:], r.Method)
+	case parts[0] == "teams": // one of them
+		return teamCommand(ask, parts[1:], r.Method)
 	case parts[0] == "tenants":
 		return tenantCommand(ask, parts[1:], r.Method)
 	default:
@@ -109,8 +113,11 @@
 	Undrain  drainCmd  `cmd:"" help:"Use a machine again."`
 	Settings showCmd   `cmd:"" help:"Show the operators' settings."`
 	Set      changeCmd `cmd:"" help:"Replace the operators' settings."`
-	Audit    pageCmd   `cmd:"" help:"Show the operators' changes of tenants."`
+	Audit    pageCmd   `cmd:"" help:"Show the operators' changes in a hosted service."`
 	Tenant   tenantCmd `cmd:"" help:"Show and change the tenants of a hosted service."`
+
+	Operators operatorsCmd `cmd:"" help:"Show and change who operates a hosted service, and from where."`
+	Team      teamCmd      `cmd:"" help:"Make, change and remove teams of a hosted service, beside the platform's."`
 }
 
 type showCmd struct{}
@@ -157,8 +164,14 @@
 	case "undrain <machine>":
 		return c.call("POST", "machines/"+c.Undrain.Machine+"/undrain", nil)
 	}
-	if rest, ok := strings.CutPrefix(chosen, "tenant "); ok {
+	group, rest, _ := strings.Cut(chosen, " ")
+	switch group {
+	case "tenant":
 		return c.tenant(rest)
+	case "operators":
+		return c.operators(rest)
+	case "team":
+		return c.team(rest)
 	}
 	switch chosen {
 	case "audit":
--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -15,8 +15,47 @@
 
 // OfHosted reports whether a path is of a hosted service only.
 func OfHosted(path string) bool {
-	first, _, _ := strings.Cut(strings.TrimPrefix(path, Prefix), "/")
-	return first == "tenants" || first == "audit"
+	first, rest, _ := strings.Cut(strings.TrimPrefix(path, Prefix), "/")
+	return first == "tenants" || first == "operators" || first == "audit" || first == "teams" && rest != ""
+}
+
+// operatorsCommand is what a request under operators asks of the owner.
+func operatorsCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
+	want := "GET"
+	switch {
+	case len(parts) == 0:
+		ask.What = "operators"
+		if method == "PUT" {
+			ask.What, want = "operators-put", "PUT"
+		}
+	case len(parts) == 1 && parts[0] == "keys":
+		ask.What, want = "operators-key-add", "POST"
+	case len(parts) == 3 && parts[0] == "keys" && parts[1] != "" && parts[2] == "revoke":
+		ask.What, ask.Sub, want = "operators-key-revoke", parts[1], "POST"
+	default:
+		return nil, 404
+	}
+	if method != want {
+		return nil, 405
+	}
+	return ask, 0
+}
+
+// teamCommand is what a request on one team asks of the owner.
+func teamCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
+	want := "PUT"
+	switch {
+	case len(parts) == 1 && parts[0] != "":
+		ask.What, ask.ID = "team-put", parts[0]
+	case len(parts) == 2 && parts[0] != "" && parts[1] == "remove":
+		ask.What, ask.ID, want = "team-remove", parts[0], "POST"
+	default:
+		return nil, 404
+	}
+	if method != want {
+		return nil, 405
+	}
+	return ask, 0
 }
 
 // tenantCommand is what a request under tenants asks of the owner.
@@ -31,6 +70,8 @@
 		if method == "PUT" {
 			ask.What, want = "tenant-put", "PUT"
 		}
+	case len(parts) == 2 && parts[0] != "" && parts[1] == "usage":
+		ask.What, ask.ID = "usage", parts[0]
 	case len(parts) == 2 && acts[parts[1]] != "":
 		ask.What, ask.ID, want = acts[parts[1]], parts[0], "POST"
 	case len(parts) == 4 && parts[1] == "keys" && parts[3] == "revoke":
@@ -52,6 +93,7 @@
 	Suspend suspendCmd    `cmd:"" help:"Start nothing more of a tenant and let drain what runs."`
 	Resume  tenantNameCmd `cmd:"" help:"Let a suspended tenant go on."`
 	Remove  removeCmd     `cmd:"" help:"Remove a suspended tenant."`
+	Usage   tenantNameCmd `cmd:"" help:"Show what a tenant has open, waiting and running, and what became of its submissions."`
 	Key     keyCmd        `cmd:"" help:"Make and revoke a tenant's keys."`
 
 	JSON bool `help:"Print JSON, for programs."`
@@ -67,7 +109,7 @@
 	Team      []string      `help:"A team that belongs to it; may be repeated."`
 	Rate      float64       `help:"Submissions a second, of the whole service (0: no bound)."`
 	Burst     float64       `help:"Submissions at once, where there is a rate."`
-	OpenJobs  int           `help:"Jobs that are not over, at most (0: no bound)."`
+	OpenJobs  int           `help:"Jobs that are not over, at most (0: 2000)."`
 	Network   []string      `help:"A network from which it may come, as 192.0.2.0/24; may be repeated (none: from anywhere)."`
 	Retention time.Duration `default:"2160h" help:"For how long its history is kept."`
 }
@@ -107,6 +149,8 @@
 		return c.listTenants()
 	case "show <name>":
 		return c.call("GET", "tenants/"+url.PathEscape(t.Show.Name), nil)
+	case "usage <name>":
+		return c.call("GET", "tenants/"+url.PathEscape(t.Usage.Name)+"/usage", nil)
 	case "add <name>":
 		return c.putTenant(t.Add, 0)
 	case "change <name>":
@@ -116,19 +160,15 @@
 		}
 		return c.putTenant(t.Change, at.Revision)
 	case "suspend <name>":
-		return c.act(t.Suspend.Name, "suspend", map[string]any{"why": t.Suspend.Why, "drain_s": t.Suspend.Drain.Seconds()})
+		return c.act("tenants/"+url.PathEscape(t.Suspend.Name), "suspend", map[string]any{"why": t.Suspend.Why, "drain_s": t.Suspend.Drain.Seconds()})
 	case "resume <name>":
-		return c.act(t.Resume.Name, "resume", map[string]any{})
+		return c.act("tenants/"+url.PathEscape(t.Resume.Name), "resume", map[string]any{})
 	case "remove <name>":
-		return c.act(t.Remove.Name, "remove", map[string]any{"cancel": t.Remove.Cancel})
+		return c.act("tenants/"+url.PathEscape(t.Remove.Name), "remove", map[string]any{"cancel": t.Remove.Cancel})
 	case "key add <tenant> <key>":
-		body := map[string]any{"name": t.Key.Add.Key}
-		if d := t.Key.Add.Expires; d > 0 {
-			body["expires"] = time.Now().Add(d).UnixMilli()
-		}
-		return c.act(t.Key.Add.Tenant, "keys", body)
+		return c.act("tenants/"+url.PathEscape(t.Key.Add.Tenant), "keys", newKey(t.Key.Add.Key, t.Key.Add.Expires))
 	case "key revoke <tenant> <key>":
-		return c.act(t.Key.Revoke.Tenant, "keys/"+url.PathEscape(t.Key.Revoke.Key)+"/revoke", map[string]any{})
+		return c.act("tenants/"+url.PathEscape(t.Key.Revoke.Tenant), "keys/"+url.PathEscape(t.Key.Revoke.Key)+"/revoke", map[string]any{})
 	}
 	return fmt.Errorf("tenant %s: no such command", chosen)
 }
@@ -154,17 +194,32 @@
 	return c.call("PUT", "tenants/"+url.PathEscape(p.Name), body)
 }
 
-func (c *Cmd) act(name, what string, body map[string]any) error {
-	at, err := c.readTenant(name)
+// act asks for a change of what lies at a path, naming the revision that is read there.
+func (c *Cmd) act(path, what string, body map[string]any) error {
+	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
 	if err != nil {
 		return err
 	}
+	var at struct {
+		Revision api.Revision `json:"revision"`
+	}
+	if err := json.Unmarshal(data, &at); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
 	body["revision"] = at.Revision
-	data, err := json.Marshal(body)
-	if err != nil {
+	if data, err = json.Marshal(body); err != nil {
 		return err
 	}
-	return c.call("POST", "tenants/"+url.PathEscape(name)+"/"+what, data)
+	return c.call("POST", path+"/"+what, data)
+}
+
+// newKey is what is asked for a key that lasts so long, for ever if 0.
+func newKey(name string, lasts time.Duration) map[string]any {
+	body := map[string]any{"name": name}
+	if lasts > 0 {
+		body["expires"] = time.Now().Add(lasts).UnixMilli()
+	}
+	return body
 }
 
 func (c *Cmd) listTenants() error {
@@ -200,6 +255,8 @@
 		File string `arg:"" type:"existingfile" help:"A file with the job in JSON."`
 	} `cmd:"" help:"Submit a job."`
 	Show    jobCmd  `cmd:"" help:"Show a job's state."`
+	List    listCmd `cmd:"" help:"List your jobs that are not over, the oldest first."`
+	Usage   showCmd `cmd:"" help:"Show what you have open, waiting and running, and what your teams may hold."`
 	History pageCmd `cmd:"" help:"List your jobs that are over, the oldest first."`
 	Cancel  jobCmd  `cmd:"" help:"Cancel a job."`
 }
@@ -215,6 +272,10 @@
 			return fmt.Errorf("job: %w", err)
 		}
 		method, path = "POST", api.PathJobs
+	case "list":
+		return c.list()
+	case "usage":
+		path = api.PathUsage
 	case "history":
 		path = api.PathHistory + "?" + c.History.query()
 	case "cancel <ref>":
@@ -226,3 +287,37 @@
 	}
 	return show(answer)
 }
+
+type listCmd struct {
+	pageCmd
+	JSON bool `help:"Print JSON, for programs."`
+}
+
+// list prints a page of the tenant's jobs that are not over.
+func (c *JobCmd) list() error {
+	body, err := ask(c.Addr, c.KeyFile, "GET", api.PathJobs+"?"+c.List.query(), nil)
+	if err != nil {
+		return err
+	}
+	if c.List.JSON {
+		return show(body)
+	}
+	var v control.QueueView
+	if err := json.Unmarshal(body, &v); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "JOB\tSTATE\tCLASS\tTEAM\tDONE\tRUNNING\tTASKS\tACCEPTED\tWHY IT WAITS")
+	for _, j := range v.Jobs {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", j.Ref, j.State, j.Class, j.Team, j.Done, j.Running, j.Tasks,
+			time.UnixMilli(int64(j.Accepted)).Format(time.DateTime), j.Why)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Printf("%d open\n", v.Open)
+	if v.After != "" {
+		fmt.Printf("more with --after %s\n", v.After)
+	}
+	return nil
+}
--- a/api/wire.go
+++ b/api/wire.go
@@ -12,6 +12,7 @@
 const (
 	PathJobs     = "/v1/jobs"
 	PathHistory  = "/v1/history" // of a hosted service only
+	PathUsage    = "/v1/usage"   // the same
 	PathReady    = "/ready"
 	PathCheckin  = "/checkin"
 	PathCommands = "/commands"
--- a/book/book.go
+++ b/book/book.go
@@ -114,12 +114,13 @@
 	Members map[api.Label]MemberValue
 	Parts   []Part
 	Jobs    map[api.JobRef]*Job[J, P]
-	OnPart  []map[*Place[J, P]]bool     // places by part
-	Open    map[api.JobRef]*Job[J, P]   // with tasks that wait
-	Ended   map[api.JobRef]*Job[J, P]   // over, no place left, not yet put away
-	Lent    map[api.MachineID]Lent      // machines that were given to another part
-	Lends   int                         // changes to Lent, so that what follows from it can be kept
-	Finals  map[api.JobRef]api.JobState // of late, at most maxFinals
+	OnPart  []map[*Place[J, P]]bool              // places by part
+	Open    map[api.JobRef]*Job[J, P]            // with tasks that wait
+	Ended   map[api.JobRef]*Job[J, P]            // over, no place left, not yet put away
+	Of      map[string]map[api.JobRef]*Job[J, P] // the jobs by tenant, of a hosted service
+	Lent    map[api.MachineID]Lent               // machines that were given to another part
+	Lends   int                                  // changes to Lent, so that what follows from it can be kept
+	Finals  map[api.JobRef]api.JobState          // of late, at most maxFinals
 
 	kinds  []Kind
 	vers   map[string]api.Revision
@@ -138,7 +139,7 @@
 		Parts: make([]Part, parts), Jobs: map[api.JobRef]*Job[J, P]{},
 		OnPart: make([]map[*Place[J, P]]bool, parts), onHost: map[api.MachineID]*hosted[J, P]{},
 		Open: map[api.JobRef]*Job[J, P]{}, Ended: map[api.JobRef]*Job[J, P]{},
-		Finals: map[api.JobRef]api.JobState{}, Lent: map[api.MachineID]Lent{},
+		Of: map[string]map[api.JobRef]*Job[J, P]{}, Finals: map[api.JobRef]api.JobState{}, Lent: map[api.MachineID]Lent{},
 	}
 	for i := range b.Parts {
 		b.Parts[i].given = map[api.PartID]map[api.Team]api.Resources{}
@@ -301,6 +302,12 @@
 		b.Jobs[ref] = j
 	}
 	j.JobValue, j.Demand, j.Ver = v, v.Spec.Demand(), ver
+	if v.Tenant != "" {
+		if b.Of[v.Tenant] == nil {
+			b.Of[v.Tenant] = map[api.JobRef]*Job[J, P]{}
+		}
+		b.Of[v.Tenant][ref] = j
+	}
 	b.index(j)
 	return nil
 }
@@ -317,6 +324,11 @@
 	for _, p := range j.Places {
 		b.dropPlace(p)
 	}
+	if of := b.Of[j.Tenant]; of != nil {
+		if delete(of, ref); len(of) == 0 {
+			delete(b.Of, j.Tenant)
+		}
+	}
 	delete(b.Jobs, ref)
 	delete(b.Open, ref)
 	delete(b.Ended, ref)
--- a/config/config.go
+++ b/config/config.go
@@ -41,8 +41,7 @@
 // Hosted is what a hosted service starts with. All else its operators set through the
 // administration API.
 type Hosted struct {
-	Admin   tenant.Key      // the first operators' key
-	Proxies tenant.Networks // whose word on where a request comes from is believed
+	Admin tenant.Key // the first operators' key
 }
 
 // HostedTxnOps is how many writes a transaction of a hosted service must hold at least: a
--- a/control/ask.go
+++ b/control/ask.go
@@ -89,7 +89,11 @@
 		GPUsGuar   float64  `json:"gpus_guaranteed"`
 		CPUsMax    float64  `json:"cpus_max"`
 		GPUsMax    float64  `json:"gpus_max"`
-		Shares     []struct {
+		// Of a team that operators of a hosted service made; and whose it is.
+		Made     bool         `json:"made,omitempty"`
+		Tenant   string       `json:"tenant,omitempty"`
+		Revision api.Revision `json:"revision,omitempty"`
+		Shares   []struct {
 			Part api.PartID `json:"part"`
 			CPUs float64    `json:"cpus"`
 			GPUs float64    `json:"gpus"`
@@ -103,14 +107,36 @@
 		n.refuse(c.Req, 503, "starting")
 		return
 	}
-	if !n.mayAdminister(c) {
+	if n.hosted != nil {
+		n.asOperator(c, n.askHosted)
 		return
 	}
+	n.askAny(c)
+}
+
+// askHosted answers an operator of a hosted service.
+func (n *Node) askHosted(c Ask) {
+	var err error
 	switch c.What {
-	case "tenants", "tenant", "tenant-put", "suspend", "resume", "remove", "key-add", "key-revoke":
-		n.askTenants(c)
+	case "tenants", "tenant", "usage", "tenant-put", "suspend", "resume", "remove", "key-add", "key-revoke":
+		err = n.actOnTenant(c)
+	case "operators", "operators-put", "operators-key-add", "operators-key-revoke":
+		err = n.actOnOperators(c)
+	case "team-put", "team-remove":
+		err = n.actOnTeam(c)
 	case "audit":
 		n.askAudit(c)
+	default:
+		n.askAny(c)
+	}
+	if err != nil {
+		n.refuseErr(c.Req, err)
+	}
+}
+
+// askAny answers an operator of any service.
+func (n *Node) askAny(c Ask) {
+	switch c.What {
 	case "metrics":
 		n.reply(c.Req, 200, n.viewMetrics(), 0)
 	case "members":
@@ -142,7 +168,7 @@
 			n.refuse(c.Req, 400, err.Error())
 			return
 		}
-		n.change(c.Req, s)
+		n.change(c, s)
 	case "drain", "undrain":
 		s := n.settingsNow()
 		id := api.MachineID(c.ID)
@@ -150,7 +176,7 @@
 		if c.What == "drain" {
 			s.Drained = append(s.Drained, id)
 		}
-		n.change(c.Req, s)
+		n.change(c, s)
 	default:
 		n.refuse(c.Req, 404, "no such path")
 	}
@@ -161,13 +187,17 @@
 }
 
 // change writes settings; it must name the revision that it replaces.
-func (n *Node) change(req ReqID, s SettingsAt) {
+func (n *Node) change(c Ask, s SettingsAt) {
+	req := c.Req
 	v, err := json.Marshal(s.Settings)
 	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
 		n.refuse(req, 400, "drained: too many")
 		return
 	}
 	tx := api.Txn{If: []api.Condition{{Key: keySettings, Version: s.Revision}}, Writes: []api.Write{{Put: keySettings, Value: v}}}
+	if n.hosted != nil {
+		tx.Writes = append(tx.Writes, n.auditWrite(c, "settings", shownSettings(n.settings), shownSettings(s.Settings)))
+	}
 	n.txn(tx, func(a StateAnswer) {
 		switch a.Status {
 		case 200:
@@ -259,11 +289,15 @@
 
 func (n *Node) viewTeams() []TeamView {
 	out := []TeamView{}
-	use := n.totalUsage()
+	use, owners := n.totalUsage(), n.owners()
 	for _, name := range slices.Sorted(maps.Keys(n.teams)) {
 		t := n.teams[name]
 		v := TeamView{Team: name, CPUs: use[name].CPU.Float(), GPUs: use[name].GPU.Float(), Guaranteed: t.CPUs,
 			GPUsGuar: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
+		if n.hosted != nil {
+			made, ok := n.hosted.teams[name]
+			v.Made, v.Revision, v.Tenant = ok, made.Revision, string(owners[name])
+		}
 		if t.CPUsMax > 0 || t.GPUsMax > 0 {
 			v.Shares = slices.Grow(v.Shares, len(n.book.Parts))[:len(n.book.Parts)]
 			for i := range n.book.Parts {
--- a/control/history.go
+++ b/control/history.go
@@ -40,15 +40,14 @@
 	}
 	// Change is an operator's change.
 	Change struct {
-		At       api.Wall      `json:"at"` // in milliseconds since 1970
-		Key      tenant.KeyID  `json:"key"`
-		From     string        `json:"from,omitempty"`
-		What     string        `json:"what"`
-		Sub      string        `json:"sub,omitempty"` // the key it is about
-		Tenant   tenant.Name   `json:"tenant"`
-		Before   tenant.Tenant `json:"before,omitzero"`
-		After    tenant.Tenant `json:"after"`
-		Networks [2]int        `json:"networks"` // how many there were, and are
+		At     api.Wall        `json:"at"` // in milliseconds since 1970
+		Key    tenant.KeyID    `json:"key"`
+		From   string          `json:"from,omitempty"`
+		What   string          `json:"what"`
+		Sub    string          `json:"sub,omitempty"` // the key it is about
+		About  string          `json:"about"`         // "tenant NAME", "team NAME", "operators", "settings"
+		Before json.RawMessage `json:"before,omitempty"`
+		After  json.RawMessage `json:"after"`
 	}
 	// AuditView is a page of the operators' changes, the oldest first.
 	AuditView struct {
@@ -66,16 +65,17 @@
 	return api.Write{Put: keyHistory + j.Tenant + "/" + stamp(n.wall) + "-" + string(j.Own), Value: v}
 }
 
-// auditWrite is the record of an operator's change, written with it. Lists of networks are
-// counted only, and keys left out, so that it fits into a value.
-func (n *Node) auditWrite(c Ask, before, after tenant.Tenant) api.Write {
-	ch := Change{At: n.wall, Key: n.hosted.admin.ID, What: c.What, Sub: c.Sub, Tenant: after.Name, Before: before, After: after,
-		Networks: [2]int{before.Networks.Len(), after.Networks.Len()}}
-	if c.Caller.From.IsValid() {
-		ch.From = c.Caller.From.String()
+// auditWrite is the record of an operator's change, written with it: what was and is, as
+// it may be shown.
+func (n *Node) auditWrite(c Ask, about string, before, after any) api.Write {
+	ch := Change{At: n.wall, Key: c.by, What: c.What, Sub: c.Sub, About: about}
+	if from := n.origin(c.Caller); from.IsValid() {
+		ch.From = from.String()
 	}
-	ch.Before.Networks, ch.After.Networks = tenant.Networks{}, tenant.Networks{}
-	ch.Before.Keys, ch.After.Keys = nil, nil
+	if before != nil {
+		ch.Before, _ = json.Marshal(before)
+	}
+	ch.After, _ = json.Marshal(after)
 	v, _ := json.Marshal(ch)
 	n.hosted.changes++
 	return api.Write{Put: fmt.Sprintf("%s%s-%s-%d", keyAudit, stamp(n.wall), n.cfg.Label, n.hosted.changes), Value: v}
@@ -118,15 +118,7 @@
 }
 
 func (n *Node) history(c History) {
-	if n.hosted == nil {
-		n.refuse(c.Req, 404, "no such path")
-		return
-	}
 	fail := func() { n.refuse(c.Req, 503, "state service not reachable") }
-	if !n.loaded {
-		fail()
-		return
-	}
 	n.asTenant(c.Req, c.Caller, func(e *tenant.Entry) {
 		pageOf(n, keyHistory+string(e.Name)+"/", c.After, c.Limit, func(jobs []Ended, next string) {
 			n.reply(c.Req, 200, HistoryView{jobs, next}, 0)
@@ -135,10 +127,6 @@
 }
 
 func (n *Node) askAudit(c Ask) {
-	if n.hosted == nil {
-		n.refuse(c.Req, 404, "not a hosted service")
-		return
-	}
 	pageOf(n, keyAudit, c.After, c.Limit, func(changes []Change, next string) {
 		n.reply(c.Req, 200, AuditView{changes, next}, 0)
 	}, func() { n.refuse(c.Req, 503, "state service not reachable") })
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -34,8 +34,14 @@
 	buckets map[tenant.Name]*tenant.Bucket
 	fair    tenant.Fair
 
-	open    map[tenant.Name]int // jobs that are not over, as last counted, and accepted here since
-	openAt  api.Time
+	operators tenant.Operators
+	teams     map[api.Team]TeamAt // that operators made
+	given     tenant.Given
+	uses      uses
+	taken     map[tenant.Name]*taken
+	turns     map[turnOf]int // how often a tenant's jobs took turns in a part's rounds
+
+	open    map[tenant.Name]counted
 	tendAt  api.Time
 	writing bool // a removal is being ended
 
@@ -47,7 +53,8 @@
 
 func (n *Node) initHosted() {
 	if h := n.cfg.Hosted; h != nil {
-		n.hosted = &hosted{admin: h.Admin, buckets: map[tenant.Name]*tenant.Bucket{}, open: map[tenant.Name]int{}}
+		n.hosted = &hosted{admin: h.Admin, buckets: map[tenant.Name]*tenant.Bucket{}, open: map[tenant.Name]counted{},
+			taken: map[tenant.Name]*taken{}, turns: map[turnOf]int{}}
 	}
 }
 
@@ -56,15 +63,24 @@
 	if n.hosted == nil {
 		return nil
 	}
-	t := tenant.NewTable()
-	n.hosted.table = t
-	return []book.Kind{{Prefix: keyTenant, Put: t.Put, Drop: t.Drop}}
+	t, h := tenant.NewTable(), n.hosted
+	h.table, h.operators, h.teams, h.given = t, tenant.Operators{}, map[api.Team]TeamAt{}, tenant.Given{}
+	n.platformTeams()
+	return []book.Kind{{Prefix: keyTenant, Put: t.Put, Drop: t.Drop}, {Prefix: keyTeam, Put: n.putTeam},
+		book.One(keyOperators, &h.operators), book.One(keyGiven, &h.given)}
 }
 
 // Caller is who sends a request, as far as the connection and the request say.
 type Caller struct {
-	Auth string // the Authorization header
-	From netip.Addr
+	Auth      string // the Authorization header
+	From      netip.Addr
+	Forwarded string // the X-Forwarded-For header
+}
+
+// origin is where a request comes from: what a proxy says is believed from those only that
+// the operators have named.
+func (n *Node) origin(c Caller) netip.Addr {
+	return tenant.Origin(c.From, c.Forwarded, n.hosted.operators.Proxies)
 }
 
 // secret reads a caller's key.
@@ -93,9 +109,10 @@
 	if e == nil || !k.Opens(s, n.wall, n.clockError()) {
 		return nil, errKey
 	}
-	if !e.Networks.Allows(c.From) {
+	if !e.Networks.Allows(n.origin(c)) {
 		return nil, &tenant.Error{Status: 403, Why: "not from this address"}
 	}
+	n.noteUse(e.Name, k.ID)
 	return e, nil
 }
 
@@ -243,7 +260,10 @@
 	}
 	switch {
 	case e.State != tenant.Active:
-		again(func() { refuse(403, "suspended: "+e.Why, 0) })
+		again(func() {
+			n.tally(e.Name, "suspended")
+			refuse(403, "suspended: "+e.Why, 0)
+		})
 		return
 	case !slices.Contains(e.Teams, spec.Team):
 		again(func() { refuse(422, "bottega: unknown team", 0) })
@@ -253,8 +273,9 @@
 		refuse(422, why, 0)
 		return
 	}
-	if ok, wait, why := n.admit(e); !ok {
-		refuse(429, why, max(wait, time.Second))
+	if ok, wait, field, why := n.admit(e); !ok {
+		n.tally(e.Name, field)
+		refuse(429, field+": "+why, max(wait, time.Second))
 		return
 	}
 	v := book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall, Tenant: string(e.Name), Own: shown}
@@ -269,7 +290,8 @@
 	n.txn(tx, func(a StateAnswer) {
 		switch a.Status {
 		case 200:
-			n.hosted.open[e.Name]++
+			n.countOpen(e.Name, 1)
+			n.tally(e.Name, "")
 			n.reply(c.Req, 201, api.JobStatus{Ref: shown, State: api.JobPending}, 0)
 			n.current(func() {}, func() {})
 		case 409:
@@ -283,11 +305,12 @@
 }
 
 // admit decides whether one more submission of a tenant is taken: by the number of its
-// jobs, by its rate, and by what this controller may write.
-func (n *Node) admit(e *tenant.Entry) (ok bool, wait time.Duration, why string) {
+// jobs, by its rate, and by what this controller may write. Where it is not, field is what
+// is at fault.
+func (n *Node) admit(e *tenant.Entry) (ok bool, wait time.Duration, field, why string) {
 	h := n.hosted
-	if e.OpenJobs > 0 && n.openJobs(e.Name) >= e.OpenJobs {
-		return false, 10 * time.Second, "open_jobs: as many of your jobs are not over as may be"
+	if n.countOpen(e.Name, 0) >= e.Bound() {
+		return false, 10 * time.Second, "open_jobs", "as many of your jobs are not over as may be"
 	}
 	members := len(n.book.Members)
 	if e.Rate > 0 {
@@ -298,48 +321,94 @@
 		}
 		rate, burst := tenant.Share(e.Rate, e.Burst, members)
 		if ok, wait := b.Take(n.now, rate, burst); !ok {
-			return false, wait, "rate: more submissions than agreed"
+			return false, wait, "rate", "more submissions than agreed"
 		}
 	}
 	if ok, wait := h.fair.Take(n.now, e.Name, submitShare*n.cfg.Deployment.State.WriteRPS/float64(max(1, members))); !ok {
-		return false, wait, "more submissions at once than can be written"
+		return false, wait, "writes", "more submissions at once than can be written"
 	}
-	return true, 0, ""
+	return true, 0, "", ""
 }
 
 // work is what there is of a tenant: jobs whose keys are there, those of them that are not
 // over, and tasks on machines.
 type work struct{ jobs, open, tasks int }
 
-// countWork counts all tenants' work at once: there may be very many jobs and tenants.
-func (n *Node) countWork() map[tenant.Name]work {
-	out := map[tenant.Name]work{}
-	for _, j := range n.book.Jobs {
-		if j.Tenant == "" {
-			continue
-		}
-		w := out[tenant.Name(j.Tenant)]
+func (n *Node) workOf(name tenant.Name) work {
+	var w work
+	for _, j := range n.book.Of[string(name)] {
 		w.jobs++
 		if !j.Final() {
 			w.open++
 		}
 		w.tasks += len(j.Places)
-		out[tenant.Name(j.Tenant)] = w
 	}
-	return out
+	return w
 }
 
-// openJobs is how many of a tenant's jobs are not over: counted anew every second, so that
-// what other controllers have accepted since is not in it.
-func (n *Node) openJobs(name tenant.Name) int {
-	h := n.hosted
-	if n.now.Sub(h.openAt) > time.Second {
-		h.open, h.openAt = map[tenant.Name]int{}, n.now
-		for name, w := range n.countWork() {
-			h.open[name] = w.open
+// counted is how many of a tenant's jobs are not over, as last counted, and accepted here
+// since.
+type counted struct {
+	jobs int
+	at   api.Time
+}
+
+// countOpen is how many of a tenant's jobs are not over, and so many more: counted anew
+// every second, so that what other controllers accepted since is not in it.
+func (n *Node) countOpen(name tenant.Name, more int) int {
+	c, known := n.hosted.open[name]
+	if !known || n.now.Sub(c.at) > time.Second {
+		c = counted{n.workOf(name).open, n.now}
+	}
+	c.jobs += more
+	n.hosted.open[name] = c
+	return c.jobs
+}
+
+// roundJobs is how many of a tenant's jobs a part's round looks at, so that nobody's queue
+// makes the rounds of the others longer.
+const roundJobs = 200
+
+// turnEvery is how soon the jobs that a round left out get their turn if nothing else
+// makes the part run one.
+const turnEvery = time.Second
+
+type turnOf struct {
+	tenant string
+	part   api.PartID
+}
+
+// inTurn leaves out of a round what is more than so many jobs of one tenant: half of
+// those that stay are its most urgent ones, the others take turns. The order of the rest
+// is kept.
+func (n *Node) inTurn(t *turf, jobs []*Job) []*Job {
+	t.leftOut = 0
+	if n.hosted == nil || len(jobs) <= roundJobs {
+		return jobs
+	}
+	of := map[string][]*Job{}
+	for _, j := range jobs {
+		of[j.Tenant] = append(of[j.Tenant], j)
+	}
+	out := map[*Job]bool{}
+	for name, own := range of {
+		if len(own) <= roundJobs {
+			continue
 		}
+		slices.SortFunc(own, func(a, b *Job) int {
+			return cmp.Or(b.Spec.Priority.Rank()-a.Spec.Priority.Rank(), cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.Ref, b.Ref))
+		})
+		for _, j := range own {
+			out[j] = true
+		}
+		turn := turnOf{name, t.part}
+		for _, i := range tenant.Window(len(own), roundJobs, n.hosted.turns[turn]) {
+			delete(out, own[i])
+		}
+		n.hosted.turns[turn]++
 	}
-	return h.open[name]
+	t.leftOut = len(out)
+	return slices.DeleteFunc(jobs, func(j *Job) bool { return out[j] })
 }
 
 // held reports whether what waits of a job may not be started.
@@ -357,7 +426,11 @@
 // tendHosted goes on with what suspensions and removals have begun.
 func (n *Node) tendHosted() {
 	h := n.hosted
-	if h == nil || n.now.Sub(h.tendAt) < tendTenants || len(n.turfs) == 0 {
+	if h == nil || !n.loaded || n.now.Sub(h.tendAt) < tendTenants {
+		return
+	}
+	n.writeUses()
+	if len(n.turfs) == 0 {
 		return
 	}
 	h.tendAt = n.now
@@ -413,10 +486,7 @@
 func (n *Node) goOnRemoving(e *tenant.Entry) {
 	var open []*Job
 	left := 0
-	for _, j := range n.book.Jobs {
-		if j.Tenant != string(e.Name) {
-			continue
-		}
+	for _, j := range n.book.Of[string(e.Name)] {
 		left++
 		if t := n.turfs[j.Split[0].Part]; t != nil && !j.Final() {
 			open = append(open, j)
@@ -440,7 +510,7 @@
 			settle()
 			return
 		}
-		done, err := e.Finish(n.countWork()[name].jobs)
+		done, err := e.Finish(n.workOf(name).jobs)
 		if err != nil {
 			settle()
 			return
@@ -471,7 +541,7 @@
 	for _, team := range t.Teams {
 		if !slices.Contains(teams, team) {
 			claim, _ := json.Marshal(t.Name)
-			tx.If = append(tx.If, api.Condition{Key: keyTeamOf + string(team)})
+			tx.If = append(tx.If, api.Condition{Key: keyTeamOf + string(team)}, n.book.If(keyTeam+string(team)))
 			tx.Writes = append(tx.Writes, api.Write{Put: keyTeamOf + string(team), Value: claim})
 		}
 	}
@@ -492,3 +562,11 @@
 		answer(status, a.Txn.Revision)
 	})
 }
+
+// tenantOf says in the log whose a job is; of a service without tenants, nothing.
+func tenantOf(j *Job) slog.Attr {
+	if j.Tenant == "" {
+		return slog.Attr{}
+	}
+	return slog.Group("tenant", "name", j.Tenant, "ref", string(j.Own))
+}
--- a/control/hostedadmin.go
+++ b/control/hostedadmin.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"reflect"
 	"slices"
-	"strings"
 
 	"basaltwall/api"
 	"basaltwall/tenant"
@@ -28,6 +27,7 @@
 		Name    string       `json:"name"`
 		Created api.Wall     `json:"created"`
 		Expires api.Wall     `json:"expires,omitempty"`
+		Used    api.Wall     `json:"used,omitempty"` // last, to the hour
 	}
 	// NewKeyView is a key when it is made: the only time that its secret is shown.
 	NewKeyView struct {
@@ -57,46 +57,16 @@
 	v := TenantAt{Tenant: e.Tenant, Keys: []KeyView{}, Jobs: w.open, Tasks: w.tasks, Revision: e.Revision}
 	v.Tenant.Keys = nil
 	for _, k := range e.Keys {
-		v.Keys = append(v.Keys, KeyView{k.ID, k.Name, k.Created, k.Expires})
+		v.Keys = append(v.Keys, KeyView{ID: k.ID, Name: k.Name, Created: k.Created, Expires: k.Expires})
 	}
 	return v
 }
 
-// mayAdminister refuses who brings no operators' key, where the service is hosted.
-func (n *Node) mayAdminister(c Ask) bool {
-	if n.hosted == nil {
-		return true
-	}
-	s, err := c.Caller.secret()
-	if err == nil && !n.hosted.admin.Opens(s, n.wall, n.clockError()) {
-		err = errKey
-	}
-	if err != nil {
-		n.refuseErr(c.Req, err)
-		return false
-	}
-	return true
-}
-
-// askTenants answers an operator's question or act on tenants, by what is current.
-func (n *Node) askTenants(c Ask) {
-	if n.hosted == nil {
-		n.refuse(c.Req, 404, "not a hosted service")
-		return
-	}
-	n.current(func() {
-		if err := n.actOnTenant(c); err != nil {
-			n.refuseErr(c.Req, err)
-		}
-	}, func() { n.refuse(c.Req, 503, "state service not reachable") })
-}
-
 func (n *Node) actOnTenant(c Ask) error {
-	work := n.countWork()
 	if c.What == "tenants" {
 		out := []TenantAt{}
 		for _, name := range n.hosted.table.Names() {
-			out = append(out, viewTenant(n.hosted.table.Get(name), work[name]))
+			out = append(out, viewTenant(n.hosted.table.Get(name), n.workOf(name)))
 		}
 		n.reply(c.Req, 200, out, 0)
 		return nil
@@ -106,39 +76,44 @@
 	if e == nil && c.What != "tenant-put" {
 		return &tenant.Error{Status: 404, Field: "name", Why: "there is no tenant " + c.ID}
 	}
-	if c.What == "tenant" {
-		n.reply(c.Req, 200, viewTenant(e, work[name]), 0)
+	switch c.What {
+	case "tenant":
+		n.withUse(c, name, func(used map[tenant.KeyID]api.Wall) {
+			v := viewTenant(e, n.workOf(name))
+			for i := range v.Keys {
+				v.Keys[i].Used = used[v.Keys[i].ID]
+			}
+			n.reply(c.Req, 200, v, 0)
+		})
+		return nil
+	case "usage":
+		v := n.viewUsage(e)
+		v.Controller, v.Submissions = n.cfg.Label, n.hosted.taken[name]
+		n.reply(c.Req, 200, v, 0)
 		return nil
 	}
 	var ask tenantAsk
-	if len(c.Body) > 0 {
-		d := json.NewDecoder(strings.NewReader(string(c.Body)))
-		d.DisallowUnknownFields()
-		if err := d.Decode(&ask); err != nil {
-			if te, ok := err.(*json.UnmarshalTypeError); ok {
-				return &tenant.Error{Status: 400, Field: te.Field, Why: "wrong type"}
-			}
-			return &tenant.Error{Status: 400, Why: err.Error()}
-		}
+	if err := parseAsk(c.Body, &ask); err != nil {
+		return err
 	}
 	var was tenant.Tenant
 	if e != nil {
 		was = e.Tenant
 	}
-	now, secret, err := n.changed(c, was, ask, work[name].jobs)
+	now, secret, err := n.changed(c, was, ask, n.workOf(name).jobs)
 	if err != nil {
 		return err
 	}
 	if e != nil && reflect.DeepEqual(now, was) {
-		n.reply(c.Req, 200, viewTenant(e, work[name]), 0) // it is so already: asked again, perhaps
+		n.reply(c.Req, 200, viewTenant(e, n.workOf(name)), 0) // it is so already: asked again, perhaps
 		return nil
 	}
 	var read api.Revision
 	if e != nil {
 		read = e.Revision
 	}
-	if ask.Revision == nil || *ask.Revision != read {
-		return &tenant.Error{Status: 409, Field: "revision", Why: "the tenant is not as it was read, or no revision is named"}
+	if err := as(ask.Revision, read, "the tenant"); err != nil {
+		return err
 	}
 	if err := now.Check(); err != nil {
 		return err
@@ -172,19 +147,15 @@
 	case "remove":
 		t, err = t.Remove(jobs, ask.Cancel)
 	case "key-add":
-		if c.Random == nil {
-			return t, nil, &tenant.Error{Status: 503, Why: "no random bytes"}
-		}
 		if slices.ContainsFunc(t.Keys, func(k tenant.Key) bool { return k.Name == ask.Name }) {
 			return t, nil, &tenant.Error{Status: 409, Field: "name", Why: "there is a key of that name; its secret is not shown again"}
 		}
-		var k tenant.Key
-		var s tenant.Secret
-		if k, s, err = tenant.NewKey(*c.Random, ask.Name, n.wall, ask.Expires); err != nil {
+		k, secret, err := n.newKey(c, ask.Name, ask.Expires)
+		if err != nil {
 			return t, nil, err
 		}
 		t.Keys = append(slices.Clone(t.Keys), k)
-		return t, &NewKeyView{KeyView: KeyView{k.ID, k.Name, k.Created, k.Expires}, Secret: s.String()}, nil
+		return t, secret, nil
 	case "key-revoke":
 		t.Keys = slices.DeleteFunc(slices.Clone(t.Keys), func(k tenant.Key) bool { return k.Name == c.Sub })
 		if len(t.Keys) == 0 {
@@ -201,7 +172,7 @@
 	if old != nil {
 		was = old.Tenant
 	}
-	more := []api.Write{n.auditWrite(c, was, now)}
+	more := []api.Write{n.auditWrite(c, "tenant "+string(now.Name), shownTenant(was), shownTenant(now))}
 	if c.What == "suspend" {
 		v, _ := json.Marshal(now.Name)
 		more = append(more, api.Write{Put: keyGate, Value: v})
@@ -209,14 +180,14 @@
 	n.writeTenant(now, old, more, func(status int, rev api.Revision) {
 		switch status {
 		case 200:
-			slog.Info("tenant changed", "tenant", now.Name, "by", c.What, "from", c.Caller.From, "state", now.State, "revision", rev)
+			slog.Info("tenant changed", "tenant", now.Name, "by", c.What, "key", c.by, "from", n.origin(c.Caller), "state", now.State, "revision", rev)
 			if secret != nil {
 				secret.Revision = rev
 				n.reply(c.Req, 200, secret, 0)
 				n.current(func() {}, func() {})
 				return
 			}
-			n.reply(c.Req, 200, viewTenant(&tenant.Entry{Tenant: now, Revision: rev}, n.countWork()[now.Name]), 0)
+			n.reply(c.Req, 200, viewTenant(&tenant.Entry{Tenant: now, Revision: rev}, n.workOf(now.Name)), 0)
 			n.current(func() {}, func() {})
 		case 400:
 			n.refuse(c.Req, 400, "networks: the record is too large")
@@ -231,3 +202,21 @@
 		}
 	})
 }
+
+// shownTenant is a record as the audit shows it: networks counted, keys by their names.
+func shownTenant(t tenant.Tenant) any {
+	if t.Name == "" {
+		return nil
+	}
+	names := []string{}
+	for _, k := range t.Keys {
+		names = append(names, k.Name)
+	}
+	networks := t.Networks.Len()
+	t.Networks, t.Keys = tenant.Networks{}, nil
+	return struct {
+		tenant.Tenant
+		Keys     []string `json:"keys"`
+		Networks int      `json:"networks"`
+	}{t, names, networks}
+}
--- a/control/messages.go
+++ b/control/messages.go
@@ -62,6 +62,8 @@
 		After  string // audit: what comes after
 		Caller Caller
 		Random *[tenant.RandomBytes]byte // for a new key
+
+		by tenant.KeyID // the operators' key that came with it
 	}
 	// Hear is another controller's news.
 	Hear struct {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -55,7 +55,7 @@
 // workOf is the kind of work that a command makes.
 func workOf(c Command) Work {
 	switch c.(type) {
-	case Submit, Poll, Cancel, Ready:
+	case Submit, Poll, Cancel, Ready, History, Mine:
 		return WorkUsers
 	case Checkin:
 		return WorkReports
--- a/control/node.go
+++ b/control/node.go
@@ -43,6 +43,7 @@
 	syncNext  api.Time
 	wantedAt  api.Time // when a current read was last wanted
 	waiters   []syncWaiter
+	currentAt api.Time            // the changes were last read, 0 if not yet
 	stateOK   bool                // its last answer was one
 	asked     map[CallID]api.Time // calls to it that should be answered at once
 
@@ -78,8 +79,8 @@
 	turfs    map[api.PartID]*turf
 	peers    map[api.Label]*peerNews
 	gossipAt api.Time
-	all      []api.Label // controllers, in order: a part's home is the one at its number
-	teams    map[api.Team]config.Team
+	all      []api.Label              // controllers, in order: a part's home is the one at its number
+	teams    map[api.Team]config.Team // the platform's, and of a hosted service those that its operators made
 	largest  api.Resources
 	types    map[api.TypeName]*api.MachineType
 
@@ -138,12 +139,10 @@
 		cfg: cfg, born: born, calls: map[CallID]func(any){}, asked: map[CallID]api.Time{},
 		liveSince: map[api.Label]api.Time{}, claiming: map[api.PartID]bool{}, claimAfter: map[api.PartID]api.Time{},
 		machines: map[api.MachineID]*Machine{}, turfs: map[api.PartID]*turf{}, peers: map[api.Label]*peerNews{},
-		teams: map[api.Team]config.Team{}, types: map[api.TypeName]*api.MachineType{},
+		types:  map[api.TypeName]*api.MachineType{},
 		sentTo: map[api.MachineID]redirected{}, lendings: map[api.MachineID]lending{}, muteAt: map[api.Zone]api.Time{}, cuts: map[api.Zone]cut{}, since: map[ReqID]request{},
 	}
-	for _, t := range d.Teams {
-		n.teams[t.Name] = t
-	}
+	n.platformTeams()
 	for _, p := range cfg.Peers {
 		n.peers[p.Label] = &peerNews{}
 	}
@@ -206,6 +205,8 @@
 		n.metrics.spent = c
 	case History:
 		n.history(c)
+	case Mine:
+		n.mine(c)
 	case Ready:
 		n.ready(c)
 	case Checkin:
@@ -564,6 +565,7 @@
 	case !n.loaded || since > n.book.Rev:
 		return false // asked before a reload
 	case a.Status == 200:
+		n.currentAt = n.now
 		n.takeChanges(a.Changes)
 		return true
 	case a.Status == 410:
--- a/control/part.go
+++ b/control/part.go
@@ -20,6 +20,7 @@
 	since   api.Time
 	lastRev api.Revision // of our latest durable record
 	next    api.Time     // no round before
+	planAt  api.Time     // the last one was planned
 	dirty   bool         // something changed since the last round
 	wantRev bool         // a newer token is wanted
 	ends    map[*Place]bool
@@ -34,6 +35,7 @@
 	planned map[api.Team]bool          // teams the last round placed tasks of
 	gaveAt  map[api.PartID]api.Time    // no further gift to a part before
 	waiting int
+	leftOut int // jobs that the last round did not look at, see inTurn
 	moving  bool
 	lending bool
 	lendAt  api.Time
@@ -94,7 +96,7 @@
 			p.Job.Note.lostWith++
 			p.Job.Note.lostAt, p.Job.Note.quick = n.now, false
 		}
-		slog.Info("task over", "task", p.Task, "machine", p.Machine, "why", why)
+		slog.Info("task over", tenantOf(p.Job), "task", p.Task, "machine", p.Machine, "why", why)
 	}
 }
 
@@ -121,13 +123,16 @@
 		n.rebalance(t)
 		n.lend(t)
 	}
+	if t.leftOut > 0 && n.now.Sub(t.planAt) >= turnEvery {
+		t.dirty = true
+	}
 	if t.writing != nil || t.leaving || t.lending || n.now < t.next || !t.dirty && !t.wantRev {
 		return
 	}
 	if n.book.Parts[t.part].Seq+1 >= n.book.Parts[t.part].Head.Seq+book.RingSize {
 		return // the record would overwrite one that no checkpoint covers
 	}
-	t.dirty = false
+	t.dirty, t.planAt = false, n.now
 	w := n.plan(t)
 	if len(w.rec.Jobs) == 0 && len(w.rec.Gifts) == 0 && !t.wantRev {
 		t.next = n.now.Add(n.roundGap)
@@ -232,7 +237,7 @@
 	for _, d := range w.rec.Jobs {
 		n.metrics.Completions += uint64(len(d.Done))
 		if j := n.book.Jobs[d.Job]; j != nil && len(d.Done) > 0 && j.State() == api.JobDone {
-			slog.Info("job done", "job", d.Job, "class", j.Spec.Class, "tasks", j.Spec.Tasks, "estimate", j.Spec.Estimate,
+			slog.Info("job done", tenantOf(j), "job", d.Job, "class", j.Spec.Class, "tasks", j.Spec.Tasks, "estimate", j.Spec.Estimate,
 				"after", float64(n.wall-j.Accepted)/1000, "limits", n.limits(j.Spec))
 		}
 	}
@@ -412,6 +417,7 @@
 		least = api.Resources{CPU: min(least.CPU, j.Demand.CPU), GPU: min(least.GPU, j.Demand.GPU), Mem: min(least.Mem, j.Demand.Mem)}
 		jobs = append(jobs, j)
 	}
+	jobs = n.inTurn(t, jobs)
 	if len(jobs) == 0 {
 		return nil
 	}
@@ -468,7 +474,7 @@
 		placed[pl.Job]++
 		if !j.Note.begun {
 			j.Note.begun = true
-			slog.Info("job starts", "job", j.Ref, "class", j.Spec.Class, "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
+			slog.Info("job starts", tenantOf(j), "job", j.Ref, "class", j.Spec.Class, "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
 		}
 		starts = append(starts, &Place{Task: api.TaskID{Job: j.Ref, Index: pl.Task}, Part: t.part, Machine: m.ID, Session: m.session, Job: j})
 	}
--- a/internal/standin/tenants.go
+++ b/internal/standin/tenants.go
@@ -20,8 +20,9 @@
 	admin   string
 	secrets map[tenant.Name]string
 	keys    int
-	own     map[api.JobRef]owned // tenants' jobs by the id that workers know
-	held    map[tenant.Name]bool // told suspended, and not asked to go on since
+	own     map[api.JobRef]owned                // tenants' jobs by the id that workers know
+	held    map[tenant.Name]bool                // told suspended, and not asked to go on since
+	acts    map[tenant.Name][]func(done func()) // that wait for the one before to be answered
 
 	accepted map[tenant.Name][]time.Duration // when jobs were written
 }
@@ -39,6 +40,7 @@
 		c.Hosted = &config.Hosted{Admin: secret.Key("admin")}
 	}
 	w.Tenants = &Tenants{w: w, admin: secret.String(), secrets: map[tenant.Name]string{}, own: map[api.JobRef]owned{}, held: map[tenant.Name]bool{},
+		acts:     map[tenant.Name][]func(func()){},
 		accepted: map[tenant.Name][]time.Duration{}}
 }
 
@@ -97,6 +99,23 @@
 	})
 }
 
+// inOrder does one act on a tenant after the other: what an operator has asked for that was
+// not answered may still happen, so the next act waits until it was.
+func (t *Tenants) inOrder(name tenant.Name, act func(done func())) {
+	t.acts[name] = append(t.acts[name], act)
+	if len(t.acts[name]) == 1 {
+		t.next(name)
+	}
+}
+
+func (t *Tenants) next(name tenant.Name) {
+	t.acts[name][0](func() {
+		if t.acts[name] = t.acts[name][1:]; len(t.acts[name]) > 0 {
+			t.next(name)
+		}
+	})
+}
+
 // Add makes a tenant and a key for it.
 func (t *Tenants) Add(name tenant.Name, teams []string, rate, burst float64) {
 	t.change(name, "tenant-put", func(r api.Revision) any {
@@ -115,25 +134,34 @@
 // Suspend has a tenant suspended. From the answer on none of its tasks may be recorded as
 // started.
 func (t *Tenants) Suspend(name tenant.Name, drain float64) {
-	t.change(name, "suspend", func(r api.Revision) any {
-		return map[string]any{"revision": r, "why": "unpaid", "drain_s": drain}
-	}, func([]byte) { t.held[name] = true })
+	t.inOrder(name, func(done func()) {
+		t.change(name, "suspend", func(r api.Revision) any {
+			return map[string]any{"revision": r, "why": "unpaid", "drain_s": drain}
+		}, func([]byte) {
+			t.held[name] = true
+			done()
+		})
+	})
 }
 
 // Resume lets it go on.
 func (t *Tenants) Resume(name tenant.Name) {
-	t.held[name] = false
-	t.change(name, "resume", func(r api.Revision) any { return map[string]any{"revision": r} }, func([]byte) {})
+	t.inOrder(name, func(done func()) {
+		t.held[name] = false
+		t.change(name, "resume", func(r api.Revision) any { return map[string]any{"revision": r} }, func([]byte) { done() })
+	})
 }
 
 // Remove removes it, with its jobs if cancel says so.
 func (t *Tenants) Remove(name tenant.Name, cancel bool) {
-	for id, o := range t.own {
-		if o.name == name && cancel {
-			t.w.Check.AskedCancel(id) // by the operator, in its place
+	t.inOrder(name, func(done func()) {
+		for id, o := range t.own {
+			if o.name == name && cancel {
+				t.w.Check.AskedCancel(id) // by the operator, in its place
+			}
 		}
-	}
-	t.change(name, "remove", func(r api.Revision) any { return map[string]any{"revision": r, "cancel": cancel} }, func([]byte) {})
+		t.change(name, "remove", func(r api.Revision) any { return map[string]any{"revision": r, "cancel": cancel} }, func([]byte) { done() })
+	})
 }
 
 // Gone requires that no task of a tenant is on a machine.
--- a/node/node.go
+++ b/node/node.go
@@ -281,12 +281,21 @@
 	return control.Checkin{Req: req, Report: rep, Body: body, Forwarded: forwarded}
 }
 
+// mine is a tenant's question for its own jobs that are not over, or its usage.
+func mine(req control.ReqID, what string, r httpx.Request, caller control.Caller) (control.Command, int) {
+	after, limit, ok := admin.Page(r)
+	if !ok {
+		return nil, 400
+	}
+	return control.Mine{Req: req, What: what, After: after, Limit: limit, Caller: caller}, 0
+}
+
 // route finds the command for a request of a user, a worker or the balancer,
 // or the status that refuses it.
 func (n *Node) route(req control.ReqID, r httpx.Request) (control.Command, int) {
 	var caller control.Caller
 	if n.cfg.Hosted != nil {
-		caller = control.Caller{Auth: r.Auth, From: tenant.Origin(r.From, r.Forwarded, n.cfg.Hosted.Proxies)}
+		caller = control.Caller{Auth: r.Auth, From: r.From, Forwarded: r.Forwarded}
 	}
 	method := func(want string, c control.Command) (control.Command, int) {
 		if r.Method != want {
@@ -303,8 +312,17 @@
 	case api.PathCheckin:
 		return method("POST", checkin(req, r.Body, false))
 	case api.PathJobs:
+		if n.cfg.Hosted != nil && r.Method == "GET" {
+			return mine(req, "jobs", r, caller)
+		}
 		return method("POST", control.Submit{Req: req, Body: r.Body, Caller: caller})
 	}
+	if r.Path == api.PathUsage && n.cfg.Hosted != nil {
+		if r.Method != "GET" {
+			return nil, 405
+		}
+		return mine(req, "usage", r, caller)
+	}
 	if r.Path == api.PathHistory && n.cfg.Hosted != nil {
 		after, limit, ok := admin.Page(r)
 		if !ok {
@@ -319,7 +337,7 @@
 		c, status := admin.Command(req, r)
 		if ask, ok := c.(control.Ask); ok {
 			ask.Caller = caller
-			if ask.What == "key-add" {
+			if strings.HasSuffix(ask.What, "key-add") {
 				ask.Random = new([tenant.RandomBytes]byte)
 				if _, err := rand.Read(ask.Random[:]); err != nil {
 					return nil, 503
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -286,6 +286,26 @@
 	expect("another's history", 200, `"jobs":[]`)(call(0, keys["lopresti"], "GET", api.PathHistory+"?limit=5", ""))
 	expect("history without a key", 401, "")(call(0, "", "GET", api.PathHistory, ""))
 	expect("a cursor out of it", 400, "")(call(0, keys["lopresti"], "GET", api.PathHistory+"?after=../kipper/", ""))
+	// A long job of kipper's stays in its list, and in nobody else's.
+	eventually(t, "a long job accepted", func() bool {
+		code, _ := call(0, keys["kipper"], "POST", api.PathJobs, fmt.Sprintf(job, "run-7", "sweep", 40, 60))
+		return code == 201 || code == 200
+	})
+	expect("the list", 200, `"open":1,"jobs":[{"ref":"run-7"`)(call(1, keys["kipper"], "GET", api.PathJobs, ""))
+	expect("another's list", 200, `"open":0,"jobs":[]`)(call(1, keys["lopresti"], "GET", api.PathJobs, ""))
+	expect("a list without a key", 401, "")(call(1, "", "GET", api.PathJobs, ""))
+	expect("a list too long", 400, "")(call(1, keys["kipper"], "GET", api.PathJobs+"?limit=501", ""))
+	expect("usage", 200, `"open":1,"open_jobs":2000`)(call(1, keys["kipper"], "GET", api.PathUsage, ""))
+	if _, body := call(1, keys["lopresti"], "GET", api.PathUsage, ""); !strings.Contains(body, `"open":0`) || strings.Contains(body, "red") || strings.Contains(body, "submissions") {
+		t.Errorf("usage of another: %s", body)
+	}
+	expect("usage for operators", 200, `"submissions":{"accepted":2`)(call(0, root, "GET", "/admin/v1/tenants/kipper/usage", ""))
+	expect("the job cancelled", 200, `"run-7"`)(call(0, keys["kipper"], "POST", api.PathJobs+"/run-7/"+api.EndCancel, ""))
+	eventually(t, "the key's last use is shown", func() bool {
+		_, body := call(1, root, "GET", "/admin/v1/tenants/kipper", "")
+		return strings.Contains(body, `"used":`)
+	})
+	operateHosted(t, root, call, expect)
 	expect("suspended", 200, `"state":"suspended"`)(call(0, root, "POST", "/admin/v1/tenants/kipper/suspend", `{"revision":`+revision("kipper")+`,"why":"unpaid"}`))
 	expect("a submission then", 403, "unpaid")(call(1, keys["kipper"], "POST", api.PathJobs, fmt.Sprintf(job, "run-2", "sweep", 1, 1)))
 	expect("a job done before", 200, `"done"`)(call(1, keys["kipper"], "POST", api.PathJobs, run))
@@ -304,6 +324,85 @@
 	expect("a page of it", 200, `"after":"`)(call(0, root, "GET", "/admin/v1/audit?limit=1", ""))
 	expect("the name again", 409, "removed")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":`+revision("kipper")+`,"teams":["red"]}`))
 	expect("the key of a removed tenant", 401, "")(call(0, keys["kipper"], "GET", api.PathJobs+"/run-1", ""))
+	retire(t, root, call, expect)
 	cancel()
 	wg.Wait()
 }
+
+type (
+	caller  func(node int, key, method, path, body string) (int, string)
+	checker func(what string, code int, part string) func(int, string) string
+)
+
+// made reads a key's secret from the answer that makes it.
+func made(t *testing.T, body string) string {
+	t.Helper()
+	var k control.NewKeyView
+	if err := json.Unmarshal([]byte(body), &k); err != nil {
+		t.Fatalf("%s: %v", body, err)
+	}
+	return k.Secret
+}
+
+// operatorsAt is the revision of the operators' record.
+func operatorsAt(t *testing.T, key string, call caller) string {
+	t.Helper()
+	var at control.OperatorsAt
+	if _, body := call(0, key, "GET", "/admin/v1/operators", ""); json.Unmarshal([]byte(body), &at) != nil {
+		t.Fatalf("operators: %s", body)
+	}
+	return fmt.Sprint(at.Revision)
+}
+
+// operateHosted uses what operators of a hosted service have for themselves: keys of two
+// roles, networks and proxies, and teams beside the platform's.
+func operateHosted(t *testing.T, root string, call caller, expect checker) {
+	t.Helper()
+	at := func() string { return `{"revision":` + operatorsAt(t, root, call) + "," }
+	reader := made(t, expect("a key to read", 200, `"secret"`)(call(0, root, "POST", "/admin/v1/operators/keys", at()+`"name":"watch","role":"read"}`)))
+	expect("no role", 400, "role:")(call(0, root, "POST", "/admin/v1/operators/keys", at()+`"name":"other","role":"all"}`))
+	expect("its name again", 409, "name:")(call(0, root, "POST", "/admin/v1/operators/keys", at()+`"name":"watch","role":"read"}`))
+	expect("it reads at the other controller", 200, "")(call(1, reader, "GET", "/admin/v1/tenants", ""))
+	expect("it does not change", 403, "may not")(call(1, reader, "POST", "/admin/v1/tenants/kipper/suspend", `{"revision":1,"why":"x"}`))
+	expect("nor what is no tenant's", 403, "may not")(call(1, reader, "POST", "/admin/v1/machines/i-000000/drain", ""))
+	expect("nor itself", 403, "may not")(call(1, reader, "PUT", "/admin/v1/operators", at()+`"cpus":1}`))
+	expect("operators shut out", 422, "networks:")(call(0, root, "PUT", "/admin/v1/operators", at()+`"networks":["192.0.2.0/24"]}`))
+	expect("a bad proxy", 400, "networks")(call(0, root, "PUT", "/admin/v1/operators", at()+`"proxies":["x"]}`))
+	expect("no revision", 409, "revision:")(call(0, root, "PUT", "/admin/v1/operators", `{"cpus":4}`))
+	put := at() + `"networks":["127.0.0.0/8"],"cpus":4}`
+	expect("networks and room for teams", 200, `"networks":["127.0.0.0/8"],"proxies":[],"cpus":4`)(call(1, root, "PUT", "/admin/v1/operators", put))
+	expect("the same again", 200, `"cpus":4`)(call(0, root, "PUT", "/admin/v1/operators", put))
+	expect("more than there is", 422, "cpus:")(call(0, root, "PUT", "/admin/v1/teams/dispo", `{"revision":0,"cpus":5}`))
+	expect("a limit below", 400, "cpus_max:")(call(0, root, "PUT", "/admin/v1/teams/dispo", `{"revision":0,"cpus":3,"cpus_max":2}`))
+	expect("the platform's", 409, "name:")(call(0, root, "PUT", "/admin/v1/teams/red", `{"revision":0,"cpus":1}`))
+	expect("no such team", 404, "name:")(call(0, root, "POST", "/admin/v1/teams/dispo/remove", `{"revision":0}`))
+	var team control.TeamAt
+	body := expect("a team", 200, `"name":"dispo"`)(call(0, root, "PUT", "/admin/v1/teams/dispo", `{"revision":0,"cpus":3,"cpus_max":6}`))
+	if err := json.Unmarshal([]byte(body), &team); err != nil {
+		t.Fatal(err)
+	}
+	expect("the rest is too little", 422, "cpus:")(call(1, root, "PUT", "/admin/v1/teams/fuhrpark", `{"revision":0,"cpus":2}`))
+	expect("less set aside than given", 422, "cpus:")(call(1, root, "PUT", "/admin/v1/operators", at()+`"networks":["127.0.0.0/8"],"cpus":2}`))
+	expect("a limit lowered", 409, "cpus_max:")(call(1, root, "PUT", "/admin/v1/teams/dispo", fmt.Sprintf(`{"revision":%d,"cpus":3,"cpus_max":5}`, team.Revision)))
+	expect("listed", 200, `"team":"dispo"`)(call(1, reader, "GET", "/admin/v1/teams", ""))
+	expect("a tenant has it", 200, `"teams":["dispo"]`)(call(1, root, "PUT", "/admin/v1/tenants/sortier", `{"revision":0,"teams":["dispo"],"networks":["192.0.2.0/24"]}`))
+	expect("it is not removed then", 409, "belongs to sortier")(call(0, root, "POST", "/admin/v1/teams/dispo/remove", fmt.Sprintf(`{"revision":%d}`, team.Revision)))
+	audit := expect("the audit tells", 200, `"about":"team dispo"`)(call(0, reader, "GET", "/admin/v1/audit", ""))
+	if !strings.Contains(audit, `"about":"operators"`) || strings.Contains(audit, "hash") {
+		t.Errorf("audit: %s", audit)
+	}
+}
+
+// retire replaces the operators' first key by another and checks that nobody is shut out
+// by a mistake.
+func retire(t *testing.T, root string, call caller, expect checker) {
+	t.Helper()
+	at := func() string { return `{"revision":` + operatorsAt(t, root, call) }
+	expect("the only key that changes", 409, "must be left")(call(0, root, "POST", "/admin/v1/operators/keys/first/revoke", at()+`}`))
+	next := made(t, expect("another", 200, `"secret"`)(call(0, root, "POST", "/admin/v1/operators/keys", at()+`,"name":"next","role":"change"}`)))
+	expect("the first retired", 200, `"first_retired":true`)(call(1, next, "POST", "/admin/v1/operators/keys/first/revoke", at()+`}`))
+	expect("it opens nothing", 401, "")(call(0, root, "GET", "/admin/v1/tenants", ""))
+	expect("the other does", 200, "")(call(0, next, "GET", "/admin/v1/tenants", ""))
+	root = next // for at
+	expect("which is the last now", 409, "must be left")(call(1, next, "POST", "/admin/v1/operators/keys/next/revoke", at()+`}`))
+}
--- a/node/openapi_test.go
+++ b/node/openapi_test.go
@@ -66,7 +66,7 @@
 	d := readDocument(t)
 	n := &Node{cfg: &config.Config{Hosted: &config.Hosted{}}}
 	for template, item := range d.doc.Paths.Map() {
-		path := strings.NewReplacer("{ref}", "run-1", "{name}", "kipper", "{key}", "first").Replace(template)
+		path := strings.NewReplacer("{ref}", "run-1", "{name}", "kipper", "{key}", "first", "{team}", "dispo").Replace(template)
 		for _, method := range []string{"GET", "PUT", "POST", "DELETE", "PATCH"} {
 			c, status := n.route(1, httpx.Request{Method: method, Path: path, Body: []byte("{}")})
 			if named := item.GetOperation(method) != nil; named != (c != nil) {
@@ -76,7 +76,8 @@
 			}
 		}
 	}
-	for _, path := range []string{"/admin/v1/tenants/kipper/forget", "/admin/v1/tenants/", "/admin/v1/audit/x", "/v1/history/x"} {
+	for _, path := range []string{"/admin/v1/tenants/kipper/forget", "/admin/v1/tenants/", "/admin/v1/audit/x", "/v1/history/x", "/v1/usage/x",
+		"/admin/v1/operators/x", "/admin/v1/operators/keys/a/b", "/admin/v1/teams/dispo/x", "/admin/v1/teams/"} {
 		if c, status := n.route(1, httpx.Request{Method: "GET", Path: path}); c != nil || status != 404 {
 			t.Errorf("%s: %d", path, status)
 		}
@@ -87,7 +88,8 @@
 func TestWithoutTenantsNoPathOfTheirs(t *testing.T) {
 	n := &Node{cfg: &config.Config{}}
 	for _, method := range []string{"GET", "PUT", "POST"} {
-		for _, path := range []string{"/admin/v1/tenants", "/admin/v1/tenants/kipper", "/admin/v1/tenants/kipper/suspend", "/admin/v1/audit", "/v1/history"} {
+		for _, path := range []string{"/admin/v1/tenants", "/admin/v1/tenants/kipper", "/admin/v1/tenants/kipper/suspend", "/admin/v1/audit", "/v1/history", "/v1/usage",
+			"/admin/v1/operators", "/admin/v1/operators/keys", "/admin/v1/teams/red"} {
 			if c, status := n.route(1, httpx.Request{Method: method, Path: path, Body: []byte("{}")}); c != nil || status != 404 {
 				t.Errorf("%s %s: %d", method, path, status)
 			}
--- a/tenant/networks.go
+++ b/tenant/networks.go
@@ -100,8 +100,10 @@
 // Allows reports whether an address may come: where there are no networks, any may.
 func (n Networks) Allows(a netip.Addr) bool { return n.IsZero() || n.Has(a) }
 
-// MarshalJSON writes the networks as texts.
-func (n Networks) MarshalJSON() ([]byte, error) { return json.Marshal(n.Prefixes()) }
+// MarshalJSON writes the networks as a list of texts, an empty one for none.
+func (n Networks) MarshalJSON() ([]byte, error) {
+	return json.Marshal(append([]netip.Prefix{}, n.list...))
+}
 
 // UnmarshalJSON reads the networks from texts.
 func (n *Networks) UnmarshalJSON(b []byte) error {
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -39,7 +39,7 @@
 	State     State      `json:"state"`
 	Rate      float64    `json:"rate,omitempty"`      // submissions a second, of the whole service; 0: no bound
 	Burst     float64    `json:"burst,omitempty"`     // submissions at once, of the whole service
-	OpenJobs  int        `json:"open_jobs,omitempty"` // jobs that are not over, at most; 0: no bound
+	OpenJobs  int        `json:"open_jobs,omitempty"` // jobs that are not over, at most; 0: DefaultOpenJobs
 	Networks  Networks   `json:"networks,omitzero"`   // from where it may come; none: from anywhere
 	Retention float64    `json:"retention_s"`         // for how long its history is kept, in seconds
 
@@ -159,6 +159,18 @@
 	return nil
 }
 
+// DefaultOpenJobs bounds a tenant with which no other bound was agreed: what is open of one
+// is read at every takeover and looked at in every round.
+const DefaultOpenJobs = 2000
+
+// Bound is how many of its jobs may be open.
+func (t *Tenant) Bound() int {
+	if t.OpenJobs > 0 {
+		return t.OpenJobs
+	}
+	return DefaultOpenJobs
+}
+
 // Starts reports whether tasks of the tenant that wait may be started.
 func (t *Tenant) Starts() bool { return t.State == Active }
 
