--- a/control/operators.go
+++ b/control/operators.go
@@ -23,8 +23,8 @@
 )
 
 // operatorTrust is for how long an operators' key that was good when the state was last
-// read is believed without it, for questions only. Whoever looks at a service in trouble
-// needs answers from the controllers that are cut off.
+// read is believed without it, for questions about the controller alone. Whoever looks at
+// a service in trouble needs answers from the controllers that are cut off.
 const operatorTrust = time.Minute
 
 type (
@@ -114,15 +114,20 @@
 	return s.ID, role, nil
 }
 
-// questions are what operators may ask without changing anything.
-var questions = []string{"tenants", "tenant", "usage", "operators", "audit", "metrics", "members", "parts", "machines",
-	"teams", "jobs", "job", "settings"}
+// What operators may ask without changing anything: of the record, and of what the
+// controller that answers knows.
+var (
+	ofTheRecord  = []string{"tenants", "tenant", "usage", "operators", "audit"}
+	ofController = []string{"metrics", "members", "parts", "machines", "teams", "jobs", "job", "settings"}
+)
 
 // asOperator does what an operator of a hosted service asks if the key that comes with it
-// may: by what is current. A controller that can't know what is answers questions alone,
-// for a while, by what it knew last; the file's key lies beside it and needs no state.
+// may: by what is current. A controller that can't know what is answers questions about
+// itself alone, for a while, by what it knew last; the file's key lies beside it and needs
+// no state.
 func (n *Node) asOperator(c Ask, do func(Ask)) {
-	question := slices.Contains(questions, c.What)
+	itself := slices.Contains(ofController, c.What)
+	question := itself || slices.Contains(ofTheRecord, c.What)
 	may := func() bool {
 		id, role, err := n.operator(c.Caller)
 		if err == nil && !question && role != tenant.RoleChange {
@@ -143,7 +148,7 @@
 	}, func() {
 		s, err := c.Caller.secret()
 		trusted := n.currentAt != 0 && n.now.Sub(n.currentAt) <= operatorTrust || err == nil && s.ID == n.hosted.admin.ID
-		if !question || !n.loaded || !trusted {
+		if !itself || !n.loaded || !trusted {
 			n.refuse(c.Req, 503, "state service not reachable")
 			return
 		}
--- a/control/timetable_test.go
+++ b/control/timetable_test.go
@@ -11,6 +11,7 @@
 
 	"basaltwall/api"
 	"basaltwall/config"
+	_ "basaltwall/internal/seeded"
 )
 
 // drawConfig draws settings, from the smallest that are accepted to very large ones.
--- /dev/null
+++ b/internal/seeded/seeded.go
@@ -0,0 +1,18 @@
+// Package seeded is imported by tests for its effect: properties draw the same cases in
+// every run, so that CI gives the same verdict every time. With -rapid.seed=0 (or any other
+// number) a run draws others.
+package seeded
+
+import (
+	"flag"
+
+	_ "pgregory.net/rapid" // whose flags must be there
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic("seeded: " + err.Error())
+		}
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -30,6 +30,7 @@
 	rev     api.Revision
 	keys    map[string]entry
 	log     []api.Change
+	logAt   []time.Duration               // when each was made
 	leases  map[api.LeaseID]time.Duration // when they end
 	ttl     map[api.LeaseID]time.Duration
 	last    api.LeaseID
@@ -99,7 +100,7 @@
 	} else {
 		s.keys[c.Put] = entry{c.Value, c.Version, lease}
 	}
-	s.log = append(s.log, c)
+	s.log, s.logAt = append(s.log, c), append(s.logAt, s.w.Now)
 }
 
 func (s *State) since(under string, rev api.Revision) []api.Change {
--- a/tenant/tenant_test.go
+++ b/tenant/tenant_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"basaltwall/api"
+	_ "basaltwall/internal/seeded"
 )
 
 func kipper() Tenant {
