--- a/control/hosted_test.go
+++ b/control/hosted_test.go
@@ -165,3 +165,105 @@
 		t.Errorf("wrote %+v", got)
 	}
 }
+
+// A queue of one tenant makes nobody's rounds longer than by the jobs of it that a round
+// looks at, and each of them has its turn though all those before it find no room.
+func TestALongQueueIsLookedAtByTurns(t *testing.T) {
+	n, turf, j, _ := hostedOwner(t)
+	putTenant(t, n, tenant.Tenant{Name: "flood", State: tenant.Active, Teams: []api.Team{"blue"}, Retention: 100})
+	n.teams["blue"] = config.Team{Name: "blue"}
+	const queue = 5000
+	put := func(ref int, cpus float64, accepted api.Wall) *Job {
+		spec := testSpec(1)
+		spec.Ref, spec.Team, spec.CPUs = api.JobRef(fmt.Sprintf("run-1%05d", ref)), "blue", cpus
+		data, err := json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: 1}}, Accepted: accepted, Tenant: "flood", Own: spec.Ref})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.book.Put(book.KeyJob+string(spec.Ref), data, 9); err != nil {
+			t.Fatal(err)
+		}
+		return n.book.Jobs[spec.Ref]
+	}
+	for i := range queue - 1 {
+		put(i, 9, 1000) // which no machine has
+	}
+	fits := put(queue, 1, 2000)
+	j.Tenant = "kipper"
+	starts := func(w *writing, j *Job) bool {
+		return slices.ContainsFunc(w.starts, func(p *Place) bool { return p.Job == j })
+	}
+	w := n.plan(turf)
+	if !starts(w, j) {
+		t.Error("another tenant's job waits behind the queue")
+	}
+	if looked, most := n.metrics.FlowTasks, roundJobs+j.Spec.Tasks; looked > most {
+		t.Errorf("a round looks at %d tasks, expected %d at most", looked, most)
+	}
+	delete(n.book.Open, j.Ref) // a round places one task on each machine
+	rounds := 1
+	for !starts(w, fits) && rounds <= queue {
+		w = n.plan(turf)
+		rounds++
+	}
+	if most := tenant.Turns(queue, roundJobs); rounds > most {
+		t.Errorf("a job has its turn after %d rounds, expected %d at most", rounds, most)
+	}
+	// A round comes by itself for those who were left out.
+	turf.dirty, turf.next = false, 0
+	turf.planAt = n.now
+	n.now = n.now.Add(turnEvery)
+	before := n.hosted.turns[turnOf{"flood", 0}]
+	n.runPart(turf)
+	if n.hosted.turns[turnOf{"flood", 0}] == before {
+		t.Error("nobody has a turn when nothing else happens")
+	}
+}
+
+// Operators' keys are judged by what is current; a controller that can't know answers
+// questions about itself alone, by what it knew within the last minute, or by the key of
+// the file it was started with.
+func TestOperatorsInAnOutage(t *testing.T) {
+	n, _, _, _ := hostedOwner(t)
+	_, first, err := tenant.NewKey([tenant.RandomBytes]byte{1}, "admin", 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	watch, secret, err := tenant.NewKey([tenant.RandomBytes]byte{5}, "watch", 1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.hosted.operators.Keys = []tenant.OperatorKey{{Key: watch, Role: tenant.RoleRead}}
+	n.currentAt = n.now
+	asks := func(key tenant.Secret, what string) int {
+		n.effects = nil
+		n.handle(Ask{Req: 1, What: what, Caller: Caller{Auth: "Bearer " + key.String(), From: mustAddr(t, "192.0.2.1")}})
+		waiting := n.waiters
+		n.waiters = nil
+		for _, w := range waiting {
+			w.fail() // the state service does not answer
+		}
+		for _, e := range n.effects {
+			if r, ok := e.(Reply); ok {
+				return r.Status
+			}
+		}
+		return 0
+	}
+	for _, c := range []struct {
+		after time.Duration
+		key   tenant.Secret
+		what  string
+		want  int
+	}{{0, secret, "metrics", 200}, {0, secret, "tenants", 503}, {0, secret, "drain", 503}, {0, first, "set", 503}, {0, first, "members", 200},
+		{operatorTrust - time.Second, secret, "machines", 200}, {2 * time.Second, secret, "machines", 503}, {0, first, "machines", 200}, {0, first, "operators", 503}} {
+		n.now = n.now.Add(c.after)
+		if got := asks(c.key, c.what); got != c.want {
+			t.Errorf("%s by %s, the state last read %v ago: %d, expected %d", c.what, c.key.ID, n.now.Sub(n.currentAt), got, c.want)
+		}
+	}
+	n.hosted.operators.Retired = []tenant.KeyID{first.ID}
+	if got := asks(first, "metrics"); got != 401 {
+		t.Errorf("the retired key of the file: %d", got)
+	}
+}
--- a/control/usage.go
+++ b/control/usage.go
@@ -45,7 +45,7 @@
 func (n *Node) noteUse(holder tenant.Name, key tenant.KeyID) {
 	u, at := use{holder, key}, n.wall-n.wall%api.Wall(usedStep.Milliseconds())
 	h := &n.hosted.uses
-	if h.noted[u] >= at || n.hosted.admin.ID == key {
+	if was, noted := h.noted[u]; noted && was >= at || n.hosted.admin.ID == key {
 		return
 	}
 	if h.noted == nil {
--- a/internal/standin/acts_test.go
+++ b/internal/standin/acts_test.go
@@ -26,7 +26,6 @@
 	adds            string // the id of the key that it would make
 	teams           []string
 	cancel          bool
-	cpus            float64
 	job             api.JobRef
 	from, to        time.Duration
 	status          int
@@ -101,8 +100,9 @@
 type history struct {
 	w       *World
 	asked   []*asked
-	secrets map[string]string // by name
-	ids     map[string]string // the public parts of the same
+	secrets map[string]string        // by name
+	ids     map[string]string        // the public parts of the same
+	ends    map[string]time.Duration // when one expires, by its public part
 	was     map[string][]plain
 	wrong   []string
 }
@@ -126,6 +126,9 @@
 		if a.adds != "" && status == 200 && json.Unmarshal(body, &k) == nil {
 			name := a.name + "/" + a.sub + "/" + a.adds
 			h.secrets[name], h.ids[name] = k.Secret, string(k.ID)
+			if k.Expires != 0 {
+				h.ends[string(k.ID)] = time.Duration(k.Expires-1_000_000) * time.Millisecond
+			}
 		}
 		if a.then != nil && status == 200 {
 			a.then()
@@ -145,9 +148,17 @@
 		}
 		before = p
 	}
+	if end, ends := h.ends[id]; ends {
+		// Controllers refuse it by twice their clocks' error too soon at most, and none
+		// takes it too late.
+		some, all = some && from < end, all && to < end-2*clockError
+	}
 	return some, all
 }
 
+// clockError is by how much controllers' clocks are off at most.
+const clockError = 500 * time.Millisecond
+
 // follow reads the log as it was written and holds each change against what was asked.
 func (h *history) follow() {
 	claims := map[string]string{}
@@ -349,16 +360,23 @@
 	if err := l.settings(3, "10.0.0.1:1", "10.0.0.2:1"); err != nil {
 		t.Fatal(err)
 	}
+	for _, c := range l.Configs {
+		c.Deployment.ClockErrorMS = float64(clockError.Milliseconds())
+	}
 	accepted, revoked, refused := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := NewWorld(rapid.Uint64().Draw(t, "seed"), l.Configs)
+		w.Skew = map[string]time.Duration{}
+		for _, name := range w.names {
+			w.Skew[name] = time.Duration(rapid.IntRange(-1, 1).Draw(t, "skew")) * clockError
+		}
 		w.Host()
 		w.Cloud.Types = []api.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 5, Zones: []api.Zone{"a", "b"}}}
 		w.Cloud.Capacity = 3
 		for range 3 {
 			w.Cloud.Rent("small", "a", false, time.Second)
 		}
-		h := &history{w: w, secrets: map[string]string{"": w.Tenants.admin}, ids: map[string]string{}, was: map[string][]plain{}}
+		h := &history{w: w, secrets: map[string]string{"": w.Tenants.admin}, ids: map[string]string{}, ends: map[string]time.Duration{}, was: map[string][]plain{}}
 		w.StartAll()
 		at := func(name string) time.Duration {
 			return time.Duration(rapid.IntRange(4000, int(calm/time.Millisecond)).Draw(t, name)) * time.Millisecond
@@ -394,6 +412,11 @@
 				return control.Ask{Req: req, What: a.what, ID: a.name, Sub: a.sub, Body: data, Random: &random, Caller: c}
 			})
 		}
+		poll := func(node, name, key string) {
+			h.ask(node, &asked{what: "poll", name: name, key: key}, func(req control.ReqID, c control.Caller) control.Command {
+				return control.Poll{Req: req, Ref: "run-0", Caller: c}
+			})
+		}
 		names := []string{"kipper", "lopresti"}
 		// Each begins with a tenant that has a key, or most acts would come to nothing.
 		for i, name := range names {
@@ -463,15 +486,21 @@
 				case "key-add":
 					a.sub = fmt.Sprintf("k%d", pick)
 					body["name"] = a.sub
+					if pick%2 == 0 { // and whoever has it tries when it ends
+						end := w.Now + time.Duration(2+pick)*time.Second
+						body["expires"] = w.Wall() + api.Wall((end - w.Now).Milliseconds())
+						a.then = func() {
+							for i := range 9 {
+								key := name + "/" + a.sub + "/" + a.adds
+								w.After(max(0, end-w.Now+time.Duration(i-7)*clockError/2), func() { poll(w.names[i%3], name, key) })
+							}
+						}
+					}
 				case "key-revoke": // and whoever has it tries at once, elsewhere
 					a.sub = fmt.Sprintf("k%d", pick%2)
 					for _, key := range slices.Sorted(maps.Keys(h.secrets)) {
 						if strings.HasPrefix(key, name+"/"+a.sub+"/") {
-							a.then = func() {
-								h.ask(other, &asked{what: "poll", name: name, key: key}, func(req control.ReqID, c control.Caller) control.Command {
-									return control.Poll{Req: req, Ref: "run-0", Caller: c}
-								})
-							}
+							a.then = func() { poll(other, name, key) }
 						}
 					}
 				case "operators-put": // and a team takes of what is set aside at the same time
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -36,9 +36,10 @@
 	last    api.LeaseID
 	watches []*watch
 	out     bool // nobody is served
-	// Requests and Writes count what was asked, Largest is the largest value.
-	Requests, Writes, Largest int
-	refused                   map[string]bool // these nodes are not served
+	// Requests and Writes count what was asked, Largest is the largest value, Pages and
+	// PageBytes what was read page by page.
+	Requests, Writes, Largest, Pages, PageBytes int
+	refused                                     map[string]bool // these nodes are not served
 }
 
 func newState(w *World) *State {
@@ -260,12 +261,14 @@
 	}
 	sort.Strings(keys)
 	out := api.KeyPage{Revision: s.rev, Pairs: []api.Pair{}}
+	s.Pages++
 	for _, k := range keys {
 		if len(out.Pairs) == limit {
 			out.More = true
 			break
 		}
 		out.Pairs = append(out.Pairs, api.Pair{Key: k, Value: s.keys[k].value, Version: s.keys[k].ver})
+		s.PageBytes += len(k) + len(s.keys[k].value)
 	}
 	reply(answer, 200, out)
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -89,6 +89,9 @@
 	// arrive seconds late, after their sender has given up.
 	LoseAnswers, DelayState float64
 
+	// Skew is by how much a controller's wall clock is ahead.
+	Skew map[string]time.Duration
+
 	// Direct counts direct calls that reached a worker.
 	Direct int
 
@@ -115,6 +118,9 @@
 	frozen time.Duration // stands still until then
 }
 
+// Wall is the wall clock by true time; a controller's is off by what Skew says.
+func (w *World) Wall() api.Wall { return api.Wall(1_000_000 + w.Now.Milliseconds()) }
+
 // NewWorld builds a deployment; StartAll starts its controllers.
 func NewWorld(seed uint64, cfgs []*config.Config) *World {
 	w := &World{
@@ -224,7 +230,7 @@
 	}
 	cmds := h.inbox
 	h.inbox, h.woken = nil, false
-	effects := h.node.Step(api.Time(w.Now-h.begun)+1, api.Wall(1_000_000+w.Now.Milliseconds()), cmds)
+	effects := h.node.Step(api.Time(w.Now-h.begun)+1, w.Wall()+api.Wall(w.Skew[h.name].Milliseconds()), cmds)
 	for _, e := range effects {
 		w.perform(h, e)
 	}
