The client shows tables, changes only what is named, and ends so that programs can tell

Need: tables for people and JSON for programs, documented exit codes, errors naming the field; most answers were shown as JSON only.

Each subcommand's request is held against docs/openapi.yaml, and the API's limits on names, networks and bodies are tried on real sockets.

Found: admin tenant change replaced all that was not named by defaults, teams and networks included; it reads what is there and changes what is named. Teams were sent as null. Ruled out: PATCH beside PUT, a second way to do the same.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/url"
 	"os"
 	"slices"
@@ -16,6 +17,7 @@
 	"strings"
 	"time"
 
+	"basaltwall/api"
 	"basaltwall/control"
 	"basaltwall/httpx"
 )
@@ -116,6 +118,8 @@
 	Audit    pageCmd   `cmd:"" help:"Show the operators' changes in a hosted service."`
 	Tenant   tenantCmd `cmd:"" help:"Show and change the tenants of a hosted service."`
 
+	JSON bool `help:"Print JSON, for programs, where there is a table."`
+
 	Operators operatorsCmd `cmd:"" help:"Show and change who operates a hosted service, and from where."`
 	Team      teamCmd      `cmd:"" help:"Make, change and remove teams of a hosted service, beside the platform's."`
 }
@@ -175,7 +179,7 @@
 	}
 	switch chosen {
 	case "audit":
-		return c.call("GET", "audit?"+c.Audit.query(), nil)
+		return ofPath(c, "audit?"+c.Audit.query(), auditTable)
 	case "set <file>":
 		body, err := os.ReadFile(c.Set.File)
 		if err != nil {
@@ -194,6 +198,15 @@
 	return show(answer)
 }
 
+// ofPath shows what lies at a path as a table.
+func ofPath[T any](c *Cmd, path string, table func(io.Writer, T)) error {
+	body, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
+	if err != nil {
+		return err
+	}
+	return present(body, c.JSON, table)
+}
+
 // ask sends a request and returns the body of its answer, which must be 200 or 201.
 func ask(addr, keyFile, method, path string, body []byte) ([]byte, error) {
 	client := httpx.NewClient(16<<20, 1, 1)
@@ -206,10 +219,14 @@
 	}
 	r, err := client.Do(context.Background(), addr, method, path, body, 10*time.Second)
 	if err != nil {
-		return nil, err
+		return nil, &Refused{Path: path, Why: err.Error()}
 	}
 	if r.Status != 200 && r.Status != 201 {
-		return nil, fmt.Errorf("%s: %d: %s", path, r.Status, bytes.TrimSpace(r.Body))
+		var why api.ErrorBody
+		if json.Unmarshal(r.Body, &why) != nil {
+			why.Error = string(bytes.TrimSpace(r.Body))
+		}
+		return nil, &Refused{path, r.Status, why.Error, r.RetryAfter}
 	}
 	return r.Body, nil
 }
--- /dev/null
+++ b/admin/client_test.go
@@ -0,0 +1,205 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/getkin/kin-openapi/openapi3"
+
+	"basaltwall/api"
+	"basaltwall/control"
+	"basaltwall/tenant"
+)
+
+// commands are the client's, as the program has them.
+type commands struct {
+	Admin Cmd    `cmd:""`
+	Job   JobCmd `cmd:""`
+}
+
+// run does what a command line says.
+func run(t *testing.T, line ...string) error {
+	t.Helper()
+	var c commands
+	parser, err := kong.New(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, err := parser.Parse(line)
+	if err != nil {
+		t.Fatalf("%v: %v", line, err)
+	}
+	if chosen, ok := strings.CutPrefix(ctx.Command(), "admin "); ok {
+		return c.Admin.Do(chosen)
+	}
+	return c.Job.Do(strings.TrimPrefix(ctx.Command(), "job "))
+}
+
+func keyFile(t *testing.T) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(file, []byte("bw1.x.y\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// Each subcommand for a hosted service sends what docs/openapi.yaml names, with a body as
+// it says, the key, and the revision that it read just before.
+func TestCommandsSendWhatTheDocumentNames(t *testing.T) {
+	doc, err := openapi3.NewLoader().LoadFromFile("../docs/openapi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var last *http.Request
+	var sent []byte
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		last = r
+		sent, _ = io.ReadAll(r.Body)
+		switch {
+		case r.Header.Get("Authorization") != "Bearer bw1.x.y":
+			t.Errorf("%s %s with key %q", r.Method, r.URL, r.Header.Get("Authorization"))
+		case r.URL.Path == "/admin/v1/teams":
+			io.WriteString(w, `[{"team":"dispo","revision":7}]`)
+		case r.URL.Path == "/admin/v1/tenants":
+			io.WriteString(w, `[]`)
+		case strings.HasSuffix(r.URL.Path, "/usage"):
+			io.WriteString(w, `{"open":1}`)
+		default:
+			io.WriteString(w, `{"revision":7,"rate":2,"burst":4,"teams":["dispo"],"retention_s":60}`)
+		}
+	}))
+	defer s.Close()
+	job := filepath.Join(t.TempDir(), "job.json")
+	if err := os.WriteFile(job, []byte(`{"ref":"run-1","mestiere":"try","bottega":"red","forma":"sweep","urgenza":"normal","pezzi":8,"cores":1,"gpus":0,
+"ram_gb":1,"stampo":"img","image_gb":1,"together":false,"scatter":false,"avanzi":false,"stima_s":20,"tappa_s":0,"salvo_s":0}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	addr, key := strings.TrimPrefix(s.URL, "http://"), keyFile(t)
+	for line, want := range map[string]string{
+		"admin tenant list": "GET /admin/v1/tenants", "admin tenant show kipper": "GET /admin/v1/tenants/kipper",
+		"admin tenant add kipper --team dispo --rate 2 --burst 4 --network 10.0.0.0/8": "PUT /admin/v1/tenants/kipper",
+		"admin tenant change kipper --open-jobs 5":                                     "PUT /admin/v1/tenants/kipper",
+		"admin tenant suspend kipper --why unpaid":                                     "POST /admin/v1/tenants/kipper/suspend",
+		"admin tenant resume kipper":                                                   "POST /admin/v1/tenants/kipper/resume",
+		"admin tenant remove kipper --cancel":                                          "POST /admin/v1/tenants/kipper/remove",
+		"admin tenant usage kipper":                                                    "GET /admin/v1/tenants/kipper/usage",
+		"admin tenant key add kipper laptop --expires 1h":                              "POST /admin/v1/tenants/kipper/keys",
+		"admin tenant key revoke kipper laptop":                                        "POST /admin/v1/tenants/kipper/keys/laptop/revoke",
+		"admin operators show":                                                         "GET /admin/v1/operators",
+		"admin operators change --cpus 4 --network=":                                   "PUT /admin/v1/operators",
+		"admin operators key add watch --role read":                                    "POST /admin/v1/operators/keys",
+		"admin operators key revoke first":                                             "POST /admin/v1/operators/keys/first/revoke",
+		"admin team put dispo --cpus 3 --cpus-max 4":                                   "PUT /admin/v1/teams/dispo",
+		"admin team remove dispo":                                                      "POST /admin/v1/teams/dispo/remove",
+		"admin audit --limit 5":                                                        "GET /admin/v1/audit",
+		"job submit " + job:                                                            "POST /v1/jobs",
+		"job show run-1":                                                               "GET /v1/jobs/run-1",
+		"job list":                                                                     "GET /v1/jobs",
+		"job usage":                                                                    "GET /v1/usage",
+		"job history --after x":                                                        "GET /v1/history",
+		"job cancel run-1":                                                             "POST /v1/jobs/run-1/withdraw",
+	} {
+		words := strings.Fields(line)
+		if err := run(t, append([]string{words[0], "--addr", addr, "--key-file", key}, words[1:]...)...); err != nil {
+			t.Errorf("%s: %v", line, err)
+			continue
+		}
+		if got := last.Method + " " + last.URL.Path; got != want {
+			t.Errorf("%s asks %s, expected %s", line, got, want)
+			continue
+		}
+		var op *openapi3.Operation
+		for template, item := range doc.Paths.Map() {
+			parts := strings.Split(template, "/")
+			for i, part := range strings.Split(last.URL.Path, "/") {
+				if i < len(parts) && strings.HasPrefix(parts[i], "{") {
+					parts[i] = part
+				}
+			}
+			if strings.Join(parts, "/") == last.URL.Path && item.GetOperation(last.Method) != nil {
+				op = item.GetOperation(last.Method)
+			}
+		}
+		if op == nil {
+			t.Errorf("%s asks %s, which the document does not name", line, want)
+			continue
+		}
+		if op.RequestBody == nil {
+			continue
+		}
+		var body map[string]any
+		if err := json.Unmarshal(sent, &body); err != nil {
+			t.Errorf("%s sends %s: %v", line, sent, err)
+			continue
+		}
+		if err := op.RequestBody.Value.Content["application/json"].Schema.Value.VisitJSON(body); err != nil {
+			t.Errorf("%s sends %s: %v", line, sent, err)
+		}
+		if body["open_jobs"] == 5.0 && (body["rate"] != 2.0 || len(body["teams"].([]any)) != 1 || body["retention_s"] != 60.0) {
+			t.Errorf("%s changes what it does not name: %s", line, sent)
+		}
+		if rev, named := body["revision"]; named && rev != 7.0 && !strings.Contains(line, " add kipper --team") {
+			t.Errorf("%s names revision %v, read was 7", line, rev)
+		}
+	}
+}
+
+// A program can tell from the end of a command whether it is worth asking again.
+func TestExitCodes(t *testing.T) {
+	status, retry := 200, ""
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if retry != "" {
+			w.Header().Set("Retry-After", retry)
+		}
+		w.WriteHeader(status)
+		io.WriteString(w, `{"error":"name: is taken"}`)
+	}))
+	addr, key := strings.TrimPrefix(s.URL, "http://"), keyFile(t)
+	for _, c := range []struct {
+		status, code int
+		retry, part  string
+	}{{200, 0, "", ""}, {409, 1, "", "name: is taken"}, {403, 1, "", "403"}, {429, 75, "3", "again in 3 s"}, {503, 75, "1", "503"}, {0, 75, "", ""}} {
+		if status, retry = c.status, c.retry; status == 0 {
+			s.Close() // nobody answers
+		}
+		err := run(t, "job", "--addr", addr, "--key-file", key, "usage")
+		code := 0
+		if e, ok := err.(kong.ExitCoder); ok {
+			code = e.ExitCode()
+		} else if err != nil {
+			t.Errorf("%d: %T %v", c.status, err, err)
+		}
+		if code != c.code || err != nil && !strings.Contains(err.Error(), c.part) {
+			t.Errorf("%d: %v, ends with %d, expected %d and %q", c.status, err, code, c.code, c.part)
+		}
+	}
+}
+
+// What people read of a tenant and of operators says the same as the answer.
+func TestTables(t *testing.T) {
+	var out bytes.Buffer
+	networks, err := tenant.ParseNetworks([]string{"10.0.0.0/8", "2001:db8::/32"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tenantTable(&out, control.TenantAt{Tenant: tenant.Tenant{Name: "kipper", State: tenant.Suspended, Why: "unpaid", Teams: []api.Team{"dispo", "red"}, Networks: networks, Retention: 3600},
+		Keys: []control.KeyView{{ID: "00aa", Name: "laptop", Created: 1}}, Jobs: 3, Tasks: 9, Revision: 12})
+	operatorsTable(&out, control.OperatorsAt{First: "11bb", Retired: true, Keys: []control.OperatorKeyView{{KeyView: control.KeyView{Name: "watch"}, Role: tenant.RoleRead}}, CPUs: 4, Given: tenant.Given{CPUs: 3}})
+	queueTable(&out, control.QueueView{Open: 2, Jobs: []control.OpenJob{{Ref: "run-7", State: api.JobPending, Why: "suspended: unpaid"}}, After: "x-run-7"})
+	usageTable(&out, control.UsageView{Open: 2, OpenJobs: 2000, Teams: []control.TeamUsage{{Team: "dispo", CPUs: 2, CPUsMax: 6}}})
+	for _, part := range []string{"suspended\tunpaid", "dispo,red", "3\tof 2000", "10.0.0.0/8,2001:db8::/32", "laptop\t00aa", "1h0m0s", "rate\tnone",
+		"11bb\tretired", "4 CPUs, 3 given", "\tread", "run-7\tpending", "2 open", "more with --after x-run-7", "2 of 2000", "dispo\t2\t0\t6\t0\t0\tnone"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("%q is missing in\n%s", part, out.String())
+		}
+	}
+}
--- a/admin/operators.go
+++ b/admin/operators.go
@@ -54,7 +54,7 @@
 	o := &c.Operators
 	switch chosen {
 	case "show":
-		return c.call("GET", "operators", nil)
+		return ofPath(c, "operators", operatorsTable)
 	case "change":
 		return c.putOperators(o.Change)
 	case "key add <key>":
@@ -67,19 +67,14 @@
 	return fmt.Errorf("operators %s: no such command", chosen)
 }
 
-// texts are the networks that were named, or those that are there.
-func texts(named *[]string, there []netip.Prefix) []string {
-	out := []string{}
-	if named == nil {
-		for _, p := range there {
-			out = append(out, p.String())
-		}
-		return out
+// texts are the networks that are named, or those that are there.
+func texts(list *[]string, there []netip.Prefix) []string {
+	if list != nil {
+		return named(*list)
 	}
-	for _, s := range *named {
-		if s != "" {
-			out = append(out, s)
-		}
+	out := []string{}
+	for _, p := range there {
+		out = append(out, p.String())
 	}
 	return out
 }
@@ -93,12 +88,8 @@
 	if err := json.Unmarshal(data, &at); err != nil {
 		return fmt.Errorf("operators: %w", err)
 	}
-	if p.CPUs != nil {
-		at.CPUs = *p.CPUs
-	}
-	if p.GPUs != nil {
-		at.GPUs = *p.GPUs
-	}
+	set(&at.CPUs, p.CPUs)
+	set(&at.GPUs, p.GPUs)
 	body, err := json.Marshal(map[string]any{"revision": at.Revision, "networks": texts(p.Network, at.Networks.Prefixes()),
 		"proxies": texts(p.Proxy, at.Proxies.Prefixes()), "cpus": at.CPUs, "gpus": at.GPUs})
 	if err != nil {
--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -5,12 +5,13 @@
 	"fmt"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"basaltwall/api"
 	"basaltwall/control"
+	"basaltwall/tenant"
 )
 
 // OfHosted reports whether a path is of a hosted service only.
@@ -89,29 +90,28 @@
 	List    struct{}      `cmd:"" help:"List the tenants."`
 	Show    tenantNameCmd `cmd:"" help:"Show a tenant with its keys."`
 	Add     tenantPutCmd  `cmd:"" help:"Add a tenant."`
-	Change  tenantPutCmd  `cmd:"" help:"Replace what is agreed with a tenant."`
+	Change  tenantPutCmd  `cmd:"" help:"Change what is agreed with a tenant; what is not named stays."`
 	Suspend suspendCmd    `cmd:"" help:"Start nothing more of a tenant and let drain what runs."`
 	Resume  tenantNameCmd `cmd:"" help:"Let a suspended tenant go on."`
 	Remove  removeCmd     `cmd:"" help:"Remove a suspended tenant."`
 	Usage   tenantNameCmd `cmd:"" help:"Show what a tenant has open, waiting and running, and what became of its submissions."`
 	Key     keyCmd        `cmd:"" help:"Make and revoke a tenant's keys."`
-
-	JSON bool `help:"Print JSON, for programs."`
 }
 
 type tenantNameCmd struct {
 	Name string `arg:"" help:"The tenant's name."`
 }
 
+// tenantPutCmd names what is agreed with a tenant; what is nil is not named.
 type tenantPutCmd struct {
-	Name      string        `arg:"" help:"The tenant's name: a to z, 0 to 9 and -."`
-	Display   string        `help:"How it is called."`
-	Team      []string      `help:"A team that belongs to it; may be repeated."`
-	Rate      float64       `help:"Submissions a second, of the whole service (0: no bound)."`
-	Burst     float64       `help:"Submissions at once, where there is a rate."`
-	OpenJobs  int           `help:"Jobs that are not over, at most (0: 2000)."`
-	Network   []string      `help:"A network from which it may come, as 192.0.2.0/24; may be repeated (none: from anywhere)."`
-	Retention time.Duration `default:"2160h" help:"For how long its history is kept."`
+	Name      string         `arg:"" help:"The tenant's name: a to z, 0 to 9 and -."`
+	Display   *string        `help:"How it is called."`
+	Team      *[]string      `help:"A team that belongs to it; may be repeated."`
+	Rate      *float64       `help:"Submissions a second, of the whole service (0: no bound)."`
+	Burst     *float64       `help:"Submissions at once, where there is a rate."`
+	OpenJobs  *int           `help:"Jobs that are not over, at most (0: 2000)."`
+	Network   *[]string      `help:"A network from which it may come, as 192.0.2.0/24; may be repeated. An empty one stands for anywhere."`
+	Retention *time.Duration `help:"For how long its history is kept (a new tenant's: 2160h)."`
 }
 
 type suspendCmd struct {
@@ -146,19 +146,19 @@
 	t := &c.Tenant
 	switch chosen {
 	case "list":
-		return c.listTenants()
+		return ofPath(c, "tenants", tenantsTable)
 	case "show <name>":
-		return c.call("GET", "tenants/"+url.PathEscape(t.Show.Name), nil)
+		return ofPath(c, "tenants/"+url.PathEscape(t.Show.Name), tenantTable)
 	case "usage <name>":
-		return c.call("GET", "tenants/"+url.PathEscape(t.Usage.Name)+"/usage", nil)
+		return ofPath(c, "tenants/"+url.PathEscape(t.Usage.Name)+"/usage", usageTable)
 	case "add <name>":
-		return c.putTenant(t.Add, 0)
+		return c.putTenant(t.Add, control.TenantAt{Tenant: tenant.Tenant{Retention: (90 * 24 * time.Hour).Seconds()}})
 	case "change <name>":
 		at, err := c.readTenant(t.Change.Name)
 		if err != nil {
 			return err
 		}
-		return c.putTenant(t.Change, at.Revision)
+		return c.putTenant(t.Change, at)
 	case "suspend <name>":
 		return c.act("tenants/"+url.PathEscape(t.Suspend.Name), "suspend", map[string]any{"why": t.Suspend.Why, "drain_s": t.Suspend.Drain.Seconds()})
 	case "resume <name>":
@@ -185,15 +185,43 @@
 	return at, nil
 }
 
-func (c *Cmd) putTenant(p tenantPutCmd, revision api.Revision) error {
-	body, err := json.Marshal(map[string]any{"revision": revision, "display": p.Display, "teams": p.Team, "rate": p.Rate, "burst": p.Burst,
-		"open_jobs": p.OpenJobs, "networks": append([]string{}, p.Network...), "retention_s": p.Retention.Seconds()})
+// putTenant sends what is agreed: what is there already, but for what is named.
+func (c *Cmd) putTenant(p tenantPutCmd, at control.TenantAt) error {
+	t := at.Tenant
+	set(&t.Display, p.Display)
+	set(&t.Rate, p.Rate)
+	set(&t.Burst, p.Burst)
+	set(&t.OpenJobs, p.OpenJobs)
+	if p.Retention != nil {
+		t.Retention = p.Retention.Seconds()
+	}
+	teams := []string{}
+	for _, team := range t.Teams {
+		teams = append(teams, string(team))
+	}
+	if p.Team != nil {
+		teams = named(*p.Team)
+	}
+	body, err := json.Marshal(map[string]any{"revision": at.Revision, "display": t.Display, "teams": teams, "rate": t.Rate, "burst": t.Burst,
+		"open_jobs": t.OpenJobs, "networks": texts(p.Network, t.Networks.Prefixes()), "retention_s": t.Retention})
 	if err != nil {
 		return err
 	}
 	return c.call("PUT", "tenants/"+url.PathEscape(p.Name), body)
 }
 
+// set changes what is named.
+func set[T any](to, named *T) {
+	if named != nil {
+		*to = *named
+	}
+}
+
+// named is a list of what is not empty.
+func named(list []string) []string {
+	return slices.DeleteFunc(append([]string{}, list...), func(s string) bool { return s == "" })
+}
+
 // act asks for a change of what lies at a path, naming the revision that is read there.
 func (c *Cmd) act(path, what string, body map[string]any) error {
 	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
@@ -222,30 +250,6 @@
 	return body
 }
 
-func (c *Cmd) listTenants() error {
-	body, err := ask(c.Addr, c.KeyFile, "GET", Prefix+"tenants", nil)
-	if err != nil {
-		return err
-	}
-	if c.Tenant.JSON {
-		return show(body)
-	}
-	var all []control.TenantAt
-	if err := json.Unmarshal(body, &all); err != nil {
-		return fmt.Errorf("tenants: %w", err)
-	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "TENANT\tSTATE\tTEAMS\tOPEN JOBS\tTASKS\tKEYS\tWHY")
-	for _, t := range all {
-		teams := make([]string, len(t.Teams))
-		for i, team := range t.Teams {
-			teams[i] = string(team)
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", t.Name, t.State, strings.Join(teams, ","), t.Jobs, t.Tasks, len(t.Keys), t.Why)
-	}
-	return w.Flush()
-}
-
 // JobCmd is the client of a hosted service's tenants.
 type JobCmd struct {
 	Addr    string `required:"" placeholder:"IP:PORT" help:"A controller's api_addr, or a balancer's."`
@@ -255,10 +259,12 @@
 		File string `arg:"" type:"existingfile" help:"A file with the job in JSON."`
 	} `cmd:"" help:"Submit a job."`
 	Show    jobCmd  `cmd:"" help:"Show a job's state."`
-	List    listCmd `cmd:"" help:"List your jobs that are not over, the oldest first."`
+	List    pageCmd `cmd:"" help:"List your jobs that are not over, the oldest first."`
 	Usage   showCmd `cmd:"" help:"Show what you have open, waiting and running, and what your teams may hold."`
 	History pageCmd `cmd:"" help:"List your jobs that are over, the oldest first."`
 	Cancel  jobCmd  `cmd:"" help:"Cancel a job."`
+
+	JSON bool `help:"Print JSON, for programs, where there is a table."`
 }
 
 // Do runs the subcommand that was chosen.
@@ -273,7 +279,7 @@
 		}
 		method, path = "POST", api.PathJobs
 	case "list":
-		return c.list()
+		path = api.PathJobs + "?" + c.List.query()
 	case "usage":
 		path = api.PathUsage
 	case "history":
@@ -285,39 +291,13 @@
 	if err != nil {
 		return err
 	}
-	return show(answer)
-}
-
-type listCmd struct {
-	pageCmd
-	JSON bool `help:"Print JSON, for programs."`
-}
-
-// list prints a page of the tenant's jobs that are not over.
-func (c *JobCmd) list() error {
-	body, err := ask(c.Addr, c.KeyFile, "GET", api.PathJobs+"?"+c.List.query(), nil)
-	if err != nil {
-		return err
-	}
-	if c.List.JSON {
-		return show(body)
-	}
-	var v control.QueueView
-	if err := json.Unmarshal(body, &v); err != nil {
-		return fmt.Errorf("list: %w", err)
-	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "JOB\tSTATE\tCLASS\tTEAM\tDONE\tRUNNING\tTASKS\tACCEPTED\tWHY IT WAITS")
-	for _, j := range v.Jobs {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", j.Ref, j.State, j.Class, j.Team, j.Done, j.Running, j.Tasks,
-			time.UnixMilli(int64(j.Accepted)).Format(time.DateTime), j.Why)
-	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	fmt.Printf("%d open\n", v.Open)
-	if v.After != "" {
-		fmt.Printf("more with --after %s\n", v.After)
+	switch chosen {
+	case "list":
+		return present(answer, c.JSON, queueTable)
+	case "usage":
+		return present(answer, c.JSON, usageTable)
+	case "history":
+		return present(answer, c.JSON, historyTable)
 	}
-	return nil
+	return show(answer)
 }
--- a/cmd/basaltwall/main.go
+++ b/cmd/basaltwall/main.go
@@ -144,6 +144,9 @@
 	}
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "basaltwall:", err)
+		if e := kong.ExitCoder(nil); errors.As(err, &e) {
+			os.Exit(e.ExitCode())
+		}
 		os.Exit(1)
 	}
 }
--- a/httpx/parse.go
+++ b/httpx/parse.go
@@ -35,9 +35,10 @@
 
 // Response is a parsed response. Body is a copy of its own.
 type Response struct {
-	Status int
-	Body   []byte
-	Close  bool
+	Status     int
+	Body       []byte
+	Close      bool
+	RetryAfter int // in seconds; 0 if not said, or as a date
 }
 
 type head struct {
@@ -50,6 +51,7 @@
 	size    int
 
 	auth, forwarded string
+	retryAfter      int
 }
 
 // parseHead reads the start line and the headers; size 0 means more is needed.
@@ -103,6 +105,10 @@
 				value = h.forwarded + "," + value
 			}
 			h.forwarded = value
+		case strings.EqualFold(name, "Retry-After"):
+			if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+				h.retryAfter = s
+			}
 		case strings.EqualFold(name, "Expect"):
 			h.expect = strings.EqualFold(value, "100-continue")
 		}
@@ -246,7 +252,7 @@
 	if err != nil || status < 100 || status > 599 || (len(rest) > 3 && rest[3] != ' ') {
 		return Response{}, 0, ErrMalformed
 	}
-	r := Response{Status: status, Close: h.close || (version == "HTTP/1.0" && !h.keep)}
+	r := Response{Status: status, RetryAfter: h.retryAfter, Close: h.close || (version == "HTTP/1.0" && !h.keep)}
 	if status < 200 || status == 204 || status == 304 {
 		return r, h.size, nil
 	}
@@ -268,7 +274,7 @@
 }
 
 var statusText = map[int]string{
-	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	200: "OK", 201: "Created", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
 	409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request", 422: "Unprocessable Content",
 	429: "Too Many Requests", 500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -251,6 +251,17 @@
 	expect("an unknown field", 400, "colour")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":0,"colour":1}`))
 	expect("a bad network", 400, "networks")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":0,"networks":["10.0.0.1/8"]}`))
 	expect("no revision", 409, "revision")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"teams":["red"]}`))
+	expect("a name too long", 400, "name:")(call(0, root, "PUT", "/admin/v1/tenants/"+strings.Repeat("k", 41), `{"revision":0}`))
+	expect("a name with a way out", 400, "name:")(call(0, root, "PUT", "/admin/v1/tenants/%2e%2e", `{"revision":0}`))
+	expect("a wrong type", 400, "rate: wrong type")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":0,"rate":"much"}`))
+	expect("no JSON", 400, "")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":0`))
+	expect("a rate without a burst", 400, "burst:")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":0,"rate":1}`))
+	many := make([]string, 1000)
+	for i := range many {
+		many[i] = fmt.Sprintf(`"10.%d.%d.0/24"`, i/250, i%250)
+	}
+	expect("more networks than a record holds", 400, "networks:")(call(0, root, "PUT", "/admin/v1/tenants/kipper", `{"revision":0,"networks":[`+strings.Join(many, ",")+`]}`))
+	expect("a body too long", 413, "")(call(0, root, "PUT", "/admin/v1/tenants/kipper", strings.Repeat(" ", 70_000)))
 	keys := map[string]string{}
 	for name, team := range map[string]string{"kipper": "red", "lopresti": "blue"} {
 		put := `{"revision":0,"teams":["` + team + `"],"retention_s":60}`
