--- a/control/hosted.go
+++ b/control/hosted.go
@@ -41,7 +41,8 @@
 	taken     map[tenant.Name]*taken
 	turns     map[turnOf]int // how often a tenant's jobs took turns in a part's rounds
 
-	open    map[tenant.Name]counted
+	coming  map[tenant.Name]map[api.JobRef]bool // jobs that this controller is writing
+	fullAt  map[tenant.Name]api.Time            // when as many were open as may be
 	tendAt  api.Time
 	writing bool // a removal is being ended
 
@@ -53,7 +54,7 @@
 
 func (n *Node) initHosted() {
 	if h := n.cfg.Hosted; h != nil {
-		n.hosted = &hosted{admin: h.Admin, buckets: map[tenant.Name]*tenant.Bucket{}, open: map[tenant.Name]counted{},
+		n.hosted = &hosted{admin: h.Admin, buckets: map[tenant.Name]*tenant.Bucket{}, coming: map[tenant.Name]map[api.JobRef]bool{}, fullAt: map[tenant.Name]api.Time{},
 			taken: map[tenant.Name]*taken{}, turns: map[turnOf]int{}}
 	}
 }
@@ -287,13 +288,15 @@
 	job := book.KeyJob + string(spec.Ref)
 	tx := api.Txn{If: []api.Condition{{Key: job}, {Key: book.KeyFinal + string(spec.Ref)}, n.book.If(keyTenant + string(e.Name))},
 		Writes: []api.Write{{Put: job, Value: data}}}
+	n.comes(e.Name, spec.Ref)
 	n.txn(tx, func(a StateAnswer) {
 		switch a.Status {
 		case 200:
-			n.countOpen(e.Name, 1)
 			n.tally(e.Name, "")
 			n.reply(c.Req, 201, api.JobStatus{Ref: shown, State: api.JobPending}, 0)
-			n.current(func() {}, func() {})
+			gone := func() { n.goes(e.Name, spec.Ref) }
+			n.current(gone, gone)
+			return
 		case 409:
 			again(func() { n.lookup(spec.Ref, known, elsewhere, elsewhere) })
 		case 429:
@@ -301,6 +304,7 @@
 		default:
 			elsewhere()
 		}
+		n.goes(e.Name, spec.Ref)
 	})
 }
 
@@ -309,8 +313,8 @@
 // is at fault.
 func (n *Node) admit(e *tenant.Entry) (ok bool, wait time.Duration, field, why string) {
 	h := n.hosted
-	if n.countOpen(e.Name, 0) >= e.Bound() {
-		return false, 10 * time.Second, "open_jobs", "as many of your jobs are not over as may be"
+	if n.full(e) {
+		return false, 2 * time.Second, "open_jobs", "as many of your jobs are not over as may be"
 	}
 	members := len(n.book.Members)
 	if e.Rate > 0 {
@@ -346,23 +350,50 @@
 	return w
 }
 
-// counted is how many of a tenant's jobs are not over, as last counted, and accepted here
-// since.
-type counted struct {
-	jobs int
-	at   api.Time
+// full is whether as many of a tenant's jobs are not over as may be: by the book, and by what
+// this controller is writing. The others may be writing as many, so each of them takes no
+// more than its part of what the book leaves: with one book they come to less than their
+// number too much together, and with news under way to what those are about. For a while a
+// tenant that was full is taken to be: it may ask often, and have very many.
+func (n *Node) full(e *tenant.Entry) bool {
+	h, own := n.hosted, n.book.Of[string(e.Name)]
+	members := max(1, len(n.book.Members))
+	if len(own)+members*len(h.coming[e.Name]) < e.Bound() {
+		return false
+	}
+	if at, ok := h.fullAt[e.Name]; ok && n.now.Sub(at) < fullFor {
+		return true
+	}
+	open := n.workOf(e.Name).open
+	for ref := range h.coming[e.Name] {
+		if own[ref] == nil {
+			open += members
+		}
+	}
+	if open < e.Bound() {
+		return false
+	}
+	h.fullAt[e.Name] = n.now
+	return true
 }
 
-// countOpen is how many of a tenant's jobs are not over, and so many more: counted anew
-// every second, so that what other controllers accepted since is not in it.
-func (n *Node) countOpen(name tenant.Name, more int) int {
-	c, known := n.hosted.open[name]
-	if !known || n.now.Sub(c.at) > time.Second {
-		c = counted{n.workOf(name).open, n.now}
+// fullFor is for how long nobody counts again.
+const fullFor = 250 * time.Millisecond
+
+// comes notes a job that is being written, goes that it is not or that the book has it.
+func (n *Node) comes(name tenant.Name, ref api.JobRef) {
+	if n.hosted.coming[name] == nil {
+		n.hosted.coming[name] = map[api.JobRef]bool{}
+	}
+	n.hosted.coming[name][ref] = true
+}
+
+func (n *Node) goes(name tenant.Name, ref api.JobRef) {
+	if of := n.hosted.coming[name]; of != nil {
+		if delete(of, ref); len(of) == 0 {
+			delete(n.hosted.coming, name)
+		}
 	}
-	c.jobs += more
-	n.hosted.open[name] = c
-	return c.jobs
 }
 
 // roundJobs is how many of a tenant's jobs a part's round looks at, so that nobody's queue
--- a/internal/standin/acts_test.go
+++ b/internal/standin/acts_test.go
@@ -384,7 +384,7 @@
 		node := func() string { return rapid.SampledFrom(w.names).Draw(t, "node") }
 		for range rapid.IntRange(0, 5).Draw(t, "faults") {
 			n, length := node(), time.Duration(rapid.IntRange(1, 10).Draw(t, "length"))*time.Second
-			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			switch rapid.IntRange(0, 4).Draw(t, "fault") {
 			case 0:
 				w.After(at("crash"), func() { w.Crash(n, length/2) })
 			case 1:
@@ -393,6 +393,8 @@
 			case 2:
 				w.After(at("freeze"), func() { w.Freeze(n, length) })
 			case 3:
+				w.After(at("outage"), func() { w.State.Outage(length) })
+			case 4:
 				lose, delay := rapid.Float64Range(0, 0.3).Draw(t, "lose"), rapid.Float64Range(0, 0.3).Draw(t, "delay")
 				w.After(at("trouble"), func() { w.LoseAnswers, w.DelayState = lose, delay })
 			}
--- a/internal/standin/restart_test.go
+++ b/internal/standin/restart_test.go
@@ -130,3 +130,53 @@
 		t.Error(x)
 	}
 }
+
+// A bound on open jobs holds against a burst that comes to all controllers at once: each
+// takes its part of what is left. Where every one counted for itself, all three took as
+// many as there might be together.
+func TestOpenJobsAreBounded(t *testing.T) {
+	w := large(t, 1, 1, 0)
+	const bound = 20
+	var x tenant.Tenant
+	w.must(json.Unmarshal(w.State.keys["b/tenant/tenant-0000"].value, &x))
+	x.OpenJobs, x.Rate, x.Burst = bound, 0, 0
+	data, err := json.Marshal(x)
+	w.must(err)
+	w.State.rev++
+	w.State.change(api.Change{Put: "b/tenant/tenant-0000", Value: data, Version: w.State.rev}, 0)
+	w.StartAll()
+	accepted, refused := 0, 0
+	send := func(from int) {
+		for i := range 100 {
+			ref := api.JobRef(fmt.Sprintf("run-%d", from+i))
+			w.Tenants.Own("tenant-0000", ref)
+			body, err := json.Marshal(submission(&api.JobSpec{Ref: ref, Class: "try", Team: "red", Kind: api.Array, Priority: api.Normal, Tasks: 1, CPUs: 1, MemGB: 1, Image: "img", ImageGB: 1, Estimate: 2}))
+			w.must(err)
+			caller := control.Caller{Auth: "Bearer " + w.Tenants.secrets["tenant-0000"]}
+			w.Users.Request(w.names[i%3], "POST", api.PathJobs, caller, body, 5*time.Second, func(status int, _ []byte) {
+				switch status {
+				case 201:
+					accepted++
+				case 429:
+					refused++
+				}
+			})
+		}
+	}
+	w.After(3*time.Second, func() { send(0) })
+	w.After(5*time.Second, func() { send(100) })
+	w.Run(10 * time.Second)
+	if accepted < bound || accepted >= bound+len(w.names) || accepted+refused != 200 {
+		t.Errorf("%d accepted and %d refused of 200, of a bound of %d", accepted, refused, bound)
+	}
+	before := accepted
+	w.Cloud.Capacity = 3
+	for range 3 {
+		w.Cloud.Rent("small", "a", false, time.Second)
+	}
+	w.After(30*time.Second, func() { send(200) })
+	w.Run(50 * time.Second)
+	if accepted < before+bound {
+		t.Errorf("%d more accepted once the first were over", accepted-before)
+	}
+}
