--- a/admin/client_test.go
+++ b/admin/client_test.go
@@ -74,7 +74,7 @@
 		case strings.HasSuffix(r.URL.Path, "/usage"):
 			io.WriteString(w, `{"open":1}`)
 		default:
-			io.WriteString(w, `{"revision":7,"rate":2,"burst":4,"teams":["dispo"],"retention_s":60}`)
+			io.WriteString(w, `{"revision":7,"rate":2,"burst":4,"teams":["dispo"],"networks":["10.0.0.0/8"],"retention_s":60}`)
 		}
 	}))
 	defer s.Close()
@@ -86,27 +86,27 @@
 	addr, key := strings.TrimPrefix(s.URL, "http://"), keyFile(t)
 	for line, want := range map[string]string{
 		"admin tenant list": "GET /admin/v1/tenants", "admin tenant show kipper": "GET /admin/v1/tenants/kipper",
-		"admin tenant add kipper --team dispo --rate 2 --burst 4 --network 10.0.0.0/8": "PUT /admin/v1/tenants/kipper",
-		"admin tenant change kipper --open-jobs 5":                                     "PUT /admin/v1/tenants/kipper",
-		"admin tenant suspend kipper --why unpaid":                                     "POST /admin/v1/tenants/kipper/suspend",
-		"admin tenant resume kipper":                                                   "POST /admin/v1/tenants/kipper/resume",
-		"admin tenant remove kipper --cancel":                                          "POST /admin/v1/tenants/kipper/remove",
-		"admin tenant usage kipper":                                                    "GET /admin/v1/tenants/kipper/usage",
-		"admin tenant key add kipper laptop --expires 1h":                              "POST /admin/v1/tenants/kipper/keys",
-		"admin tenant key revoke kipper laptop":                                        "POST /admin/v1/tenants/kipper/keys/laptop/revoke",
-		"admin operators show":                                                         "GET /admin/v1/operators",
-		"admin operators change --cpus 4 --network=":                                   "PUT /admin/v1/operators",
-		"admin operators key add watch --role read":                                    "POST /admin/v1/operators/keys",
-		"admin operators key revoke first":                                             "POST /admin/v1/operators/keys/first/revoke",
-		"admin team put dispo --cpus 3 --cpus-max 4":                                   "PUT /admin/v1/teams/dispo",
-		"admin team remove dispo":                                                      "POST /admin/v1/teams/dispo/remove",
-		"admin audit --limit 5":                                                        "GET /admin/v1/audit",
-		"job submit " + job:                                                            "POST /v1/jobs",
-		"job show run-1":                                                               "GET /v1/jobs/run-1",
-		"job list":                                                                     "GET /v1/jobs",
-		"job usage":                                                                    "GET /v1/usage",
-		"job history --after x":                                                        "GET /v1/history",
-		"job cancel run-1":                                                             "POST /v1/jobs/run-1/withdraw",
+		"admin tenant add kipper --team dispo --team red --rate 2 --burst 4 --network 10.0.0.0/8 --network 192.0.2.1": "PUT /admin/v1/tenants/kipper",
+		"admin tenant change kipper --open-jobs 5":        "PUT /admin/v1/tenants/kipper",
+		"admin tenant suspend kipper --why unpaid":        "POST /admin/v1/tenants/kipper/suspend",
+		"admin tenant resume kipper":                      "POST /admin/v1/tenants/kipper/resume",
+		"admin tenant remove kipper --cancel":             "POST /admin/v1/tenants/kipper/remove",
+		"admin tenant usage kipper":                       "GET /admin/v1/tenants/kipper/usage",
+		"admin tenant key add kipper laptop --expires 1h": "POST /admin/v1/tenants/kipper/keys",
+		"admin tenant key revoke kipper laptop":           "POST /admin/v1/tenants/kipper/keys/laptop/revoke",
+		"admin operators show":                            "GET /admin/v1/operators",
+		"admin operators change --cpus 4 --network=":      "PUT /admin/v1/operators",
+		"admin operators key add watch --role read":       "POST /admin/v1/operators/keys",
+		"admin operators key revoke first":                "POST /admin/v1/operators/keys/first/revoke",
+		"admin team put dispo --cpus 3 --cpus-max 4":      "PUT /admin/v1/teams/dispo",
+		"admin team remove dispo":                         "POST /admin/v1/teams/dispo/remove",
+		"admin audit --limit 5":                           "GET /admin/v1/audit",
+		"job submit " + job:                               "POST /v1/jobs",
+		"job show run-1":                                  "GET /v1/jobs/run-1",
+		"job list":                                        "GET /v1/jobs",
+		"job usage":                                       "GET /v1/usage",
+		"job history --after x":                           "GET /v1/history",
+		"job cancel run-1":                                "POST /v1/jobs/run-1/withdraw",
 	} {
 		words := strings.Fields(line)
 		if err := run(t, append([]string{words[0], "--addr", addr, "--key-file", key}, words[1:]...)...); err != nil {
@@ -144,6 +144,13 @@
 		if err := op.RequestBody.Value.Content["application/json"].Schema.Value.VisitJSON(body); err != nil {
 			t.Errorf("%s sends %s: %v", line, sent, err)
 		}
+		// Repeated flags add up; once the last one alone was sent.
+		if teams, _ := json.Marshal(body["teams"]); strings.Contains(line, " --team dispo --team red ") && (string(teams) != `["dispo","red"]` || len(body["networks"].([]any)) != 2) {
+			t.Errorf("%s sends %s", line, sent)
+		}
+		if list, ok := body["networks"].([]any); strings.Contains(line, "--network=") && (!ok || len(list) != 0) {
+			t.Errorf("%s sends %s", line, sent)
+		}
 		if body["open_jobs"] == 5.0 && (body["rate"] != 2.0 || len(body["teams"].([]any)) != 1 || body["retention_s"] != 60.0) {
 			t.Errorf("%s changes what it does not name: %s", line, sent)
 		}
--- a/admin/operators.go
+++ b/admin/operators.go
@@ -22,10 +22,10 @@
 }
 
 type operatorsPutCmd struct {
-	Network *[]string `help:"A network from which operators may come, as 192.0.2.0/24; may be repeated. An empty one stands for anywhere."`
-	Proxy   *[]string `help:"A network of proxies whose X-Forwarded-For is believed; may be repeated. An empty one stands for none."`
-	CPUs    *float64  `name:"cpus" help:"What teams made here may be guaranteed together."`
-	GPUs    *float64  `name:"gpus" help:"The same of accelerators."`
+	Network []string `help:"A network from which operators may come, as 192.0.2.0/24; may be repeated. An empty one stands for anywhere."`
+	Proxy   []string `help:"A network of proxies whose X-Forwarded-For is believed; may be repeated. An empty one stands for none."`
+	CPUs    *float64 `name:"cpus" help:"What teams made here may be guaranteed together."`
+	GPUs    *float64 `name:"gpus" help:"The same of accelerators."`
 }
 
 type operatorKeyCmd struct {
@@ -68,9 +68,9 @@
 }
 
 // texts are the networks that are named, or those that are there.
-func texts(list *[]string, there []netip.Prefix) []string {
+func texts(list []string, there []netip.Prefix) []string {
 	if list != nil {
-		return named(*list)
+		return named(list)
 	}
 	out := []string{}
 	for _, p := range there {
--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -102,15 +102,16 @@
 	Name string `arg:"" help:"The tenant's name."`
 }
 
-// tenantPutCmd names what is agreed with a tenant; what is nil is not named.
+// tenantPutCmd names what is agreed with a tenant; what is nil is not named, and a list that
+// holds an empty text alone is an empty one.
 type tenantPutCmd struct {
 	Name      string         `arg:"" help:"The tenant's name: a to z, 0 to 9 and -."`
 	Display   *string        `help:"How it is called."`
-	Team      *[]string      `help:"A team that belongs to it; may be repeated."`
+	Team      []string       `help:"A team that belongs to it; may be repeated."`
 	Rate      *float64       `help:"Submissions a second, of the whole service (0: no bound)."`
 	Burst     *float64       `help:"Submissions at once, where there is a rate."`
 	OpenJobs  *int           `help:"Jobs that are not over, at most (0: 2000)."`
-	Network   *[]string      `help:"A network from which it may come, as 192.0.2.0/24; may be repeated. An empty one stands for anywhere."`
+	Network   []string       `help:"A network from which it may come, as 192.0.2.0/24; may be repeated. An empty one stands for anywhere."`
 	Retention *time.Duration `help:"For how long its history is kept (a new tenant's: 2160h)."`
 }
 
@@ -200,7 +201,7 @@
 		teams = append(teams, string(team))
 	}
 	if p.Team != nil {
-		teams = named(*p.Team)
+		teams = named(p.Team)
 	}
 	body, err := json.Marshal(map[string]any{"revision": at.Revision, "display": t.Display, "teams": teams, "rate": t.Rate, "burst": t.Burst,
 		"open_jobs": t.OpenJobs, "networks": texts(p.Network, t.Networks.Prefixes()), "retention_s": t.Retention})
--- a/internal/standin/live/main.go
+++ b/internal/standin/live/main.go
@@ -32,6 +32,8 @@
   echo '{"ref":"run-1","mestiere":"try","bottega":"red","forma":"sweep","urgenza":"normal","pezzi":8,"cores":1,"gpus":0,"ram_gb":1,"stampo":"img","image_gb":1,"together":false,"scatter":false,"avanzi":false,"stima_s":20,"tappa_s":0,"salvo_s":0}' > %[2]s/job.json
   target/basaltwall job --addr %[3]s submit %[2]s/job.json
   target/basaltwall job --addr %[3]s show run-1
+  target/basaltwall job --addr %[3]s list
+  target/basaltwall job --addr %[3]s usage
 Suspend, resume and remove it as the operator:
   export BASALTWALL_KEY_FILE=%[2]s/admin.key
   target/basaltwall admin --addr %[1]s tenant suspend kipper --why unpaid --drain 30s
