--- a/admin/admin.go
+++ b/admin/admin.go
@@ -62,6 +62,8 @@
 		if ask.After, ask.Limit, ok = Page(r); !ok {
 			return nil, 400
 		}
+	case parts[0] == "pools":
+		return poolCommand(ask, parts[1:], r.Method)
 	case parts[0] == "operators":
 		return operatorsCommand(ask, parts[1:], r.Method)
 	case parts[0] == "teams": // one of them
@@ -121,6 +123,7 @@
 	JSON bool `help:"Print JSON, for programs, where there is a table."`
 
 	Operators operatorsCmd `cmd:"" help:"Show and change who operates a hosted service, and from where."`
+	Pool      poolCmd      `cmd:"" help:"Show, make, resize, freeze and remove pools of counted resources."`
 	Team      teamCmd      `cmd:"" help:"Make, change and remove teams of a hosted service, beside the platform's."`
 }
 
@@ -174,6 +177,8 @@
 		return c.tenant(rest)
 	case "operators":
 		return c.operators(rest)
+	case "pool":
+		return c.pool(rest)
 	case "team":
 		return c.team(rest)
 	}
--- a/admin/client_test.go
+++ b/admin/client_test.go
@@ -69,7 +69,7 @@
 			t.Errorf("%s %s with key %q", r.Method, r.URL, r.Header.Get("Authorization"))
 		case r.URL.Path == "/admin/v1/teams":
 			io.WriteString(w, `[{"team":"dispo","revision":7}]`)
-		case r.URL.Path == "/admin/v1/tenants":
+		case r.URL.Path == "/admin/v1/tenants" || r.URL.Path == "/admin/v1/pools":
 			io.WriteString(w, `[]`)
 		case strings.HasSuffix(r.URL.Path, "/usage"):
 			io.WriteString(w, `{"open":1}`)
@@ -100,13 +100,15 @@
 		"admin operators key revoke first":                "POST /admin/v1/operators/keys/first/revoke",
 		"admin team put dispo --cpus 3 --cpus-max 4":      "PUT /admin/v1/teams/dispo",
 		"admin team remove dispo":                         "POST /admin/v1/teams/dispo/remove",
-		"admin audit --limit 5":                           "GET /admin/v1/audit",
-		"job submit " + job:                               "POST /v1/jobs",
-		"job show run-1":                                  "GET /v1/jobs/run-1",
-		"job list":                                        "GET /v1/jobs",
-		"job usage":                                       "GET /v1/usage",
-		"job history --after x":                           "GET /v1/history",
-		"job cancel run-1":                                "POST /v1/jobs/run-1/withdraw",
+		"admin pool list":                                 "GET /admin/v1/pools", "admin pool show routing": "GET /admin/v1/pools/routing",
+		"admin pool put routing --size 3 --team dispo --frozen": "PUT /admin/v1/pools/routing", "admin pool remove routing": "POST /admin/v1/pools/routing/remove",
+		"admin audit --limit 5": "GET /admin/v1/audit",
+		"job submit " + job:     "POST /v1/jobs",
+		"job show run-1":        "GET /v1/jobs/run-1",
+		"job list":              "GET /v1/jobs",
+		"job usage":             "GET /v1/usage",
+		"job history --after x": "GET /v1/history",
+		"job cancel run-1":      "POST /v1/jobs/run-1/withdraw",
 	} {
 		words := strings.Fields(line)
 		if err := run(t, append([]string{words[0], "--addr", addr, "--key-file", key}, words[1:]...)...); err != nil {
--- /dev/null
+++ b/admin/pools.go
@@ -0,0 +1,127 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+
+	"basaltwall/control"
+	"basaltwall/pool"
+)
+
+type poolCmd struct {
+	List   struct{}    `cmd:"" help:"List the pools: size, what is held, who waits."`
+	Show   poolNameCmd `cmd:"" help:"Show a pool with its shares and holders."`
+	Put    poolPutCmd  `cmd:"" help:"Make a pool, or change one; what is not named stays."`
+	Remove poolNameCmd `cmd:"" help:"Remove a pool that nobody holds or waits for."`
+}
+
+type poolNameCmd struct {
+	Name string `arg:"" help:"The pool's name."`
+}
+
+type poolPutCmd struct {
+	Name    string   `arg:"" help:"The pool's name: a to z, 0 to 9 and -."`
+	Size    *int     `help:"How many units there are. Below what is held, nothing more is handed out until so many have ended."`
+	Largest *int     `help:"How many there may ever be: jobs that ask for more at once are refused (by itself: the size)."`
+	Unit    *string  `help:"What is counted, in words."`
+	Team    []string `help:"A team that may use it; may be repeated. An empty one stands for none."`
+	Tenant  []string `help:"A tenant that may use it; may be repeated. Without teams and tenants everybody may."`
+	Frozen  *bool    `negatable:"" help:"Hand out nothing more."`
+}
+
+// pool runs a subcommand on pools.
+func (c *Cmd) pool(chosen string) error {
+	switch chosen {
+	case "list":
+		return ofPath(c, "pools", poolsTable)
+	case "show <name>":
+		return ofPath(c, "pools/"+url.PathEscape(c.Pool.Show.Name), poolTable)
+	case "put <name>":
+		return c.putPool(c.Pool.Put)
+	case "remove <name>":
+		return c.act("pools/"+url.PathEscape(c.Pool.Remove.Name), "remove", map[string]any{})
+	}
+	return fmt.Errorf("pool %s: no such command", chosen)
+}
+
+func (c *Cmd) putPool(p poolPutCmd) error {
+	var at control.PoolView
+	path := "pools/" + url.PathEscape(p.Name)
+	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
+	var refused *Refused
+	switch {
+	case errors.As(err, &refused) && refused.Status == 404: // a new one
+	case err != nil:
+		return err
+	default:
+		if err := json.Unmarshal(data, &at); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	frozen := at.State == pool.Frozen
+	set(&at.Size, p.Size)
+	set(&at.Largest, p.Largest)
+	set(&at.Unit, p.Unit)
+	set(&frozen, p.Frozen)
+	teams, tenants := []string{}, []string{}
+	for _, t := range at.Teams {
+		teams = append(teams, string(t))
+	}
+	for _, t := range at.Tenants {
+		tenants = append(tenants, string(t))
+	}
+	if p.Team != nil {
+		teams = named(p.Team)
+	}
+	if p.Tenant != nil {
+		tenants = named(p.Tenant)
+	}
+	body, err := json.Marshal(map[string]any{"revision": at.Revision, "size": at.Size, "largest": max(at.Largest, at.Size), "unit": at.Unit,
+		"teams": teams, "tenants": tenants, "frozen": frozen})
+	if err != nil {
+		return err
+	}
+	return c.call("PUT", path, body)
+}
+
+func sum(list []int) int {
+	s := 0
+	for _, v := range list {
+		s += v
+	}
+	return s
+}
+
+func poolsTable(w io.Writer, all []control.PoolView) {
+	row(w, "POOL", "STATE", "SIZE", "HELD", "WAITING", "OLDEST WAIT", "UNIT")
+	for _, p := range all {
+		row(w, p.Name, p.State, p.Size, sum(p.Held), p.Waiting, fmt.Sprintf("%.0f s", p.Oldest), p.Unit)
+	}
+}
+
+func poolTable(w io.Writer, p control.PoolView) {
+	row(w, "pool", p.Name, p.Unit)
+	row(w, "state", p.State)
+	row(w, "size", p.Size, fmt.Sprintf("largest %d", p.Largest))
+	row(w, "held", sum(p.Held))
+	row(w, "waiting", p.Waiting, fmt.Sprintf("the oldest for %.0f s", p.Oldest))
+	row(w, "teams", joined(p.Teams))
+	row(w, "tenants", joined(p.Tenants))
+	row(w, "revision", p.Revision)
+	row(w)
+	row(w, "PART", "SHARE", "HELD", "FREE")
+	for q := range p.Shares {
+		row(w, q, p.Shares[q], p.Held[q], p.Free[q])
+	}
+	row(w)
+	row(w, "HOLDER", "TENANT", "TEAM", "UNITS", "TASKS")
+	for _, h := range p.Holders {
+		if h.Ref == "" {
+			h.Ref = h.Job
+		}
+		row(w, h.Ref, h.Tenant, h.Team, h.Units, h.Tasks)
+	}
+}
--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -17,7 +17,7 @@
 // OfHosted reports whether a path is of a hosted service only.
 func OfHosted(path string) bool {
 	first, rest, _ := strings.Cut(strings.TrimPrefix(path, Prefix), "/")
-	return first == "tenants" || first == "operators" || first == "audit" || first == "teams" && rest != ""
+	return first == "tenants" || first == "operators" || first == "audit" || first == "pools" || first == "teams" && rest != ""
 }
 
 // operatorsCommand is what a request under operators asks of the owner.
@@ -42,6 +42,28 @@
 	return ask, 0
 }
 
+// poolCommand is what a request under pools asks of the owner.
+func poolCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
+	want := "GET"
+	switch {
+	case len(parts) == 0:
+		ask.What = "pools"
+	case len(parts) == 1 && parts[0] != "":
+		ask.What, ask.ID = "pool", parts[0]
+		if method == "PUT" {
+			ask.What, want = "pool-put", "PUT"
+		}
+	case len(parts) == 2 && parts[0] != "" && parts[1] == "remove":
+		ask.What, ask.ID, want = "pool-remove", parts[0], "POST"
+	default:
+		return nil, 404
+	}
+	if method != want {
+		return nil, 405
+	}
+	return ask, 0
+}
+
 // teamCommand is what a request on one team asks of the owner.
 func teamCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
 	want := "PUT"
--- a/api/wire.go
+++ b/api/wire.go
@@ -115,6 +115,32 @@
 	Checkpoint float64    `json:"tappa_s,omitempty"`
 	Save       float64    `json:"salvo_s,omitempty"`
 	Deadline   *float64   `json:"consegna_s,omitempty"`
+	Needs      []Need     `json:"gettoni,omitempty"` // of pools, in a hosted service
+}
+
+// PoolName names a pool of counted resources.
+type PoolName string
+
+// Need is what a job takes of a pool: so many units with each of its tasks, from its start to
+// its end, and so many as long as any of its tasks is on a machine.
+type Need struct {
+	Pool PoolName `json:"nome"`
+	Task int      `json:"a_pezzo,omitempty"`
+	Job  int      `json:"a_lavoro,omitempty"`
+}
+
+// Units is what so many tasks take of it, the job's own part with it if it is not held yet.
+func (n Need) Units(tasks int, held bool) int {
+	u := n.Task * tasks
+	if !held && tasks > 0 {
+		u += n.Job
+	}
+	return u
+}
+
+// OfJob reports whether the job takes units for itself.
+func (s *JobSpec) OfJob() bool {
+	return slices.ContainsFunc(s.Needs, func(n Need) bool { return n.Job > 0 })
 }
 
 // Demand is what one task takes.
@@ -124,7 +150,9 @@
 
 // Whole reports whether the job's tasks constrain each other's placement, so
 // that one part must hold them all.
-func (s *JobSpec) Whole() bool { return s.Kind != Array || s.OneZone || s.Spread }
+func (s *JobSpec) Whole() bool {
+	return s.Kind != Array || s.OneZone || s.Spread || s.OfJob()
+}
 
 type rawSpec struct {
 	Ref        *string     `json:"ref"`
@@ -147,10 +175,17 @@
 	Checkpoint *float64    `json:"tappa_s"`
 	Save       *float64    `json:"salvo_s"`
 	Deadline   *float64    `json:"consegna_s"`
+	Needs      []Need      `json:"gettoni"`
 }
 
 const maxTasks = 100_000
 
+// Bounds on what a job asks of pools.
+const (
+	maxNeeds = 4
+	maxUnits = 1_000_000
+)
+
 // ParseJob reads a submission; the error names the field at fault.
 func ParseJob(body []byte) (*JobSpec, error) {
 	var r rawSpec
@@ -207,6 +242,14 @@
 		s.Zone = *r.Zone
 	}
 	check(s.CPUs > 0 || s.GPUs > 0 || s.MemGB > 0, "cores")
+	check(len(r.Needs) <= maxNeeds, "gettoni")
+	for i, n := range r.Needs {
+		check(n.Pool != "" && len(n.Pool) <= 40, "gettoni.nome")
+		check(!slices.ContainsFunc(r.Needs[:i], func(o Need) bool { return o.Pool == n.Pool }), "gettoni.nome")
+		check(n.Task >= 0 && n.Task <= maxUnits, "gettoni.a_pezzo")
+		check(n.Job >= 0 && n.Job <= maxUnits && n.Task+n.Job > 0, "gettoni.a_lavoro")
+	}
+	s.Needs = r.Needs
 	if bad != "" {
 		return nil, fmt.Errorf("%s: missing or invalid", bad)
 	}
--- a/book/book.go
+++ b/book/book.go
@@ -39,6 +39,7 @@
 	Note   J
 
 	doneBy map[api.PartID]*Set
+	live   int // places that are not over
 }
 
 // State is what users are told. A job all of whose tasks are done is done even
@@ -94,6 +95,7 @@
 // Part is a part of the machines by the record.
 type Part struct {
 	Use   map[api.Team]api.Resources // of the places that are not over
+	Held  map[api.PoolName]int       // units that the same hold
 	Ranks [4]int                     // places by priority, gangs' aside
 	Owner api.Label
 	Term  api.Revision
@@ -143,7 +145,7 @@
 	}
 	for i := range b.Parts {
 		b.Parts[i].given = map[api.PartID]map[api.Team]api.Resources{}
-		b.Parts[i].Use = map[api.Team]api.Resources{}
+		b.Parts[i].Use, b.Parts[i].Held = map[api.Team]api.Resources{}, map[api.PoolName]int{}
 		b.OnPart[i] = map[*Place[J, P]]bool{}
 	}
 	b.kinds = append([]Kind{
@@ -393,8 +395,19 @@
 	}
 	use := b.Parts[p.Part].Use
 	use[p.Job.Spec.Team] = use[p.Job.Spec.Team].Plus(need)
+	before := p.Job.live
+	p.Job.live += n
+	for _, x := range p.Job.Spec.Needs {
+		b.Parts[p.Part].Held[x.Pool] += n * x.Task
+		if before == 0 || p.Job.live == 0 { // the job's own, with the first and the last
+			b.Parts[p.Part].Held[x.Pool] += n * x.Job
+		}
+	}
 }
 
+// Live is how many of the job's places are not over.
+func (j *Job[J, P]) Live() int { return j.live }
+
 // SetOver notes whether there is evidence that a place is over.
 func (b *Book[J, P]) SetOver(p *Place[J, P], over bool) {
 	if p.Over == over {
--- a/control/ask.go
+++ b/control/ask.go
@@ -124,6 +124,8 @@
 		err = n.actOnOperators(c)
 	case "team-put", "team-remove":
 		err = n.actOnTeam(c)
+	case "pools", "pool", "pool-put", "pool-remove":
+		err = n.actOnPools(c)
 	case "audit":
 		n.askAudit(c)
 	default:
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -330,6 +330,7 @@
 	for name, team := range n.teams {
 		left[name] = limitOf(team).Minus(use[name])
 	}
+	units := n.poolsLeft()
 	jobs := slices.SortedFunc(maps.Values(n.book.Open), func(a, b *Job) int {
 		if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
 			return d
@@ -349,6 +350,17 @@
 			waiting += j.Waiting(api.PartID(p))
 		}
 		waiting = min(waiting, j.Demand.Slots(left[j.Spec.Team]), budget)
+		if len(j.Spec.Needs) > 0 { // no machine for work that its pools keep waiting
+			sj := sched.Job{Spec: j.Spec, Holds: j.Live() > 0}
+			fits := sj.InUnits(units, waiting)
+			if j.Spec.Kind == api.Gang && fits < waiting {
+				fits = 0
+			}
+			waiting = fits
+			if waiting > 0 {
+				sj.TakeUnits(units, waiting)
+			}
+		}
 		budget -= waiting
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(waiting))
 		if waiting <= 0 {
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -15,6 +15,7 @@
 
 	"basaltwall/api"
 	"basaltwall/book"
+	"basaltwall/pool"
 	"basaltwall/tenant"
 )
 
@@ -36,6 +37,7 @@
 
 	operators tenant.Operators
 	teams     map[api.Team]TeamAt // that operators made
+	pools     pools
 	given     tenant.Given
 	uses      uses
 	taken     map[tenant.Name]*taken
@@ -66,8 +68,9 @@
 	}
 	t, h := tenant.NewTable(), n.hosted
 	h.table, h.operators, h.teams, h.given = t, tenant.Operators{}, map[api.Team]TeamAt{}, tenant.Given{}
+	h.pools.table, h.pools.moving = pool.NewTable(n.cfg.Deployment.Size), map[api.PoolName]bool{}
 	n.platformTeams()
-	return []book.Kind{{Prefix: keyTenant, Put: t.Put, Drop: t.Drop}, {Prefix: keyTeam, Put: n.putTeam},
+	return []book.Kind{{Prefix: keyPool, Put: h.pools.table.Put}, {Prefix: keyTenant, Put: t.Put, Drop: t.Drop}, {Prefix: keyTeam, Put: n.putTeam},
 		book.One(keyOperators, &h.operators), book.One(keyGiven, &h.given)}
 }
 
@@ -274,6 +277,10 @@
 		refuse(422, why, 0)
 		return
 	}
+	if why := n.mayNeed(spec, e.Name); why != "" {
+		again(func() { refuse(422, why, 0) })
+		return
+	}
 	if ok, wait, field, why := n.admit(e); !ok {
 		n.tally(e.Name, field)
 		refuse(429, field+": "+why, max(wait, time.Second))
@@ -288,6 +295,9 @@
 	job := book.KeyJob + string(spec.Ref)
 	tx := api.Txn{If: []api.Condition{{Key: job}, {Key: book.KeyFinal + string(spec.Ref)}, n.book.If(keyTenant + string(e.Name))},
 		Writes: []api.Write{{Put: job, Value: data}}}
+	for _, need := range spec.Needs { // or it would wait for a pool that was removed meanwhile
+		tx.If = append(tx.If, n.book.If(keyPool+string(need.Pool)))
+	}
 	n.comes(e.Name, spec.Ref)
 	n.txn(tx, func(a StateAnswer) {
 		switch a.Status {
@@ -465,6 +475,7 @@
 		return
 	}
 	h.tendAt = n.now
+	n.tendPools()
 	n.sweepHistory()
 	draining := map[tenant.Name][]*Place{} // services whose time is up
 	var removing []*tenant.Entry
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -173,6 +173,9 @@
 	if !need.Fits(left) {
 		return fmt.Sprintf("limit: team %s has %.1f CPUs and %.1f GPUs left here", j.Spec.Team, left.CPU.Float(), left.GPU.Float())
 	}
+	if why := n.whyPool(j, p); why != "" {
+		return why
+	}
 	allowed, usable, free := 0, 0, 0
 	for _, r := range rooms {
 		if r.part != p || !sched.Allowed(j.Spec, r.kind.Type, r.kind.Zone, r.kind.Spot) {
--- a/control/part.go
+++ b/control/part.go
@@ -31,18 +31,19 @@
 	putting bool // final states are being put away
 	putNext api.Time
 
-	want    map[api.Team]api.Resources // share that waiting tasks lack
-	planned map[api.Team]bool          // teams the last round placed tasks of
-	gaveAt  map[api.PartID]api.Time    // no further gift to a part before
-	waiting int
-	leftOut int // jobs that the last round did not look at, see inTurn
-	moving  bool
-	lending bool
-	lendAt  api.Time
-	lack    []Lack
-	moveAt  api.Time
-	looked  api.JobRef                      // the job last looked at for moving
-	coming  map[api.MachineID]api.Resources // what the round in flight starts, by machine
+	want     map[api.Team]api.Resources // share that waiting tasks lack
+	planned  map[api.Team]bool          // teams the last round placed tasks of
+	gaveAt   map[api.PartID]api.Time    // no further gift to a part before
+	waiting  int
+	leftOut  int // jobs that the last round did not look at, see inTurn
+	poolTurn int // of pools, where there are more than a round may name
+	moving   bool
+	lending  bool
+	lendAt   api.Time
+	lack     []Lack
+	moveAt   api.Time
+	looked   api.JobRef                      // the job last looked at for moving
+	coming   map[api.MachineID]api.Resources // what the round in flight starts, by machine
 }
 
 // writing is a round's record on its way to the state service.
@@ -150,6 +151,7 @@
 	}
 	w.txn.If = append(w.txn.If, n.book.If(slot),
 		t.mine())
+	w.txn.If = append(w.txn.If, n.poolConditions(w.starts)...)
 	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
 	w.begun = n.now
 	t.writing, t.coming = w, map[api.MachineID]api.Resources{}
@@ -274,6 +276,9 @@
 		return d
 	}
 	room, maxCond := n.recordRoom(), n.recordConditions()
+	if n.hosted != nil && n.hosted.pools.table.Len() > 0 {
+		maxCond -= min(roundPools, n.hosted.pools.table.Len())
+	}
 	ends := slices.SortedFunc(maps.Keys(t.ends), func(a, b *Place) int {
 		if a.Task.Job != b.Task.Job {
 			if a.Task.Job < b.Task.Job {
@@ -417,11 +422,11 @@
 		least = api.Resources{CPU: min(least.CPU, j.Demand.CPU), GPU: min(least.GPU, j.Demand.GPU), Mem: min(least.Mem, j.Demand.Mem)}
 		jobs = append(jobs, j)
 	}
-	jobs = n.inTurn(t, jobs)
+	units, jobs := n.units(t, n.inTurn(t, jobs))
 	if len(jobs) == 0 {
 		return nil
 	}
-	in := &sched.Input{Largest: n.largest, Left: n.leftOf(t.part), Most: most}
+	in := &sched.Input{Units: units, Largest: n.largest, Left: n.leftOf(t.part), Most: most}
 	var machines []*Machine // with room for something
 	cpus, usable := 0.0, 0
 	for _, m := range n.machinesOf(t.part) {
@@ -451,7 +456,7 @@
 			continue // where its other tasks are is not known yet
 		}
 		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
-			Entitled: n.entitled(j, total), Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn,
+			Entitled: n.entitled(j, total), Holds: j.Live() > 0, Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn,
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.Note.failedOn)*2 > usable {
 			sj.AvoidedBy = nil
@@ -665,6 +670,7 @@
 	searches := maxPreempt
 	for i, j := range jobs {
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(placed[i]))
+		in.Jobs[i].TakeUnits(in.Units, placed[i])
 	}
 	for i, j := range jobs {
 		missing := len(in.Jobs[i].Pending) - placed[i]
@@ -679,6 +685,9 @@
 				continue
 			}
 		}
+		if in.Jobs[i].InUnits(in.Units, missing) < 1 || j.Spec.Kind == api.Gang && in.Jobs[i].InUnits(in.Units, missing) < missing {
+			continue // a machine would not help
+		}
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
 			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec)})
 		}
--- /dev/null
+++ b/control/pools.go
@@ -0,0 +1,447 @@
+package control
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/book"
+	"basaltwall/pool"
+	"basaltwall/tenant"
+)
+
+// keyPool holds a pool's record. A round that hands out units is conditional on it as it was
+// folded; see docs/pools.md.
+const keyPool = book.Root + "pool/"
+
+// Bounds on what a round and a second do for pools.
+const (
+	roundPools = 8           // a round hands out units of so many pools at most
+	shareEvery = time.Second // how often a pool's shares are looked at
+)
+
+// pools is what a controller keeps of pools beyond their records.
+type pools struct {
+	table  *pool.Table
+	lookAt api.Time
+	moving map[api.PoolName]bool // its shares are being written
+	moves  uint64
+}
+
+// heldOf is what each part holds of a pool by the book.
+func (n *Node) heldOf(name api.PoolName) []int {
+	out := make([]int, len(n.book.Parts))
+	for i := range n.book.Parts {
+		out[i] = n.book.Parts[i].Held[name]
+	}
+	return out
+}
+
+// asker is a job that waits in a part for units of a pool.
+type asker struct {
+	job  *Job
+	part api.PartID
+	ask  pool.Ask
+}
+
+// asking lists who waits for a pool, in the order in which they are served: by priority,
+// then by age. Work that may not start anyway is not among them.
+func (n *Node) asking(name api.PoolName) []asker {
+	var out []asker
+	for _, j := range n.book.Open {
+		i := slices.IndexFunc(j.Spec.Needs, func(x api.Need) bool { return x.Pool == name })
+		if i < 0 || n.held(j) || j.Note.hold > n.now {
+			continue
+		}
+		need := j.Spec.Needs[i]
+		for p := range n.book.Parts {
+			waiting := j.Waiting(api.PartID(p))
+			if waiting == 0 {
+				continue
+			}
+			a := pool.Ask{Part: api.PartID(p), Units: need.Units(1, j.Live() > 0), Starts: waiting}
+			if j.Spec.Kind == api.Gang {
+				a.Units, a.Starts = need.Units(j.Spec.Tasks, false), 1
+			}
+			a.Reserve = a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
+			out = append(out, asker{j, api.PartID(p), a})
+		}
+	}
+	slices.SortFunc(out, func(a, b asker) int {
+		return cmp.Or(b.job.Spec.Priority.Rank()-a.job.Spec.Priority.Rank(), cmp.Compare(a.job.Accepted, b.job.Accepted),
+			cmp.Compare(a.job.Ref, b.job.Ref), int(a.part-b.part))
+	})
+	return out
+}
+
+// units is what a part may hand out of the pools that jobs need, and the jobs that may ask
+// for it: those that come after one that reserves what it lacks are left out. Of more
+// pools than a round may name some are looked at by turns.
+func (n *Node) units(t *turf, jobs []*Job) (map[api.PoolName]int, []*Job) {
+	var names []api.PoolName
+	for _, j := range jobs {
+		for _, need := range j.Spec.Needs {
+			if !slices.Contains(names, need.Pool) {
+				names = append(names, need.Pool)
+			}
+		}
+	}
+	if len(names) == 0 {
+		return nil, jobs
+	}
+	slices.Sort(names)
+	if len(names) > roundPools {
+		from := t.poolTurn % len(names)
+		t.poolTurn += roundPools
+		names = slices.Concat(names[from:], names[:from])[:roundPools]
+	}
+	out, after := map[api.PoolName]int{}, map[*Job]bool{}
+	for _, name := range names {
+		e := n.poolOf(name)
+		if e == nil || !n.understood(e) {
+			continue
+		}
+		out[name] = e.Free(t.part, n.heldOf(name))
+		var first *Job // that reserves, and has room for what it reserves for
+		looks := maxAsks
+		for _, a := range n.asking(name) {
+			if first != nil && a.job != first {
+				after[a.job] = true
+			}
+			if first != nil || !a.ask.Reserve || looks == 0 {
+				continue
+			}
+			if looks--; a.job.Spec.Whole() || n.roomByPart(a.job.Spec)[a.part] > 0 {
+				first = a.job
+			}
+		}
+	}
+	return out, slices.DeleteFunc(jobs, func(j *Job) bool { return after[j] })
+}
+
+func (n *Node) poolOf(name api.PoolName) *pool.Entry {
+	if n.hosted == nil {
+		return nil
+	}
+	return n.hosted.pools.table.Get(name)
+}
+
+// understood reports whether what is known of a pool is its latest record. Where that could
+// not be read the one before is kept, under which nothing may be handed out any more.
+func (n *Node) understood(e *pool.Entry) bool {
+	return e.Revision == n.book.Version(keyPool+string(e.Name))
+}
+
+// mayNeed says why a job may not ask for what it needs of pools, or nothing.
+func (n *Node) mayNeed(s *api.JobSpec, name tenant.Name) string {
+	for _, need := range s.Needs {
+		e := n.poolOf(need.Pool)
+		tasks := 1
+		if s.Kind == api.Gang {
+			tasks = s.Tasks
+		}
+		switch {
+		case e == nil || e.State == pool.Removed || !e.Allows(s.Team, name):
+			return fmt.Sprintf("gettoni.nome: no pool %q", need.Pool)
+		case need.Units(tasks, false) > e.Largest:
+			return fmt.Sprintf("gettoni: %d units of %s at once, of which there are never more than %d", need.Units(tasks, false), need.Pool, e.Largest)
+		}
+	}
+	return ""
+}
+
+// poolsLeft is what may still be handed out of the pools in all parts together.
+func (n *Node) poolsLeft() map[api.PoolName]int {
+	if n.hosted == nil || n.hosted.pools.table.Len() == 0 {
+		return nil
+	}
+	out := map[api.PoolName]int{}
+	for _, name := range n.hosted.pools.table.Names() {
+		e := n.hosted.pools.table.Get(name)
+		if e.State != pool.Active {
+			continue
+		}
+		left := e.Size
+		for _, h := range n.heldOf(name) {
+			left -= h
+		}
+		out[name] = max(0, left)
+	}
+	return out
+}
+
+// whyPool says which pool keeps a job from starting in a part, or nothing.
+func (n *Node) whyPool(j *Job, p api.PartID) string {
+	for _, need := range j.Spec.Needs {
+		e := n.poolOf(need.Pool)
+		if e == nil {
+			return fmt.Sprintf("pool %s: there is none", need.Pool)
+		}
+		tasks := 1
+		if j.Spec.Kind == api.Gang {
+			tasks = j.Spec.Tasks
+		}
+		units, held := need.Units(tasks, j.Live() > 0), n.heldOf(need.Pool)
+		all := 0
+		for _, h := range held {
+			all += h
+		}
+		switch {
+		case !n.understood(e):
+			return fmt.Sprintf("pool %s: its record is not understood", need.Pool)
+		case e.State != pool.Active:
+			return fmt.Sprintf("pool %s is %s", need.Pool, e.State)
+		case units > e.Size:
+			return fmt.Sprintf("pool %s has %d units, fewer than the %d that are needed at once", need.Pool, e.Size, units)
+		case units > e.Free(p, held):
+			return fmt.Sprintf("pool %s: %d of %d units are held, %d are needed, %d are to be had here", need.Pool, all, e.Size, units, e.Free(p, held))
+		}
+	}
+	return ""
+}
+
+// tendPools moves shares of pools to where they are asked for. Of each pool the owner of
+// one part does; whoever does, nothing goes wrong.
+func (n *Node) tendPools() {
+	h := &n.hosted.pools
+	if h.table.Len() == 0 || n.now.Sub(h.lookAt) < shareEvery || n.behind() {
+		return
+	}
+	h.lookAt = n.now
+	for i, name := range h.table.Names() {
+		t := n.turfs[api.PartID(i%len(n.book.Parts))]
+		e := h.table.Get(name)
+		if t == nil || h.moving[name] || e.State != pool.Active || !n.understood(e) {
+			continue
+		}
+		asks := n.placeable(n.asking(name))
+		if len(asks) == 0 {
+			continue
+		}
+		held := n.heldOf(name)
+		now := e.Pool
+		now.Shares = pool.Divide(e.Size, held, asks)
+		if pool.Served(&now, held, asks) <= pool.Served(&e.Pool, held, asks) {
+			continue
+		}
+		data, err := json.Marshal(now)
+		if err != nil {
+			slog.Error("shares not written", "pool", name, "err", err)
+			continue
+		}
+		h.moving[name] = true
+		key := keyPool + string(name)
+		tx := api.Txn{If: []api.Condition{{Key: key, Version: e.Revision}, t.mine()}, Writes: []api.Write{{Put: key, Value: data}}}
+		n.txn(tx, func(a StateAnswer) {
+			delete(h.moving, name)
+			if a.Status == 200 {
+				h.moves++
+				n.current(func() {}, func() {})
+			}
+		})
+	}
+}
+
+// maxAsks bounds the jobs whose room is looked for when a pool's shares are.
+const maxAsks = 64
+
+// placeable puts those who ask where there is room for their tasks before the others: units
+// in a part without machines help nobody, while the same work waits elsewhere beside free
+// machines. Work that moves whole, or makes others make way, needs its units first.
+func (n *Node) placeable(all []asker) []pool.Ask {
+	var asks, rest []pool.Ask
+	rooms := map[*Job][]int{}
+	for _, a := range all {
+		if a.job.Spec.Whole() || len(rooms) >= maxAsks && rooms[a.job] == nil {
+			asks = append(asks, a.ask)
+			continue
+		}
+		if rooms[a.job] == nil {
+			rooms[a.job] = n.roomByPart(a.job.Spec)
+		}
+		here := a.ask
+		here.Starts = min(here.Starts, rooms[a.job][a.part])
+		if here.Starts > 0 {
+			asks = append(asks, here)
+		}
+		if a.ask.Starts -= here.Starts; a.ask.Starts > 0 {
+			a.ask.Reserve = false
+			rest = append(rest, a.ask)
+		}
+	}
+	return append(asks, rest...)
+}
+
+// What operators see of pools.
+type (
+	// PoolView is a pool and what is held of it.
+	PoolView struct {
+		pool.Pool
+		Held     []int        `json:"held"` // by part
+		Free     []int        `json:"free"` // that each part may hand out
+		Waiting  int          `json:"waiting_units"`
+		Oldest   float64      `json:"oldest_wait_s"`
+		Revision api.Revision `json:"revision"`
+		Holders  []HolderView `json:"holders,omitempty"`
+	}
+	// HolderView is a job that holds units.
+	HolderView struct {
+		Job    api.JobRef `json:"job"`
+		Tenant string     `json:"tenant,omitempty"`
+		Ref    api.JobRef `json:"ref,omitempty"` // as the tenant chose it
+		Team   api.Team   `json:"team"`
+		Units  int        `json:"units"`
+		Tasks  int        `json:"tasks"`
+	}
+	poolAsk struct {
+		Revision *api.Revision `json:"revision"`
+		Unit     string        `json:"unit"`
+		Size     int           `json:"size"`
+		Largest  int           `json:"largest"`
+		Teams    []api.Team    `json:"teams"`
+		Tenants  []tenant.Name `json:"tenants"`
+		Frozen   bool          `json:"frozen"`
+	}
+)
+
+// maxHolders bounds the jobs that a pool's view names.
+const maxHolders = 200
+
+func (n *Node) viewPool(p pool.Pool, rev api.Revision) PoolView {
+	v := PoolView{Pool: p, Held: n.heldOf(p.Name), Revision: rev}
+	for q := range v.Held {
+		v.Free = append(v.Free, p.Free(api.PartID(q), v.Held))
+	}
+	for _, a := range n.asking(p.Name) {
+		v.Waiting += a.ask.Units * a.ask.Starts
+		v.Oldest = max(v.Oldest, tenths(float64(n.wall-a.job.Accepted)/1000))
+	}
+	return v
+}
+
+// holders lists the jobs that hold units of a pool, those that hold most first.
+func (n *Node) holders(name api.PoolName) []HolderView {
+	out := []HolderView{}
+	for _, j := range n.book.Jobs {
+		for _, need := range j.Spec.Needs {
+			if live := j.Live(); need.Pool == name && live > 0 {
+				out = append(out, HolderView{j.Ref, j.Tenant, j.Own, j.Spec.Team, need.Units(live, false), live})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b HolderView) int { return cmp.Or(b.Units-a.Units, cmp.Compare(a.Job, b.Job)) })
+	return out[:min(maxHolders, len(out))]
+}
+
+// actOnPools answers an operator's question or act on pools.
+func (n *Node) actOnPools(c Ask) error {
+	table := n.hosted.pools.table
+	if c.What == "pools" {
+		out := []PoolView{}
+		for _, name := range table.Names() {
+			e := table.Get(name)
+			out = append(out, n.viewPool(e.Pool, e.Revision))
+		}
+		n.reply(c.Req, 200, out, 0)
+		return nil
+	}
+	name := api.PoolName(c.ID)
+	e := table.Get(name)
+	if e == nil && c.What != "pool-put" {
+		return &tenant.Error{Status: 404, Field: "name", Why: "there is no pool " + c.ID}
+	}
+	if c.What == "pool" {
+		v := n.viewPool(e.Pool, e.Revision)
+		v.Holders = n.holders(name)
+		n.reply(c.Req, 200, v, 0)
+		return nil
+	}
+	var ask poolAsk
+	if err := parseAsk(c.Body, &ask); err != nil {
+		return err
+	}
+	var was, now pool.Pool
+	var rev api.Revision
+	if e != nil {
+		was, now, rev = e.Pool, e.Pool, e.Revision
+	}
+	if c.What == "pool-remove" {
+		now.State = pool.Removed
+	} else {
+		now.Name, now.Unit, now.Size, now.Largest, now.Teams, now.Tenants = name, ask.Unit, ask.Size, max(ask.Largest, ask.Size), ask.Teams, ask.Tenants
+		now.State = pool.Active
+		if ask.Frozen {
+			now.State = pool.Frozen
+		}
+	}
+	// What is held is known of the same moment as the record, or of a later one: nobody
+	// hands out a unit under the old record after this is written.
+	held := n.heldOf(name)
+	if now.Size != was.Size || len(now.Shares) == 0 {
+		now.Shares = pool.Divide(now.Size, held, n.placeable(n.asking(name)))
+	}
+	if err := now.Check(len(n.book.Parts)); err != nil {
+		return err
+	}
+	for _, team := range now.Teams {
+		if _, known := n.teams[team]; !known {
+			return &tenant.Error{Status: 422, Field: "teams", Why: "there is no team " + string(team)}
+		}
+	}
+	for _, name := range now.Tenants {
+		if n.hosted.table.Get(name) == nil {
+			return &tenant.Error{Status: 422, Field: "tenants", Why: "there is no tenant " + string(name)}
+		}
+	}
+	if e != nil && sameJSON(was, now) {
+		n.reply(c.Req, 200, n.viewPool(now, rev), 0) // asked again, perhaps
+		return nil
+	}
+	if err := as(ask.Revision, rev, "the pool"); err != nil {
+		return err
+	}
+	if c.What == "pool-remove" {
+		sum := 0
+		for _, h := range held {
+			sum += h
+		}
+		if asking := len(n.asking(name)); sum > 0 || asking > 0 {
+			return &tenant.Error{Status: 409, Field: "name", Why: fmt.Sprintf("%d units of %s are held, and %d jobs wait for it: freeze it, or cancel them", sum, name, asking)}
+		}
+	}
+	data, err := json.Marshal(now)
+	if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+		return &tenant.Error{Status: 400, Field: "teams", Why: "the record is too large"}
+	}
+	var before any
+	if e != nil {
+		before = was
+	}
+	key := keyPool + c.ID
+	tx := api.Txn{If: []api.Condition{{Key: key, Version: rev}}, Writes: []api.Write{{Put: key, Value: data}, n.auditWrite(c, "pool "+c.ID, before, now)}}
+	n.changeWith(c, tx, "the pool", func(rev api.Revision) any { return n.viewPool(now, rev) })
+	return nil
+}
+
+// poolConditions are the pools that starts take units of, as conditions of their round.
+func (n *Node) poolConditions(starts []*Place) []api.Condition {
+	var out []api.Condition
+	var names []string
+	for _, s := range starts {
+		for _, need := range s.Job.Spec.Needs {
+			if !slices.Contains(names, string(need.Pool)) {
+				names = append(names, string(need.Pool))
+			}
+		}
+	}
+	slices.SortFunc(names, strings.Compare)
+	for _, name := range names {
+		out = append(out, n.book.If(keyPool+name))
+	}
+	return out
+}
--- /dev/null
+++ b/control/pools_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+
+	"basaltwall/api"
+	"basaltwall/book"
+	"basaltwall/pool"
+	"basaltwall/tenant"
+)
+
+// pooled is a controller of a hosted service whose job's tasks need a unit each of a pool
+// of so many.
+func pooled(t *testing.T, size int) (*Node, *turf, *Job) {
+	t.Helper()
+	n, turf, j, _ := hostedOwner(t)
+	n.book.Jobs[j.Ref].Spec.Needs = []api.Need{{Pool: "routing", Task: 1}}
+	table := n.hosted.pools.table
+	data, err := json.Marshal(pool.Pool{Name: "routing", Size: size, Largest: size, State: pool.Active, Shares: []int{size}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := table.Put("routing", data, 9); err != nil {
+		t.Fatal(err)
+	}
+	n.book.Wrote(keyPool+"routing", 9)
+	return n, turf, j
+}
+
+// A round that hands out units names the pool's version; a round that does not, names no
+// pool.
+func TestRoundNamesItsPools(t *testing.T) {
+	conditions := func(n *Node, turf *turf) []api.Condition {
+		n.runPart(turf)
+		for _, c := range stateCalls(n) {
+			if c.Txn != nil && len(c.Txn.Writes) == 1 && c.Txn.Writes[0].Put == book.RoundKey(0, 1) {
+				return c.Txn.If
+			}
+		}
+		t.Fatal("no round is written")
+		return nil
+	}
+	n, turf, _ := pooled(t, 3)
+	if got := conditions(n, turf); !slices.Contains(got, api.Condition{Key: keyPool + "routing", Version: 9}) {
+		t.Errorf("a round that hands out units is written on %v", got)
+	}
+	n, turf, j := pooled(t, 3)
+	j.Spec.Needs = nil
+	if got := conditions(n, turf); slices.ContainsFunc(got, func(c api.Condition) bool { return strings.HasPrefix(c.Key, keyPool) }) {
+		t.Errorf("a round that hands out none is written on %v", got)
+	}
+}
+
+// What is not there, frozen, used up or known by an old record only is not handed out, and
+// nothing is rented or makes way for it.
+func TestNoUnitsNoStarts(t *testing.T) {
+	for what, spoil := range map[string]func(*Node){
+		"no units": func(n *Node) { n.hosted.pools.table.Get("routing").Shares[0] = 0 },
+		"frozen":   func(n *Node) { n.hosted.pools.table.Get("routing").State = pool.Frozen },
+		"no pool":  func(n *Node) { n.hosted.pools.table = pool.NewTable(1) },
+		// The latest record could not be read: the one before it is kept, and a round would
+		// be conditional on the version of the latest.
+		"not understood": func(n *Node) { n.book.Wrote(keyPool+"routing", 11) },
+	} {
+		n, turf, j := pooled(t, 3)
+		if len(n.plan(turf).starts) == 0 {
+			t.Fatal("nothing starts though there are units")
+		}
+		n, turf, j = pooled(t, 3)
+		spoil(n)
+		if starts := n.plan(turf).starts; len(starts) != 0 {
+			t.Errorf("%s: %d tasks start", what, len(starts))
+		}
+		if len(turf.lack) > 0 {
+			t.Errorf("%s: machines are looked for", what)
+		}
+		if why := n.whyPool(j, 0); !strings.Contains(why, "routing") {
+			t.Errorf("%s: waits because of %q", what, why)
+		}
+	}
+}
+
+// Jobs that need no pool cost a round nothing for there being some.
+func TestNoNeedsCostNothing(t *testing.T) {
+	n, turf, j := pooled(t, 3)
+	j.Spec.Needs = nil
+	jobs := slices.Repeat([]*Job{j}, 1000)
+	if allocs := testing.AllocsPerRun(10, func() { n.units(turf, jobs) }); allocs != 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+}
+
+// Who may not use a pool learns nothing of it: the answer is that of a pool which is not
+// there.
+func TestWhoMayNeedAPool(t *testing.T) {
+	n, _, j := pooled(t, 3)
+	e := n.hosted.pools.table.Get("routing")
+	e.Tenants = []tenant.Name{"lopresti"}
+	mine := n.mayNeed(j.Spec, "kipper")
+	other := *j.Spec
+	other.Needs = []api.Need{{Pool: "nothing", Task: 1}}
+	if strings.ReplaceAll(n.mayNeed(&other, "kipper"), "nothing", "routing") != mine || mine == "" {
+		t.Errorf("%q, and of a pool that is not there %q", mine, n.mayNeed(&other, "kipper"))
+	}
+	if why := n.mayNeed(j.Spec, "lopresti"); why != "" {
+		t.Errorf("who may use it is refused: %s", why)
+	}
+	many := *j.Spec
+	many.Needs = []api.Need{{Pool: "routing", Task: 4}}
+	if why := n.mayNeed(&many, "lopresti"); !strings.Contains(why, "never more than 3") {
+		t.Errorf("4 of 3 units: %q", why)
+	}
+}
--- a/control/usage.go
+++ b/control/usage.go
@@ -226,6 +226,11 @@
 	case !need.Fits(limitOf(n.teams[j.Spec.Team]).Minus(total[j.Spec.Team])):
 		return "the limit of team " + string(j.Spec.Team)
 	}
+	for p := range n.book.Parts {
+		if len(j.Spec.Needs) > 0 && j.Waiting(api.PartID(p)) > 0 && n.whyPool(j, api.PartID(p)) != "" {
+			return "units of a pool"
+		}
+	}
 	return ""
 }
 
--- a/control/user.go
+++ b/control/user.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -197,7 +198,7 @@
 		n.lookup(spec.Ref, known, elsewhere, elsewhere)
 		return
 	}
-	if why := n.runnable(spec); why != "" {
+	if why := cmp.Or(n.runnable(spec), n.mayNeed(spec, "")); why != "" {
 		// A job accepted earlier must not be refused now.
 		n.lookup(spec.Ref, known, func() { n.refuse(c.Req, 422, why) }, elsewhere)
 		return
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -34,6 +34,7 @@
 //	random SEED FROM TO                 faults drawn by chance
 //	tenant AT NAME TEAMS RATE BURST     a tenant of a hosted service, with teams separated by commas;
 //	                                    with any, all jobs need tenant=NAME, and NAME/REF names one
+//	pool AT NAME SIZE, held NAME MOST
 //	suspend AT NAME DRAIN, resume AT NAME, remove AT NAME [cancel]
 //	gone AT NAME                        no task of a tenant is on a machine then
 //	rate NAME RATE BURST                over no time more of its jobs are accepted
@@ -116,6 +117,7 @@
 	most    map[string]float64
 	states  [][2]string // tenants, and the states they should end in
 	rates   []rated
+	held    map[api.PoolName]int // the most that should have been held of pools
 }
 
 type rated struct {
@@ -157,7 +159,7 @@
 			}
 		}
 	}
-	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, most: map[string]float64{}}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, most: map[string]float64{}, held: map[api.PoolName]int{}}
 	for _, l := range lines {
 		if l[0] == "tenant" {
 			r.w.Host()
@@ -231,6 +233,11 @@
 			res.Problems = append(res.Problems, fmt.Sprintf("tenant %s: %.1f more than its rate were accepted, expected %.1f at most", x.name, over, x.burst))
 		}
 	}
+	for name, want := range r.held {
+		if _, most := r.w.Tenants.Held(name); most != want {
+			res.Problems = append(res.Problems, fmt.Sprintf("pool %s: at most %d units were held, expected %d", name, most, want))
+		}
+	}
 	for _, s := range r.states {
 		if got := r.w.Tenants.State(s[0]); string(got) != s[1] {
 			res.Problems = append(res.Problems, fmt.Sprintf("tenant %s is %q, expected %s", s[0], got, s[1]))
@@ -303,7 +310,7 @@
 	rest := l[1:]
 	forms := map[string]string{"capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
-		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "gone": "ds", "finally": "ss", "rate": "snn", "starts": "nn", "deleted": "nn", "most": "sn"}
+		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "held": "sn", "gone": "ds", "finally": "ss", "rate": "snn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -369,6 +376,10 @@
 		w.After(ds[0], func() { w.Tenants.Suspend(tenant.Name(ss[0]), ns[0]) })
 	case "resume":
 		w.After(ds[0], func() { w.Tenants.Resume(tenant.Name(ss[0])) })
+	case "pool":
+		w.After(ds[0], func() { w.Tenants.Pool(api.PoolName(ss[0]), int(ns[0])) })
+	case "held":
+		r.held[api.PoolName(ss[0])] = int(ns[0])
 	case "gone":
 		w.After(ds[0], func() { w.Tenants.Gone(tenant.Name(ss[0])) })
 	case "remove":
@@ -467,7 +478,7 @@
 }
 
 // submit reads a job: tasks, cpus, gpus, run (seconds), team (each: by turns), priority, types,
-// zone, deadline, checkpoint, save, at (a node), times and every (so many like it,
+// needs and job-needs (POOL:UNITS, of each task or of the job), zone, deadline, checkpoint, save, at (a node), times and every (so many like it,
 // with the numbers that follow, so many seconds apart) with =, and the words
 // together, scatter and spot.
 func (r *runner) submit(rest []string) error {
@@ -515,6 +526,17 @@
 			switch k {
 			case "tenant":
 				whose = tenant.Name(v)
+			case "needs", "job-needs": // POOL:UNITS, of each task or of the job
+				name, units, _ := strings.Cut(v, ":")
+				u, err := strconv.Atoi(units)
+				if err != nil {
+					return err
+				}
+				need := api.Need{Pool: api.PoolName(name), Task: u}
+				if k == "job-needs" {
+					need.Task, need.Job = 0, u
+				}
+				s.Needs = append(s.Needs, need)
 			case "team":
 				s.Team = api.Team(v)
 			case "class":
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -124,3 +124,45 @@
 		})
 	}
 }
+
+// poolsScript has work of every kind that needs units of two pools, which become smaller
+// and larger, under faults drawn by chance.
+const poolsScript = `
+-- script --
+machines 6
+machines 2 spot
+capacity 12
+tenant 1 kipper red 0 0
+tenant 1 lopresti blue 0 0
+pool 2 routing 5
+pool 2 pay 3
+submit 5 run-1 array tasks=40 cpus=1 run=5 needs=routing:1 spot tenant=kipper
+submit 6 run-2 service tasks=2 cpus=1 needs=pay:1 priority=critical team=blue tenant=lopresti
+submit 7 run-3 gang tasks=3 cpus=1 run=10 needs=routing:1 job-needs=pay:1 priority=high tenant=kipper
+submit 8 run-10 array tasks=1 cpus=1 run=4 needs=routing:2 times=20 every=3 team=blue tenant=lopresti
+submit 9 run-50 array tasks=4 cpus=1 run=6 job-needs=routing:2 times=6 every=10 tenant=kipper
+submit 30 run-60 array tasks=6 cpus=1 run=300 needs=routing:1 tenant=kipper
+cancel 70 kipper/run-60
+random %d 5 110
+pool 20 routing 2
+pool 40 routing 6
+pool 45 pay 1
+pool 60 routing 1
+pool 80 pay 4
+pool 100 routing 5
+end 420
+expect kipper/run-1 done
+expect kipper/run-3 done
+expect lopresti/run-29 done
+expect kipper/run-60 aborted
+expect kipper/run-55 done
+`
+
+func TestRandomFaultsPools(t *testing.T) {
+	for seed := range 12 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, fmt.Appendf(nil, poolsScript, seed))
+		})
+	}
+}
--- a/internal/standin/tenants.go
+++ b/internal/standin/tenants.go
@@ -25,6 +25,7 @@
 	acts    map[tenant.Name][]func(done func()) // that wait for the one before to be answered
 
 	accepted map[tenant.Name][]time.Duration // when jobs were written
+	ledger   ledger
 }
 
 type owned struct {
@@ -41,7 +42,7 @@
 	}
 	w.Tenants = &Tenants{w: w, admin: secret.String(), secrets: map[tenant.Name]string{}, own: map[api.JobRef]owned{}, held: map[tenant.Name]bool{},
 		acts:     map[tenant.Name][]func(func()){},
-		accepted: map[tenant.Name][]time.Duration{}}
+		accepted: map[tenant.Name][]time.Duration{}, ledger: ledger{map[api.TaskID]api.MachineID{}, map[api.PoolName]int{}}}
 }
 
 // Own notes a tenant's job and returns the id under which it is known to workers.
@@ -215,14 +216,28 @@
 	}
 	var r struct {
 		Jobs []struct {
-			Job    api.JobRef        `json:"j"`
-			Starts []json.RawMessage `json:"+"`
+			Job    api.JobRef `json:"j"`
+			Starts []struct {
+				Task    int           `json:"i"`
+				Machine api.MachineID `json:"m"`
+			} `json:"+"`
+			Done []int `json:"d"`
+			Lost []int `json:"l"`
 		} `json:"j"`
 	}
 	t.w.must(json.Unmarshal(value, &r))
+	started := map[api.JobRef]bool{}
 	for _, j := range r.Jobs {
 		if o := t.own[j.Job]; len(j.Starts) > 0 && t.held[o.name] {
 			t.w.Check.broke(t.w.Now, "held", "%d tasks of %s start, whose tenant %s was told suspended", len(j.Starts), o.ref, o.name)
 		}
+		for _, i := range append(j.Done, j.Lost...) {
+			delete(t.ledger.starts, api.TaskID{Job: j.Job, Index: i})
+		}
+		for _, s := range j.Starts {
+			t.ledger.starts[api.TaskID{Job: j.Job, Index: s.Task}] = s.Machine
+			started[j.Job] = true
+		}
 	}
+	t.checkPools(started)
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -163,7 +163,7 @@
 	return map[string]any{"ref": s.Ref, "mestiere": s.Class, "bottega": s.Team, "forma": s.Kind, "urgenza": s.Priority,
 		"pezzi": s.Tasks, "cores": s.CPUs, "gpus": s.GPUs, "ram_gb": s.MemGB, "stampo": s.Image, "image_gb": s.ImageGB,
 		"banchi": s.Types, "cortile": nullable(s.Zone), "together": s.OneZone, "scatter": s.Spread, "avanzi": s.Spot,
-		"stima_s": s.Estimate, "tappa_s": s.Checkpoint, "salvo_s": s.Save, "consegna_s": s.Deadline}
+		"stima_s": s.Estimate, "tappa_s": s.Checkpoint, "salvo_s": s.Save, "consegna_s": s.Deadline, "gettoni": s.Needs}
 }
 
 func nullable(z api.Zone) *api.Zone {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -317,6 +317,32 @@
 		return strings.Contains(body, `"used":`)
 	})
 	operateHosted(t, root, call, expect)
+	licensed := func(ref string, units int) string {
+		return strings.TrimSuffix(fmt.Sprintf(job, ref, "sweep", 3, 1), "}") + fmt.Sprintf(`,"gettoni":[{"nome":"routing","a_pezzo":%d}]}`, units)
+	}
+	expect("more units than there may be", 422, "never more than 2")(call(0, keys["kipper"], "POST", api.PathJobs, licensed("run-8", 3)))
+	expect("units of no pool of its", 422, "no pool")(call(0, keys["lopresti"], "POST", api.PathJobs, strings.Replace(licensed("run-8", 1), `"red"`, `"blue"`, 1)))
+	expect("half a unit", 400, "gettoni")(call(0, keys["kipper"], "POST", api.PathJobs, strings.Replace(licensed("run-8", 1), `"a_pezzo":1`, `"a_pezzo":0.5`, 1)))
+	eventually(t, "a job that takes units accepted", func() bool {
+		code, _ := call(0, keys["kipper"], "POST", api.PathJobs, licensed("run-8", 1))
+		return code == 201 || code == 200
+	})
+	eventually(t, "it is done", func() bool {
+		_, body := call(1, keys["kipper"], "GET", api.PathJobs+"/run-8", "")
+		return strings.Contains(body, `"stato":"done"`)
+	})
+	poolAt := func() string {
+		var v control.PoolView
+		if _, body := call(0, root, "GET", "/admin/v1/pools/routing", ""); json.Unmarshal([]byte(body), &v) != nil {
+			t.Fatalf("pool: %s", body)
+		}
+		return fmt.Sprint(v.Revision)
+	}
+	eventually(t, "the pool removed", func() bool {
+		code, _ := call(0, root, "POST", "/admin/v1/pools/routing/remove", `{"revision":`+poolAt()+`}`)
+		return code == 200
+	})
+	expect("units of a removed pool", 422, "no pool")(call(1, keys["kipper"], "POST", api.PathJobs, licensed("run-9", 1)))
 	expect("suspended", 200, `"state":"suspended"`)(call(0, root, "POST", "/admin/v1/tenants/kipper/suspend", `{"revision":`+revision("kipper")+`,"why":"unpaid"}`))
 	expect("a submission then", 403, "unpaid")(call(1, keys["kipper"], "POST", api.PathJobs, fmt.Sprintf(job, "run-2", "sweep", 1, 1)))
 	expect("a job done before", 200, `"done"`)(call(1, keys["kipper"], "POST", api.PathJobs, run))
@@ -398,6 +424,17 @@
 	expect("listed", 200, `"team":"dispo"`)(call(1, reader, "GET", "/admin/v1/teams", ""))
 	expect("a tenant has it", 200, `"teams":["dispo"]`)(call(1, root, "PUT", "/admin/v1/tenants/sortier", `{"revision":0,"teams":["dispo"],"networks":["192.0.2.0/24"]}`))
 	expect("it is not removed then", 409, "belongs to sortier")(call(0, root, "POST", "/admin/v1/teams/dispo/remove", fmt.Sprintf(`{"revision":%d}`, team.Revision)))
+	expect("a pool of nothing", 400, "size:")(call(0, root, "PUT", "/admin/v1/pools/routing", `{"revision":0,"size":-1}`))
+	expect("a pool of a team that is not there", 422, "teams:")(call(0, root, "PUT", "/admin/v1/pools/routing", `{"revision":0,"size":2,"teams":["green"]}`))
+	var view control.PoolView
+	body = expect("a pool", 200, `"size":2`)(call(0, root, "PUT", "/admin/v1/pools/routing", `{"revision":0,"size":2,"unit":"licences","tenants":["kipper"]}`))
+	if err := json.Unmarshal([]byte(body), &view); err != nil {
+		t.Fatal(err)
+	}
+	expect("it is not changed by nobody's revision", 409, "revision:")(call(1, root, "PUT", "/admin/v1/pools/routing", `{"revision":0,"size":3}`))
+	expect("nor by a key to read", 403, "may not")(call(1, reader, "POST", "/admin/v1/pools/routing/remove", fmt.Sprintf(`{"revision":%d}`, view.Revision)))
+	expect("it is shown", 200, `"free":[1,1]`)(call(1, reader, "GET", "/admin/v1/pools/routing", ""))
+	expect("listed", 200, `"waiting_units":0`)(call(1, reader, "GET", "/admin/v1/pools", ""))
 	audit := expect("the audit tells", 200, `"about":"team dispo"`)(call(0, reader, "GET", "/admin/v1/audit", ""))
 	if !strings.Contains(audit, `"about":"operators"`) || strings.Contains(audit, "hash") {
 		t.Errorf("audit: %s", audit)
--- a/node/openapi_test.go
+++ b/node/openapi_test.go
@@ -89,7 +89,7 @@
 	n := &Node{cfg: &config.Config{}}
 	for _, method := range []string{"GET", "PUT", "POST"} {
 		for _, path := range []string{"/admin/v1/tenants", "/admin/v1/tenants/kipper", "/admin/v1/tenants/kipper/suspend", "/admin/v1/audit", "/v1/history", "/v1/usage",
-			"/admin/v1/operators", "/admin/v1/operators/keys", "/admin/v1/teams/red"} {
+			"/admin/v1/operators", "/admin/v1/operators/keys", "/admin/v1/teams/red", "/admin/v1/pools", "/admin/v1/pools/x"} {
 			if c, status := n.route(1, httpx.Request{Method: method, Path: path, Body: []byte("{}")}); c != nil || status != 404 {
 				t.Errorf("%s %s: %d", method, path, status)
 			}
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,119 @@
+package pool
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"basaltwall/api"
+	_ "basaltwall/internal/seeded"
+	"basaltwall/tenant"
+)
+
+// However a pool is divided, the shares are one for each part, none below 0, together the
+// size; what is held stays with its holder as far as there is enough; and all parts
+// together may hand out no more than is free.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.IntRange(1, 5).Draw(t, "parts")
+		size := rapid.IntRange(0, 30).Draw(t, "size")
+		held, total := make([]int, parts), 0
+		for q := range held {
+			held[q] = rapid.IntRange(0, 12).Draw(t, "held")
+			total += held[q]
+		}
+		asks := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Ask {
+			return Ask{Part: api.PartID(rapid.IntRange(0, parts-1).Draw(t, "part")), Units: rapid.IntRange(0, 8).Draw(t, "units"),
+				Starts: rapid.IntRange(1, 5).Draw(t, "starts"), Reserve: rapid.Bool().Draw(t, "reserve")}
+		}), 0, 8).Draw(t, "asks")
+		shares := Divide(size, held, asks)
+		p := Pool{Name: "routing", Size: size, Largest: size, State: Active, Shares: shares}
+		if err := p.Check(parts); err != nil {
+			t.Fatalf("%v: %v", shares, err)
+		}
+		sum, free := 0, 0
+		for q, s := range shares {
+			sum += s
+			f := p.Free(api.PartID(q), held)
+			free += f
+			if total <= size && s < held[q] || total > size && s > held[q] {
+				t.Fatalf("part %d holds %d of %d in all, its share is %d of %d", q, held[q], total, s, size)
+			}
+		}
+		if sum != size || free > max(0, size-total) {
+			t.Fatalf("shares %v of %d, held %v, free %d", shares, size, held, free)
+		}
+		// The first who asks has what it needs if there is enough, or all there is if it
+		// reserves.
+		if len(asks) > 0 && asks[0].Units > 0 && asks[0].Units <= size && total <= size {
+			a, rest := asks[0], size-total
+			if got := shares[a.Part] - held[a.Part]; rest >= a.Units && got < a.Units || a.Reserve && got < min(rest, a.Units*a.Starts) {
+				t.Fatalf("%+v is first of %d and gets %d", a, rest, got)
+			}
+		}
+		frozen := p
+		frozen.State = Frozen
+		for q := range shares {
+			if frozen.Free(api.PartID(q), held) != 0 {
+				t.Fatal("a frozen pool hands out units")
+			}
+		}
+	})
+}
+
+// Work that waits reserves by turns, never in its first minute.
+func TestReservesByTurns(t *testing.T) {
+	for waited, want := range map[time.Duration]bool{0: false, Patience - 1: false, Patience: true, 2*Patience - 1: true, 2 * Patience: false, 3 * Patience: true} {
+		if Reserves(waited) != want {
+			t.Errorf("after %v: %v", waited, !want)
+		}
+	}
+}
+
+func TestCheckNamesTheField(t *testing.T) {
+	good := Pool{Name: "routing", Size: 3, Largest: 5, State: Active, Shares: []int{2, 1}}
+	if err := good.Check(2); err != nil {
+		t.Fatal(err)
+	}
+	for field, spoil := range map[string]func(*Pool){
+		"name": func(p *Pool) { p.Name = "Routing/1" }, "size": func(p *Pool) { p.Size = -1 }, "largest": func(p *Pool) { p.Largest = 2 },
+		"unit": func(p *Pool) { p.Unit = "a\nb" }, "state": func(p *Pool) { p.State = "" }, "shares": func(p *Pool) { p.Shares = []int{3, 1} },
+		"teams": func(p *Pool) { p.Teams = make([]api.Team, maxUsers+1) }, "tenants": func(p *Pool) { p.Tenants = make([]tenant.Name, maxUsers+1) },
+	} {
+		p := good
+		spoil(&p)
+		var e *tenant.Error
+		if err := p.Check(2); !errors.As(err, &e) || e.Field != field {
+			t.Errorf("%s spoilt: %v", field, err)
+		}
+	}
+	p := good
+	p.Teams, p.Tenants = []api.Team{"red"}, []tenant.Name{"kipper"}
+	for _, c := range []struct {
+		team api.Team
+		name tenant.Name
+		want bool
+	}{{"red", "", true}, {"blue", "kipper", true}, {"blue", "lopresti", false}, {"blue", "", false}} {
+		if p.Allows(c.team, c.name) != c.want || !good.Allows(c.team, c.name) {
+			t.Errorf("team %s of %q: expected %v", c.team, c.name, c.want)
+		}
+	}
+}
+
+// A record that makes no sense leaves the one before in force.
+func TestTableKeepsWhatItUnderstood(t *testing.T) {
+	table := NewTable(2)
+	if err := table.Put("routing", []byte(`{"name":"routing","size":3,"largest":3,"state":"active","shares":[2,1]}`), 5); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []string{`{`, `{"name":"pay","size":3,"largest":3,"state":"active","shares":[2,1]}`, `{"name":"routing","size":3,"largest":3,"state":"active","shares":[2,2]}`} {
+		if table.Put("routing", []byte(bad), 6) == nil {
+			t.Errorf("%s is taken in", bad)
+		}
+	}
+	if e := table.Get("routing"); e == nil || e.Revision != 5 || table.Len() != 1 {
+		t.Errorf("%+v", e)
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -79,6 +80,7 @@
 	Zones     map[api.Zone]int // where its other tasks are
 	Urgency   float64          // orders jobs of equal rank, between 0 and 1
 	Entitled  bool             // within its team's guarantee
+	Holds     bool             // what the job takes of pools for itself is held already
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
 	AvoidedBy map[api.MachineID]bool
 	Prompt    bool    // should start sooner than a machine boots
@@ -92,6 +94,7 @@
 	Jobs     []Job
 	Left     map[api.Team]api.Resources // what each team may still start here
 	Largest  api.Resources              // the largest capacity of any type
+	Units    map[api.PoolName]int       // what the part may hand out of pools that jobs need
 	Most     int                        // starts at most
 }
 
@@ -178,6 +181,30 @@
 	return -int64(gain * costScale)
 }
 
+// InUnits is how many tasks of the job, so many at most, what is left of pools allows.
+func (j *Job) InUnits(units map[api.PoolName]int, tasks int) int {
+	for _, n := range j.Spec.Needs {
+		left := units[n.Pool]
+		if !j.Holds {
+			left -= n.Job
+		}
+		if left < 0 || n.Task > 0 && left < n.Task {
+			return 0
+		}
+		if n.Task > 0 {
+			tasks = min(tasks, left/n.Task)
+		}
+	}
+	return max(0, tasks)
+}
+
+// TakeUnits takes what so many tasks of the job need off what is left of pools.
+func (j *Job) TakeUnits(units map[api.PoolName]int, tasks int) {
+	for _, n := range j.Spec.Needs {
+		units[n.Pool] -= n.Units(tasks, j.Holds)
+	}
+}
+
 // Round plans a round.
 func Round(in *Input) []Placement {
 	var plan []Placement
@@ -189,6 +216,7 @@
 	for t, l := range in.Left {
 		left[t] = l
 	}
+	units := maps.Clone(in.Units)
 	order := make([]int, len(in.Jobs))
 	for i := range order {
 		order[i] = i
@@ -196,10 +224,10 @@
 	slices.SortStableFunc(order, func(a, b int) int { return before(&in.Jobs[a], &in.Jobs[b]) })
 	for _, ji := range order {
 		if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan)+len(j.Pending) <= in.Most {
-			plan = append(plan, gang(in, ji, free, left)...)
+			plan = append(plan, gang(in, ji, free, left, units)...)
 		}
 	}
-	return append(plan, flowRound(in, order, free, left, in.Most-len(plan))...)
+	return append(plan, flowRound(in, order, free, left, units, in.Most-len(plan))...)
 }
 
 // before orders jobs for gangs' first fit and for a team's share.
@@ -223,8 +251,11 @@
 }
 
 // gang places all tasks of a gang first-fit, or none.
-func gang(in *Input, ji int, free []api.Resources, left map[api.Team]api.Resources) []Placement {
+func gang(in *Input, ji int, free []api.Resources, left map[api.Team]api.Resources, units map[api.PoolName]int) []Placement {
 	j := &in.Jobs[ji]
+	if j.InUnits(units, len(j.Pending)) < len(j.Pending) {
+		return nil
+	}
 	if !j.Demand.Times(len(j.Pending)).Fits(left[j.Spec.Team]) {
 		return nil
 	}
@@ -280,6 +311,7 @@
 				free[p.Machine] = free[p.Machine].Minus(j.Demand)
 			}
 			left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(len(got)))
+			j.TakeUnits(units, len(got))
 			return got
 		}
 	}
@@ -310,7 +342,7 @@
 // more than that many of its cheapest machines: were one beyond them used, one
 // among them would be free, and no dearer. So the other edges are left out and
 // the optimum stays the same.
-func flowRound(in *Input, order []int, free []api.Resources, left map[api.Team]api.Resources, most int) []Placement {
+func flowRound(in *Input, order []int, free []api.Resources, left map[api.Team]api.Resources, units map[api.PoolName]int, most int) []Placement {
 	if most <= 0 || len(in.Machines) == 0 {
 		return nil
 	}
@@ -325,6 +357,7 @@
 		if j.Spec.OneZone && !occupied(j.Zones) {
 			supply = min(supply, 1) // the first start decides where the others may go
 		}
+		supply = j.InUnits(units, supply)
 		if supply <= 0 {
 			continue
 		}
@@ -339,6 +372,7 @@
 		}
 		added[0].supply = supply
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(supply))
+		j.TakeUnits(units, supply)
 		nodes = append(nodes, added...)
 		if total += supply; total >= 4*min(most, len(in.Machines))+64 {
 			break // enough to fill the round; the others come after these
@@ -435,14 +469,16 @@
 // Holds reports whether the machines have room for all of a job's tasks
 // together, by first fit.
 func Holds(machines []Machine, s *api.JobSpec) bool {
+	bare := *s
+	bare.Needs = nil // machines are asked for, not pools
 	in := &Input{Machines: machines}
 	pending := make([]int, s.Tasks)
-	in.Jobs = []Job{{Spec: s, Demand: s.Demand(), Pending: pending}}
+	in.Jobs = []Job{{Spec: &bare, Demand: s.Demand(), Pending: pending}}
 	free := make([]api.Resources, len(machines))
 	for i, m := range machines {
 		free[i] = m.Free
 	}
 	const plenty = api.Amount(1) << 52
 	left := map[api.Team]api.Resources{s.Team: {CPU: plenty, GPU: plenty, Mem: plenty}}
-	return len(gang(in, 0, free, left)) == s.Tasks
+	return len(gang(in, 0, free, left, nil)) == s.Tasks
 }
--- a/tenant/key.go
+++ b/tenant/key.go
@@ -88,7 +88,7 @@
 }
 
 func (k *Key) check() *Error {
-	if err := checkName("keys.name", k.Name); err != nil {
+	if err := CheckName("keys.name", k.Name); err != nil {
 		return err
 	}
 	if id, err := hex.DecodeString(string(k.ID)); err != nil || len(id) != idBytes || len(k.Hash) != sha256.Size {
--- a/tenant/operators.go
+++ b/tenant/operators.go
@@ -141,7 +141,7 @@
 
 // Check says what is wrong with the record, naming the field.
 func (t *Team) Check() error {
-	if err := checkName("name", string(t.Name)); err != nil {
+	if err := CheckName("name", string(t.Name)); err != nil {
 		return err
 	}
 	for _, f := range []struct {
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -85,9 +85,9 @@
 	return &Error{Status: 409, Why: fmt.Sprintf(why, args...)}
 }
 
-// checkName accepts lower-case letters, digits and hyphens, beginning with a letter: what
+// CheckName accepts lower-case letters, digits and hyphens, beginning with a letter: what
 // may be part of a key of the state service and of a command line.
-func checkName(field, s string) *Error {
+func CheckName(field, s string) *Error {
 	if s == "" || len(s) > maxName {
 		return invalid(field, "must have 1 to %d characters", maxName)
 	}
@@ -112,7 +112,7 @@
 
 // Check says what is wrong with a record, naming the field.
 func (t *Tenant) Check() error {
-	if err := checkName("name", string(t.Name)); err != nil {
+	if err := CheckName("name", string(t.Name)); err != nil {
 		return err
 	}
 	for _, f := range []struct{ field, text string }{{"display", t.Display}, {"why", t.Why}} {
--- a/tenant/tenant_test.go
+++ b/tenant/tenant_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	for _, name := range []string{"", "-a", "1a", "a b", "a/b", "ä", strings.Repeat("a", 41), "a\x00"} {
-		if checkName("name", name) == nil {
+		if CheckName("name", name) == nil {
 			t.Errorf("%q is accepted as a name", name)
 		}
 	}
