--- a/control/pools_test.go
+++ b/control/pools_test.go
@@ -69,7 +69,6 @@
 		if len(n.plan(turf).starts) == 0 {
 			t.Fatal("nothing starts though there are units")
 		}
-		n, turf, j = pooled(t, 3)
 		spoil(n)
 		if starts := n.plan(turf).starts; len(starts) != 0 {
 			t.Errorf("%s: %d tasks start", what, len(starts))
--- a/internal/standin/live/main.go
+++ b/internal/standin/live/main.go
@@ -34,6 +34,11 @@
   target/basaltwall job --addr %[3]s show run-1
   target/basaltwall job --addr %[3]s list
   target/basaltwall job --addr %[3]s usage
+Make a pool of two licences as the operator, and submit a job whose tasks need one each:
+  target/basaltwall admin --addr %[1]s --key-file %[2]s/admin.key pool put routing --size 2 --unit licences
+  sed 's/run-1/run-2/; s/}$/,"gettoni":[{"nome":"routing","a_pezzo":1}]}/' %[2]s/job.json > %[2]s/licensed.json
+  target/basaltwall job --addr %[3]s submit %[2]s/licensed.json
+  target/basaltwall admin --addr %[1]s --key-file %[2]s/admin.key pool show routing
 Suspend, resume and remove it as the operator:
   export BASALTWALL_KEY_FILE=%[2]s/admin.key
   target/basaltwall admin --addr %[1]s tenant suspend kipper --why unpaid --drain 30s
