Holders of a pool make way: for urgent work, and when it was made smaller

Need: a pool made smaller had to wait for its holders, however long they run, and critical work waited behind holders of the lowest priority.

Ruled out: each owner choosing by what its own parts hold, which stops too many; stopping gangs for others, which the protocol has not for machines either. Change: all owners find the same holders by the book, the least urgent and newest first, and stop their own; what has been told to stop counts as held until it has ended. Urgent work reserves at once. A tenant's usage shows what its own jobs hold.

The checker counted a further task of a job that holds its units for itself as one that takes some.

--- a/admin/pools.go
+++ b/admin/pools.go
@@ -30,6 +30,7 @@
 	Team    []string `help:"A team that may use it; may be repeated. An empty one stands for none."`
 	Tenant  []string `help:"A tenant that may use it; may be repeated. Without teams and tenants everybody may."`
 	Frozen  *bool    `negatable:"" help:"Hand out nothing more."`
+	Reclaim *bool    `negatable:"" help:"Let holders make way when more is held than there is, the least urgent and newest first."`
 }
 
 // pool runs a subcommand on pools.
@@ -66,6 +67,7 @@
 	set(&at.Largest, p.Largest)
 	set(&at.Unit, p.Unit)
 	set(&frozen, p.Frozen)
+	set(&at.Reclaim, p.Reclaim)
 	teams, tenants := []string{}, []string{}
 	for _, t := range at.Teams {
 		teams = append(teams, string(t))
@@ -80,7 +82,7 @@
 		tenants = named(p.Tenant)
 	}
 	body, err := json.Marshal(map[string]any{"revision": at.Revision, "size": at.Size, "largest": max(at.Largest, at.Size), "unit": at.Unit,
-		"teams": teams, "tenants": tenants, "frozen": frozen})
+		"teams": teams, "tenants": tenants, "frozen": frozen, "reclaim": at.Reclaim})
 	if err != nil {
 		return err
 	}
@@ -107,6 +109,7 @@
 	row(w, "state", p.State)
 	row(w, "size", p.Size, fmt.Sprintf("largest %d", p.Largest))
 	row(w, "held", sum(p.Held))
+	row(w, "reclaims", p.Reclaim)
 	row(w, "waiting", p.Waiting, fmt.Sprintf("the oldest for %.0f s", p.Oldest))
 	row(w, "teams", joined(p.Teams))
 	row(w, "tenants", joined(p.Tenants))
--- a/admin/tables.go
+++ b/admin/tables.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -156,6 +158,9 @@
 	row(w, "open jobs", fmt.Sprintf("%d of %d", v.Open, v.OpenJobs))
 	row(w, "waiting tasks", v.Waiting)
 	row(w, "running tasks", v.Running)
+	for _, name := range slices.Sorted(maps.Keys(v.Pools)) {
+		row(w, "pool "+string(name), v.Pools[name])
+	}
 	if s := v.Submissions; s != nil {
 		row(w, "at "+string(v.Controller), fmt.Sprintf("%d accepted", s.Accepted), fmt.Sprintf("refused %v", s.Refused))
 	}
--- a/control/pools.go
+++ b/control/pools.go
@@ -68,7 +68,7 @@
 			if j.Spec.Kind == api.Gang {
 				a.Units, a.Starts = need.Units(j.Spec.Tasks, false), 1
 			}
-			a.Reserve = a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
+			a.Reserve = j.Spec.Priority.Rank() >= urgentRank || a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
 			out = append(out, asker{j, api.PartID(p), a})
 		}
 	}
@@ -214,6 +214,7 @@
 	}
 	h.lookAt = n.now
 	for i, name := range h.table.Names() {
+		n.makeWay(h.table.Get(name))
 		t := n.turfs[api.PartID(i%len(n.book.Parts))]
 		e := h.table.Get(name)
 		if t == nil || h.moving[name] || e.State != pool.Active || !n.understood(e) {
@@ -247,6 +248,114 @@
 	}
 }
 
+// holding is what gives back units of a pool together: a task, or all tasks of a job that
+// runs whole or holds units for itself.
+type holding struct {
+	job    *Job
+	places []*Place
+	units  int
+}
+
+// holdings lists what holds units of a pool in the order in which it makes way: the least
+// urgent first, of those gangs last, since they lose all their tasks' work, and then the
+// newest. Each owner finds the same by its book.
+func (n *Node) holdings(name api.PoolName) []holding {
+	var all []holding
+	whole := map[*Job]int{} // where in all, and one more
+	for p := range n.book.Parts {
+		for pl := range n.book.OnPart[p] {
+			j := pl.Job
+			i := slices.IndexFunc(j.Spec.Needs, func(x api.Need) bool { return x.Pool == name })
+			if i < 0 || pl.Over {
+				continue
+			}
+			need := j.Spec.Needs[i]
+			if j.Spec.Kind != api.Gang && need.Job == 0 {
+				all = append(all, holding{j, []*Place{pl}, need.Task})
+				continue
+			}
+			if whole[j] == 0 {
+				all = append(all, holding{j, nil, need.Job})
+				whole[j] = len(all)
+			}
+			h := &all[whole[j]-1]
+			h.places, h.units = append(h.places, pl), h.units+need.Task
+		}
+	}
+	gang := func(h holding) int {
+		if h.job.Spec.Kind == api.Gang {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(all, func(a, b holding) int {
+		return cmp.Or(a.job.Spec.Priority.Rank()-b.job.Spec.Priority.Rank(), gang(a)-gang(b), cmp.Compare(b.job.Accepted, a.job.Accepted),
+			cmp.Compare(b.job.Ref, a.job.Ref), b.places[0].Task.Index-a.places[0].Task.Index)
+	})
+	return all
+}
+
+// makeWay stops work that holds units of a pool. Of a pool of which more is held than there
+// is it stops what is too much, if its operators say so. For urgent work that lacks units
+// only it stops less urgent work, gangs aside, as for want of machines. Each owner stops
+// what is its own; what has been told to stop counts as held until it has ended, so no more
+// is stopped than it takes.
+func (n *Node) makeWay(e *pool.Entry) {
+	if !n.understood(e) || e.State == pool.Removed {
+		return
+	}
+	lacks := -e.Size
+	for _, h := range n.heldOf(e.Name) {
+		lacks += h
+	}
+	may := func(holding) bool { return e.Reclaim }
+	if lacks <= 0 || !e.Reclaim {
+		first := n.urgentAsk(e)
+		if first == nil {
+			return
+		}
+		lacks += first.ask.Units * first.ask.Starts
+		rank := first.job.Spec.Priority.Rank()
+		may = func(h holding) bool { return h.job.Spec.Kind != api.Gang && h.job.Spec.Priority.Rank() < rank }
+	}
+	if lacks <= 0 {
+		return
+	}
+	for _, h := range n.holdings(e.Name) {
+		if lacks <= 0 {
+			return
+		}
+		if !may(h) {
+			continue
+		}
+		lacks -= h.units
+		for _, pl := range h.places {
+			if n.turfs[pl.Part] != nil && !pl.Note.stop {
+				n.stop(pl)
+				pl.Job.Note.madeWay++
+				slog.Info("task makes way", tenantOf(pl.Job), "task", pl.Task, "machine", pl.Machine, "pool", e.Name)
+			}
+		}
+	}
+}
+
+// urgentAsk is the first urgent work that waits for a pool and has room to start, nil if
+// there is none.
+func (n *Node) urgentAsk(e *pool.Entry) *asker {
+	if e.State != pool.Active {
+		return nil
+	}
+	for _, a := range n.asking(e.Name) {
+		if a.job.Spec.Priority.Rank() < urgentRank {
+			return nil
+		}
+		if a.ask.Units <= e.Size && (a.job.Spec.Whole() || n.roomByPart(a.job.Spec)[a.part] > 0) {
+			return &a
+		}
+	}
+	return nil
+}
+
 // maxAsks bounds the jobs whose room is looked for when a pool's shares are.
 const maxAsks = 64
 
@@ -306,6 +415,7 @@
 		Teams    []api.Team    `json:"teams"`
 		Tenants  []tenant.Name `json:"tenants"`
 		Frozen   bool          `json:"frozen"`
+		Reclaim  bool          `json:"reclaim"`
 	}
 )
 
@@ -374,7 +484,7 @@
 		now.State = pool.Removed
 	} else {
 		now.Name, now.Unit, now.Size, now.Largest, now.Teams, now.Tenants = name, ask.Unit, ask.Size, max(ask.Largest, ask.Size), ask.Teams, ask.Tenants
-		now.State = pool.Active
+		now.State, now.Reclaim = pool.Active, ask.Reclaim
 		if ask.Frozen {
 			now.State = pool.Frozen
 		}
--- a/control/usage.go
+++ b/control/usage.go
@@ -126,6 +126,8 @@
 		Waiting  int         `json:"waiting"` // tasks
 		Running  int         `json:"running"` // tasks on machines
 		Teams    []TeamUsage `json:"teams"`
+		// Units of pools that its jobs hold; what others hold is theirs alone to know.
+		Pools map[api.PoolName]int `json:"pools,omitempty"`
 		// For operators: what became of submissions at the controller that answers, since
 		// its process began.
 		Controller  api.Label `json:"controller,omitempty"`
@@ -147,6 +149,14 @@
 	v := UsageView{OpenJobs: e.Bound(), Teams: []TeamUsage{}}
 	for _, j := range n.book.Of[string(e.Name)] {
 		v.Running += len(j.Places)
+		for _, need := range j.Spec.Needs {
+			if j.Live() > 0 {
+				if v.Pools == nil {
+					v.Pools = map[api.PoolName]int{}
+				}
+				v.Pools[need.Pool] += need.Units(j.Live(), false)
+			}
+		}
 		if j.Final() {
 			continue
 		}
--- a/internal/standin/tenants.go
+++ b/internal/standin/tenants.go
@@ -234,9 +234,11 @@
 		for _, i := range append(j.Done, j.Lost...) {
 			delete(t.ledger.starts, api.TaskID{Job: j.Job, Index: i})
 		}
+		if len(j.Starts) > 0 {
+			started[j.Job] = !t.holds(j.Job)
+		}
 		for _, s := range j.Starts {
 			t.ledger.starts[api.TaskID{Job: j.Job, Index: s.Task}] = s.Machine
-			started[j.Job] = true
 		}
 	}
 	t.checkPools(started)
