--- a/pool/pool.go
+++ b/pool/pool.go
@@ -36,7 +36,7 @@
 	Tenants []tenant.Name `json:"tenants,omitempty"` // who may use it beside the teams; neither: everybody
 	State   State         `json:"state"`
 	Reclaim bool          `json:"reclaim,omitempty"` // holders make way when more is held than there is
-	Shares  []int         `json:"shares"` // by part; their sum is the size at most
+	Shares  []int         `json:"shares"`            // by part; their sum is the size at most
 }
 
 const (
