Pools: units guaranteed to teams, and what is held and waited for in the metrics

Need: a team that pays for two of four licences waited behind a hundred older jobs of another; and nothing counted pools over time.

Ruled out: units kept free for a team that does not ask (they would lie idle); stopping others for a guarantee, as long as priorities are the same. Change: work within its team's guarantee comes before other work of its priority and reserves what comes free. Metrics name up to 200 pools.

--- a/admin/client_test.go
+++ b/admin/client_test.go
@@ -101,7 +101,7 @@
 		"admin team put dispo --cpus 3 --cpus-max 4":      "PUT /admin/v1/teams/dispo",
 		"admin team remove dispo":                         "POST /admin/v1/teams/dispo/remove",
 		"admin pool list":                                 "GET /admin/v1/pools", "admin pool show routing": "GET /admin/v1/pools/routing",
-		"admin pool put routing --size 3 --team dispo --frozen": "PUT /admin/v1/pools/routing", "admin pool remove routing": "POST /admin/v1/pools/routing/remove",
+		"admin pool put routing --size 3 --team dispo --frozen --guarantee dispo=2": "PUT /admin/v1/pools/routing", "admin pool remove routing": "POST /admin/v1/pools/routing/remove",
 		"admin audit --limit 5": "GET /admin/v1/audit",
 		"job submit " + job:     "POST /v1/jobs",
 		"job show run-1":        "GET /v1/jobs/run-1",
--- a/admin/pools.go
+++ b/admin/pools.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/url"
+	"slices"
 
 	"basaltwall/control"
 	"basaltwall/pool"
@@ -23,14 +25,15 @@
 }
 
 type poolPutCmd struct {
-	Name    string   `arg:"" help:"The pool's name: a to z, 0 to 9 and -."`
-	Size    *int     `help:"How many units there are. Below what is held, nothing more is handed out until so many have ended."`
-	Largest *int     `help:"How many there may ever be: jobs that ask for more at once are refused (by itself: the size)."`
-	Unit    *string  `help:"What is counted, in words."`
-	Team    []string `help:"A team that may use it; may be repeated. An empty one stands for none."`
-	Tenant  []string `help:"A tenant that may use it; may be repeated. Without teams and tenants everybody may."`
-	Frozen  *bool    `negatable:"" help:"Hand out nothing more."`
-	Reclaim *bool    `negatable:"" help:"Let holders make way when more is held than there is, the least urgent and newest first."`
+	Name      string         `arg:"" help:"The pool's name: a to z, 0 to 9 and -."`
+	Size      *int           `help:"How many units there are. Below what is held, nothing more is handed out until so many have ended."`
+	Largest   *int           `help:"How many there may ever be: jobs that ask for more at once are refused (by itself: the size)."`
+	Unit      *string        `help:"What is counted, in words."`
+	Team      []string       `help:"A team that may use it; may be repeated. An empty one stands for none."`
+	Tenant    []string       `help:"A tenant that may use it; may be repeated. Without teams and tenants everybody may."`
+	Guarantee map[string]int `placeholder:"TEAM=UNITS" help:"What a team's work may have before other work of the same priority; may be repeated. Replaces what there is."`
+	Frozen    *bool          `negatable:"" help:"Hand out nothing more."`
+	Reclaim   *bool          `negatable:"" help:"Let holders make way when more is held than there is, the least urgent and newest first."`
 }
 
 // pool runs a subcommand on pools.
@@ -81,7 +84,14 @@
 	if p.Tenant != nil {
 		tenants = named(p.Tenant)
 	}
-	body, err := json.Marshal(map[string]any{"revision": at.Revision, "size": at.Size, "largest": max(at.Largest, at.Size), "unit": at.Unit,
+	guaranteed := map[string]int{}
+	for team, units := range at.Guaranteed {
+		guaranteed[string(team)] = units
+	}
+	if p.Guarantee != nil {
+		guaranteed = p.Guarantee
+	}
+	body, err := json.Marshal(map[string]any{"guaranteed": guaranteed, "revision": at.Revision, "size": at.Size, "largest": max(at.Largest, at.Size), "unit": at.Unit,
 		"teams": teams, "tenants": tenants, "frozen": frozen, "reclaim": at.Reclaim})
 	if err != nil {
 		return err
@@ -113,6 +123,9 @@
 	row(w, "waiting", p.Waiting, fmt.Sprintf("the oldest for %.0f s", p.Oldest))
 	row(w, "teams", joined(p.Teams))
 	row(w, "tenants", joined(p.Tenants))
+	for _, team := range slices.Sorted(maps.Keys(p.Guaranteed)) {
+		row(w, "guaranteed", team, p.Guaranteed[team])
+	}
 	row(w, "revision", p.Revision)
 	row(w)
 	row(w, "PART", "SHARE", "HELD", "FREE")
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -135,8 +135,24 @@
 	Process float64            `json:"processor_s"`
 	Queue   int                `json:"commands_waiting"`
 	Shed    uint64             `json:"optional_work_put_off"`
+
+	// Of a hosted service: pools, the first 200 by name, and how often this controller
+	// moved shares of any.
+	Pools     map[api.PoolName]PoolMetrics `json:"pools,omitempty"`
+	PoolMoves uint64                       `json:"pool_share_moves,omitempty"`
+}
+
+// PoolMetrics is what there is of a pool.
+type PoolMetrics struct {
+	Size    int     `json:"size"`
+	Held    int     `json:"held"`
+	Waiting int     `json:"waiting_units"`
+	Oldest  float64 `json:"oldest_wait_s"`
 }
 
+// maxPoolMetrics bounds the pools that metrics name.
+const maxPoolMetrics = 200
+
 func (n *Node) viewMetrics() MetricsView {
 	m := &n.metrics
 	v := MetricsView{UpSeconds: n.now.Sub(n.startedAt).Seconds(), Rounds: m.Rounds, Starts: m.Starts, Ends: m.Ends,
@@ -161,6 +177,18 @@
 			}
 		}
 	}
+	if h := n.hosted; h != nil && h.pools.table.Len() > 0 {
+		v.Pools, v.PoolMoves = map[api.PoolName]PoolMetrics{}, h.pools.moves
+		names := h.pools.table.Names()
+		for _, name := range names[:min(maxPoolMetrics, len(names))] {
+			p := PoolMetrics{Size: h.pools.table.Get(name).Size}
+			for _, held := range n.heldOf(name) {
+				p.Held += held
+			}
+			p.Waiting, p.Oldest = n.waitFor(name)
+			v.Pools[name] = p
+		}
+	}
 	for what, h := range m.times {
 		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 		v.Times[what] = timing{h.TotalCount(), ms(50), ms(95), ms(99), float64(h.Max()) / 1000}
--- a/control/pools.go
+++ b/control/pools.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -44,15 +45,36 @@
 
 // asker is a job that waits in a part for units of a pool.
 type asker struct {
-	job  *Job
-	part api.PartID
-	ask  pool.Ask
+	job      *Job
+	part     api.PartID
+	entitled bool // within what its team is guaranteed
+	ask      pool.Ask
+}
+
+// heldBy is what each team holds of a pool that guarantees units to some, nil of others.
+func (n *Node) heldBy(e *pool.Entry) map[api.Team]int {
+	if e == nil || len(e.Guaranteed) == 0 {
+		return nil
+	}
+	out := map[api.Team]int{}
+	for _, j := range n.book.Jobs {
+		for _, need := range j.Spec.Needs {
+			if need.Pool == e.Name {
+				out[j.Spec.Team] += need.Units(j.Live(), false)
+			}
+		}
+	}
+	return out
 }
 
 // asking lists who waits for a pool, in the order in which they are served: by priority,
-// then by age. Work that may not start anyway is not among them.
+// then who is within its team's guarantee, then by age. Work that may not start anyway is
+// not among them. Who is urgent or entitled reserves what comes free, and others do by
+// turns if they need several units at once.
 func (n *Node) asking(name api.PoolName) []asker {
 	var out []asker
+	e := n.poolOf(name)
+	teams := n.heldBy(e)
 	for _, j := range n.book.Open {
 		i := slices.IndexFunc(j.Spec.Needs, func(x api.Need) bool { return x.Pool == name })
 		if i < 0 || n.held(j) || j.Note.hold > n.now {
@@ -68,17 +90,28 @@
 			if j.Spec.Kind == api.Gang {
 				a.Units, a.Starts = need.Units(j.Spec.Tasks, false), 1
 			}
-			a.Reserve = j.Spec.Priority.Rank() >= urgentRank || a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
-			out = append(out, asker{j, api.PartID(p), a})
+			entitled := teams != nil && teams[j.Spec.Team]+a.Units <= e.Guaranteed[j.Spec.Team]
+			if entitled {
+				a.Starts = min(a.Starts, (e.Guaranteed[j.Spec.Team]-teams[j.Spec.Team])/a.Units)
+			}
+			a.Reserve = entitled || j.Spec.Priority.Rank() >= urgentRank || a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
+			out = append(out, asker{j, api.PartID(p), entitled, a})
 		}
 	}
 	slices.SortFunc(out, func(a, b asker) int {
-		return cmp.Or(b.job.Spec.Priority.Rank()-a.job.Spec.Priority.Rank(), cmp.Compare(a.job.Accepted, b.job.Accepted),
-			cmp.Compare(a.job.Ref, b.job.Ref), int(a.part-b.part))
+		return cmp.Or(b.job.Spec.Priority.Rank()-a.job.Spec.Priority.Rank(), first(b.entitled)-first(a.entitled),
+			cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.job.Ref, b.job.Ref), int(a.part-b.part))
 	})
 	return out
 }
 
+func first(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // units is what a part may hand out of the pools that jobs need, and the jobs that may ask
 // for it: those that come after one that reserves what it lacks are left out. Of more
 // pools than a round may name some are looked at by turns.
@@ -107,17 +140,17 @@
 			continue
 		}
 		out[name] = e.Free(t.part, n.heldOf(name))
-		var first *Job // that reserves, and has room for what it reserves for
+		var head *Job // that reserves, and has room for what it reserves for
 		looks := maxAsks
 		for _, a := range n.asking(name) {
-			if first != nil && a.job != first {
+			if head != nil && a.job != head {
 				after[a.job] = true
 			}
-			if first != nil || !a.ask.Reserve || looks == 0 {
+			if head != nil || !a.ask.Reserve || looks == 0 {
 				continue
 			}
 			if looks--; a.job.Spec.Whole() || n.roomByPart(a.job.Spec)[a.part] > 0 {
-				first = a.job
+				head = a.job
 			}
 		}
 	}
@@ -282,12 +315,7 @@
 			h.places, h.units = append(h.places, pl), h.units+need.Task
 		}
 	}
-	gang := func(h holding) int {
-		if h.job.Spec.Kind == api.Gang {
-			return 1
-		}
-		return 0
-	}
+	gang := func(h holding) int { return first(h.job.Spec.Kind == api.Gang) }
 	slices.SortFunc(all, func(a, b holding) int {
 		return cmp.Or(a.job.Spec.Priority.Rank()-b.job.Spec.Priority.Rank(), gang(a)-gang(b), cmp.Compare(b.job.Accepted, a.job.Accepted),
 			cmp.Compare(b.job.Ref, a.job.Ref), b.places[0].Task.Index-a.places[0].Task.Index)
@@ -310,12 +338,12 @@
 	}
 	may := func(holding) bool { return e.Reclaim }
 	if lacks <= 0 || !e.Reclaim {
-		first := n.urgentAsk(e)
-		if first == nil {
+		urgent := n.urgentAsk(e)
+		if urgent == nil {
 			return
 		}
-		lacks += first.ask.Units * first.ask.Starts
-		rank := first.job.Spec.Priority.Rank()
+		lacks += urgent.ask.Units * urgent.ask.Starts
+		rank := urgent.job.Spec.Priority.Rank()
 		may = func(h holding) bool { return h.job.Spec.Kind != api.Gang && h.job.Spec.Priority.Rank() < rank }
 	}
 	if lacks <= 0 {
@@ -416,6 +444,8 @@
 		Tenants  []tenant.Name `json:"tenants"`
 		Frozen   bool          `json:"frozen"`
 		Reclaim  bool          `json:"reclaim"`
+
+		Guaranteed map[api.Team]int `json:"guaranteed"`
 	}
 )
 
@@ -427,13 +457,20 @@
 	for q := range v.Held {
 		v.Free = append(v.Free, p.Free(api.PartID(q), v.Held))
 	}
-	for _, a := range n.asking(p.Name) {
-		v.Waiting += a.ask.Units * a.ask.Starts
-		v.Oldest = max(v.Oldest, tenths(float64(n.wall-a.job.Accepted)/1000))
-	}
+	v.Waiting, v.Oldest = n.waitFor(p.Name)
 	return v
 }
 
+// waitFor is how many units of a pool are waited for, and for how many seconds the oldest
+// of who waits has been there.
+func (n *Node) waitFor(name api.PoolName) (units int, oldest float64) {
+	for _, a := range n.asking(name) {
+		units += a.ask.Units * a.ask.Starts
+		oldest = max(oldest, tenths(float64(n.wall-a.job.Accepted)/1000))
+	}
+	return units, oldest
+}
+
 // holders lists the jobs that hold units of a pool, those that hold most first.
 func (n *Node) holders(name api.PoolName) []HolderView {
 	out := []HolderView{}
@@ -484,7 +521,7 @@
 		now.State = pool.Removed
 	} else {
 		now.Name, now.Unit, now.Size, now.Largest, now.Teams, now.Tenants = name, ask.Unit, ask.Size, max(ask.Largest, ask.Size), ask.Teams, ask.Tenants
-		now.State, now.Reclaim = pool.Active, ask.Reclaim
+		now.State, now.Reclaim, now.Guaranteed = pool.Active, ask.Reclaim, ask.Guaranteed
 		if ask.Frozen {
 			now.State = pool.Frozen
 		}
@@ -498,7 +535,7 @@
 	if err := now.Check(len(n.book.Parts)); err != nil {
 		return err
 	}
-	for _, team := range now.Teams {
+	for _, team := range slices.Concat(now.Teams, slices.Sorted(maps.Keys(now.Guaranteed))) {
 		if _, known := n.teams[team]; !known {
 			return &tenant.Error{Status: 422, Field: "teams", Why: "there is no team " + string(team)}
 		}
--- a/control/pools_test.go
+++ b/control/pools_test.go
@@ -151,3 +151,26 @@
 		})
 	}
 }
+
+// Metrics tell of each pool what it holds and who waits, of two hundred at most.
+func TestMetricsOfPools(t *testing.T) {
+	n, turf, _ := pooled(t, 3)
+	w := n.plan(turf)
+	n.book.FoldRecord(0, &w.rec)
+	if got := n.viewMetrics().Pools["routing"]; got.Size != 3 || got.Held != len(w.starts) || got.Held == 0 || got.Waiting != 4-got.Held {
+		t.Errorf("%+v after %d starts of 4 tasks", got, len(w.starts))
+	}
+	for i := range 300 {
+		name := api.PoolName(fmt.Sprintf("pool-%d", i))
+		data, err := json.Marshal(pool.Pool{Name: name, State: pool.Active, Shares: []int{0}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.hosted.pools.table.Put(string(name), data, 9); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := len(n.viewMetrics().Pools); got != maxPoolMetrics {
+		t.Errorf("%d pools in the metrics", got)
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -36,6 +36,7 @@
 //	                                    with any, all jobs need tenant=NAME, and NAME/REF names one
 //	pool AT NAME SIZE                   a pool of counted resources is made, or gets another size
 //	reclaim AT NAME SIZE                the same, and holders make way if more is held
+//	guarantee AT NAME TEAM UNITS        a team's work comes before others' up to so many
 //	holds AT NAME UNITS                 so many are held then
 //	held NAME MOST                      the most units of it that were ever held
 //	use FROM TO NAME SHARE              so much of it is held on average then, at least
@@ -67,6 +68,7 @@
 
 	"basaltwall/api"
 	"basaltwall/config"
+	"basaltwall/control"
 	"basaltwall/internal/standin"
 	"basaltwall/tenant"
 )
@@ -328,7 +330,7 @@
 	rest := l[1:]
 	forms := map[string]string{"capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
-		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "starts": "nn", "deleted": "nn", "most": "sn"}
+		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -395,7 +397,13 @@
 	case "resume":
 		w.After(ds[0], func() { w.Tenants.Resume(tenant.Name(ss[0])) })
 	case "pool", "reclaim":
-		w.After(ds[0], func() { w.Tenants.Pool(api.PoolName(ss[0]), int(ns[0]), l[0] == "reclaim") })
+		w.After(ds[0], func() {
+			w.Tenants.Pool(api.PoolName(ss[0]), func(p *control.PoolView) { p.Size, p.Reclaim = int(ns[0]), l[0] == "reclaim" })
+		})
+	case "guarantee":
+		w.After(ds[0], func() {
+			w.Tenants.Pool(api.PoolName(ss[0]), func(p *control.PoolView) { p.Guaranteed = map[api.Team]int{api.Team(ss[1]): int(ns[0])} })
+		})
 	case "holds":
 		w.After(ds[0], func() {
 			if now, _ := w.Tenants.Held(api.PoolName(ss[0])); now != int(ns[0]) {
--- a/internal/standin/pools.go
+++ b/internal/standin/pools.go
@@ -106,13 +106,14 @@
 	}
 }
 
-// Pool makes a pool or gives it another size, until that is answered with 200.
-func (t *Tenants) Pool(name api.PoolName, size int, reclaim bool) {
-	t.inOrder(tenant.Name("pool "+name), func(done func()) { t.putPool(name, size, reclaim, done) })
+// Pool makes a pool or changes it as change says of what it is, until that is answered
+// with 200.
+func (t *Tenants) Pool(name api.PoolName, change func(*control.PoolView)) {
+	t.inOrder(tenant.Name("pool "+name), func(done func()) { t.putPool(name, change, done) })
 }
 
-func (t *Tenants) putPool(name api.PoolName, size int, reclaim bool, done func()) {
-	again := func() { t.w.After(t.w.latency()*200, func() { t.putPool(name, size, reclaim, done) }) }
+func (t *Tenants) putPool(name api.PoolName, change func(*control.PoolView), done func()) {
+	again := func() { t.w.After(t.w.latency()*200, func() { t.putPool(name, change, done) }) }
 	t.act("pool", tenant.Name(name), nil, func(status int, b []byte) {
 		var at control.PoolView
 		switch status {
@@ -123,7 +124,9 @@
 			again()
 			return
 		}
-		t.act("pool-put", tenant.Name(name), map[string]any{"revision": at.Revision, "size": size, "largest": max(size, at.Largest), "reclaim": reclaim}, func(status int, _ []byte) {
+		change(&at)
+		t.act("pool-put", tenant.Name(name), map[string]any{"revision": at.Revision, "size": at.Size, "largest": max(at.Size, at.Largest),
+			"reclaim": at.Reclaim, "guaranteed": at.Guaranteed}, func(status int, _ []byte) {
 			if status != 200 {
 				again()
 				return
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,9 +34,11 @@
 	Largest int           `json:"largest"` // size that it may ever have: who asks for more is refused
 	Teams   []api.Team    `json:"teams,omitempty"`
 	Tenants []tenant.Name `json:"tenants,omitempty"` // who may use it beside the teams; neither: everybody
-	State   State         `json:"state"`
-	Reclaim bool          `json:"reclaim,omitempty"` // holders make way when more is held than there is
-	Shares  []int         `json:"shares"`            // by part; their sum is the size at most
+	// Guaranteed is what teams' work may have of it before other work of the same priority.
+	Guaranteed map[api.Team]int `json:"guaranteed,omitempty"`
+	State      State            `json:"state"`
+	Reclaim    bool             `json:"reclaim,omitempty"` // holders make way when more is held than there is
+	Shares     []int            `json:"shares"`            // by part; their sum is the size at most
 }
 
 const (
@@ -58,6 +60,10 @@
 	for _, s := range p.Shares {
 		sum, below = sum+s, below || s < 0
 	}
+	guaranteed, least := 0, 0
+	for _, g := range p.Guaranteed {
+		guaranteed, least = guaranteed+min(g, maxSize), min(least, g)
+	}
 	switch {
 	case len(p.Unit) > maxText || !utf8.ValidString(p.Unit) || !printable(p.Unit):
 		return invalid("unit", "must be printable and at most %d bytes", maxText)
@@ -67,6 +73,8 @@
 		return invalid("largest", "must be between the size and %d", maxSize)
 	case len(p.Teams) > maxUsers:
 		return invalid("teams", "at most %d", maxUsers)
+	case len(p.Guaranteed) > maxUsers || guaranteed > p.Largest || least < 0:
+		return invalid("guaranteed", "at most %d teams, none below 0, and together the largest size at most", maxUsers)
 	case len(p.Tenants) > maxUsers:
 		return invalid("tenants", "at most %d", maxUsers)
 	case !slices.Contains([]State{Active, Frozen, Removed}, p.State):
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -80,7 +80,8 @@
 	for field, spoil := range map[string]func(*Pool){
 		"name": func(p *Pool) { p.Name = "Routing/1" }, "size": func(p *Pool) { p.Size = -1 }, "largest": func(p *Pool) { p.Largest = 2 },
 		"unit": func(p *Pool) { p.Unit = "a\nb" }, "state": func(p *Pool) { p.State = "" }, "shares": func(p *Pool) { p.Shares = []int{3, 1} },
-		"teams": func(p *Pool) { p.Teams = make([]api.Team, maxUsers+1) }, "tenants": func(p *Pool) { p.Tenants = make([]tenant.Name, maxUsers+1) },
+		"guaranteed": func(p *Pool) { p.Guaranteed = map[api.Team]int{"red": 3, "blue": 3} },
+		"teams":      func(p *Pool) { p.Teams = make([]api.Team, maxUsers+1) }, "tenants": func(p *Pool) { p.Tenants = make([]tenant.Name, maxUsers+1) },
 	} {
 		p := good
 		spoil(&p)
