One table of the hosted service's requests, in place of four parsers of paths

Need: four functions took paths apart in the same way and could differ. Ruled out: a router library, for which the handler's own types would be in the way. No conduct changes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -57,19 +57,14 @@
 		ask.What, ask.ID = "job", parts[1]
 	case len(parts) == 3 && parts[0] == "machines" && parts[1] != "" && (parts[2] == "drain" || parts[2] == "undrain"):
 		ask.What, ask.ID, want = parts[2], parts[1], "POST"
-	case len(parts) == 1 && parts[0] == "audit":
-		var ok bool
-		if ask.After, ask.Limit, ok = Page(r); !ok {
-			return nil, 400
+	case OfHosted(r.Path):
+		if parts[0] == "audit" {
+			var ok bool
+			if ask.After, ask.Limit, ok = Page(r); !ok {
+				return nil, 400
+			}
 		}
-	case parts[0] == "pools":
-		return poolCommand(ask, parts[1:], r.Method)
-	case parts[0] == "operators":
-		return operatorsCommand(ask, parts[1:], r.Method)
-	case parts[0] == "teams": // one of them
-		return teamCommand(ask, parts[1:], r.Method)
-	case parts[0] == "tenants":
-		return tenantCommand(ask, parts[1:], r.Method)
+		return hostedCommand(ask, parts, r.Method)
 	default:
 		return nil, 404
 	}
--- /dev/null
+++ b/admin/hosted.go
@@ -0,0 +1,73 @@
+package admin
+
+import (
+	"slices"
+	"strings"
+
+	"basaltwall/control"
+)
+
+// hosted are the requests of a hosted service alone. In a path ID stands for what is asked
+// about, and SUB for the name of one of its keys.
+var hosted = []struct{ method, path, what string }{
+	{"GET", "audit", "audit"},
+	{"GET", "tenants", "tenants"},
+	{"GET", "tenants/ID", "tenant"},
+	{"PUT", "tenants/ID", "tenant-put"},
+	{"GET", "tenants/ID/usage", "usage"},
+	{"POST", "tenants/ID/suspend", "suspend"},
+	{"POST", "tenants/ID/resume", "resume"},
+	{"POST", "tenants/ID/remove", "remove"},
+	{"POST", "tenants/ID/keys", "key-add"},
+	{"POST", "tenants/ID/keys/SUB/revoke", "key-revoke"},
+	{"GET", "operators", "operators"},
+	{"PUT", "operators", "operators-put"},
+	{"POST", "operators/keys", "operators-key-add"},
+	{"POST", "operators/keys/SUB/revoke", "operators-key-revoke"},
+	{"PUT", "teams/ID", "team-put"},
+	{"POST", "teams/ID/remove", "team-remove"},
+	{"GET", "pools", "pools"},
+	{"GET", "pools/ID", "pool"},
+	{"PUT", "pools/ID", "pool-put"},
+	{"POST", "pools/ID/remove", "pool-remove"},
+}
+
+// fits reports whether a path is of a form, and reads what it names.
+func fits(parts []string, form string) (id, sub string, ok bool) {
+	ok = slices.EqualFunc(parts, strings.Split(form, "/"), func(part, want string) bool {
+		switch want {
+		case "ID":
+			id = part
+			return part != ""
+		case "SUB":
+			sub = part
+			return part != ""
+		}
+		return part == want
+	})
+	return id, sub, ok
+}
+
+// OfHosted reports whether a path is of a hosted service only.
+func OfHosted(path string) bool {
+	first, rest, _ := strings.Cut(strings.TrimPrefix(path, Prefix), "/")
+	return slices.Contains([]string{"tenants", "operators", "audit", "pools"}, first) || first == "teams" && rest != ""
+}
+
+// hostedCommand is what a request of a hosted service asks of the owner, or the status that
+// refuses it.
+func hostedCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
+	status := 404
+	for _, r := range hosted {
+		id, sub, ok := fits(parts, r.path)
+		if !ok {
+			continue
+		}
+		if r.method == method {
+			ask.What, ask.ID, ask.Sub = r.what, id, sub
+			return ask, 0
+		}
+		status = 405
+	}
+	return nil, status
+}
--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -6,7 +6,6 @@
 	"net/url"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"basaltwall/api"
@@ -14,100 +13,6 @@
 	"basaltwall/tenant"
 )
 
-// OfHosted reports whether a path is of a hosted service only.
-func OfHosted(path string) bool {
-	first, rest, _ := strings.Cut(strings.TrimPrefix(path, Prefix), "/")
-	return first == "tenants" || first == "operators" || first == "audit" || first == "pools" || first == "teams" && rest != ""
-}
-
-// operatorsCommand is what a request under operators asks of the owner.
-func operatorsCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
-	want := "GET"
-	switch {
-	case len(parts) == 0:
-		ask.What = "operators"
-		if method == "PUT" {
-			ask.What, want = "operators-put", "PUT"
-		}
-	case len(parts) == 1 && parts[0] == "keys":
-		ask.What, want = "operators-key-add", "POST"
-	case len(parts) == 3 && parts[0] == "keys" && parts[1] != "" && parts[2] == "revoke":
-		ask.What, ask.Sub, want = "operators-key-revoke", parts[1], "POST"
-	default:
-		return nil, 404
-	}
-	if method != want {
-		return nil, 405
-	}
-	return ask, 0
-}
-
-// poolCommand is what a request under pools asks of the owner.
-func poolCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
-	want := "GET"
-	switch {
-	case len(parts) == 0:
-		ask.What = "pools"
-	case len(parts) == 1 && parts[0] != "":
-		ask.What, ask.ID = "pool", parts[0]
-		if method == "PUT" {
-			ask.What, want = "pool-put", "PUT"
-		}
-	case len(parts) == 2 && parts[0] != "" && parts[1] == "remove":
-		ask.What, ask.ID, want = "pool-remove", parts[0], "POST"
-	default:
-		return nil, 404
-	}
-	if method != want {
-		return nil, 405
-	}
-	return ask, 0
-}
-
-// teamCommand is what a request on one team asks of the owner.
-func teamCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
-	want := "PUT"
-	switch {
-	case len(parts) == 1 && parts[0] != "":
-		ask.What, ask.ID = "team-put", parts[0]
-	case len(parts) == 2 && parts[0] != "" && parts[1] == "remove":
-		ask.What, ask.ID, want = "team-remove", parts[0], "POST"
-	default:
-		return nil, 404
-	}
-	if method != want {
-		return nil, 405
-	}
-	return ask, 0
-}
-
-// tenantCommand is what a request under tenants asks of the owner.
-func tenantCommand(ask control.Ask, parts []string, method string) (control.Command, int) {
-	acts := map[string]string{"suspend": "suspend", "resume": "resume", "remove": "remove", "keys": "key-add"}
-	want := "GET"
-	switch {
-	case len(parts) == 0:
-		ask.What = "tenants"
-	case len(parts) == 1 && parts[0] != "":
-		ask.What, ask.ID = "tenant", parts[0]
-		if method == "PUT" {
-			ask.What, want = "tenant-put", "PUT"
-		}
-	case len(parts) == 2 && parts[0] != "" && parts[1] == "usage":
-		ask.What, ask.ID = "usage", parts[0]
-	case len(parts) == 2 && acts[parts[1]] != "":
-		ask.What, ask.ID, want = acts[parts[1]], parts[0], "POST"
-	case len(parts) == 4 && parts[1] == "keys" && parts[3] == "revoke":
-		ask.What, ask.ID, ask.Sub, want = "key-revoke", parts[0], parts[2], "POST"
-	default:
-		return nil, 404
-	}
-	if method != want {
-		return nil, 405
-	}
-	return ask, 0
-}
-
 type tenantCmd struct {
 	List    struct{}      `cmd:"" help:"List the tenants."`
 	Show    tenantNameCmd `cmd:"" help:"Show a tenant with its keys."`
