A round names eight pools at most, also of jobs that hold their own units already

Need: jobs that hold units for themselves start further tasks whatever pools a round looks at, so a round of many such jobs could have more conditions than a transaction takes. It would be refused each time, and its part would try for ever.

Ruled out: leaving such pools out of the conditions, which is sound by now but would rest on a second argument. Change: a start that would name a ninth pool waits for the next round.

--- a/control/part.go
+++ b/control/part.go
@@ -320,8 +320,9 @@
 	}
 	t.planned = map[api.Team]bool{}
 	most := room / 64
+	named := map[api.PoolName]bool{}
 	for _, s := range n.schedule(t, w, most) {
-		if !cond[s.Job.Ref] && len(cond) >= maxCond {
+		if !cond[s.Job.Ref] && len(cond) >= maxCond || !namesPools(named, s.Job.Spec.Needs) {
 			t.dirty = true
 			continue
 		}
--- a/control/pools.go
+++ b/control/pools.go
@@ -575,6 +575,24 @@
 	return nil
 }
 
+// namesPools adds pools to those that a round names, or reports that they would be too many:
+// jobs that hold their own units already may start tasks whatever pools a round looks at.
+func namesPools(named map[api.PoolName]bool, needs []api.Need) bool {
+	more := 0
+	for _, need := range needs {
+		if !named[need.Pool] {
+			more++
+		}
+	}
+	if len(named)+more > roundPools {
+		return false
+	}
+	for _, need := range needs {
+		named[need.Pool] = true
+	}
+	return true
+}
+
 // poolConditions are the pools that starts take units of, as conditions of their round.
 func (n *Node) poolConditions(starts []*Place) []api.Condition {
 	var out []api.Condition
--- a/control/pools_test.go
+++ b/control/pools_test.go
@@ -152,6 +152,42 @@
 	}
 }
 
+// A round names eight pools at most, also where more jobs than that hold their own units
+// already and start further tasks: one with too many conditions could never be written, and
+// its part would try for ever.
+func TestRoundNamesFewPools(t *testing.T) {
+	n, turf, j := pooled(t, 3)
+	delete(n.book.Open, j.Ref)
+	const jobs = 20
+	for i := range jobs {
+		m := n.machine(api.MachineID(fmt.Sprintf("i-%06d", i)))
+		m.typ, m.zone, m.heard, m.session, m.token = "c8", "a", n.now, 1, 7
+		name := api.PoolName(fmt.Sprintf("pool-%d", i))
+		data, err := json.Marshal(pool.Pool{Name: name, Size: 1, Largest: 1, State: pool.Active, Shares: []int{1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.hosted.pools.table.Put(string(name), data, 9); err != nil {
+			t.Fatal(err)
+		}
+		n.book.Wrote(keyPool+string(name), 9)
+		spec := testSpec(2)
+		spec.Ref = api.JobRef(fmt.Sprintf("run-1%03d", i))
+		spec.Needs = []api.Need{{Pool: name, Job: 1}}
+		if data, err = json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: 2}}, Tenant: "kipper", Own: spec.Ref}); err != nil {
+			t.Fatal(err)
+		}
+		if err := n.book.Put(book.KeyJob+string(spec.Ref), data, 9); err != nil {
+			t.Fatal(err)
+		}
+		n.book.AddPlace(&Place{Task: api.TaskID{Job: spec.Ref}, Machine: "i-000000", Session: 1, Attempt: 1, Job: n.book.Jobs[spec.Ref]})
+	}
+	w := n.plan(turf)
+	if got := len(n.poolConditions(w.starts)); got != roundPools || len(w.starts) != roundPools || !turf.dirty {
+		t.Errorf("%d pools are named by %d starts, expected %d; more rounds follow: %v", got, len(w.starts), roundPools, turf.dirty)
+	}
+}
+
 // Metrics tell of each pool what it holds and who waits, of two hundred at most.
 func TestMetricsOfPools(t *testing.T) {
 	n, turf, _ := pooled(t, 3)
