--- a/admin/admin.go
+++ b/admin/admin.go
@@ -198,6 +198,28 @@
 	return show(answer)
 }
 
+// send asks for a change with a body in JSON.
+func (c *Cmd) send(method, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return c.call(method, path, data)
+}
+
+// read is what lies at a path.
+func read[T any](c *Cmd, path string) (T, error) {
+	var at T
+	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
+	if err != nil {
+		return at, err
+	}
+	if err := json.Unmarshal(data, &at); err != nil {
+		return at, fmt.Errorf("%s: %w", path, err)
+	}
+	return at, nil
+}
+
 // ofPath shows what lies at a path as a table.
 func ofPath[T any](c *Cmd, path string, table func(io.Writer, T)) error {
 	body, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
--- a/admin/operators.go
+++ b/admin/operators.go
@@ -1,9 +1,7 @@
 package admin
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/netip"
 	"net/url"
 	"time"
 
@@ -67,35 +65,15 @@
 	return fmt.Errorf("operators %s: no such command", chosen)
 }
 
-// texts are the networks that are named, or those that are there.
-func texts(list []string, there []netip.Prefix) []string {
-	if list != nil {
-		return named(list)
-	}
-	out := []string{}
-	for _, p := range there {
-		out = append(out, p.String())
-	}
-	return out
-}
-
 func (c *Cmd) putOperators(p operatorsPutCmd) error {
-	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+"operators", nil)
+	at, err := read[control.OperatorsAt](c, "operators")
 	if err != nil {
 		return err
 	}
-	var at control.OperatorsAt
-	if err := json.Unmarshal(data, &at); err != nil {
-		return fmt.Errorf("operators: %w", err)
-	}
 	set(&at.CPUs, p.CPUs)
 	set(&at.GPUs, p.GPUs)
-	body, err := json.Marshal(map[string]any{"revision": at.Revision, "networks": texts(p.Network, at.Networks.Prefixes()),
-		"proxies": texts(p.Proxy, at.Proxies.Prefixes()), "cpus": at.CPUs, "gpus": at.GPUs})
-	if err != nil {
-		return err
-	}
-	return c.call("PUT", "operators", body)
+	return c.send("PUT", "operators", map[string]any{"revision": at.Revision, "networks": named(p.Network, texts(at.Networks)),
+		"proxies": named(p.Proxy, texts(at.Proxies)), "cpus": at.CPUs, "gpus": at.GPUs})
 }
 
 // team runs a subcommand on teams that operators make.
@@ -104,14 +82,10 @@
 	if chosen == "remove <name>" {
 		name = c.Team.Remove.Name
 	}
-	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+"teams", nil)
+	all, err := read[[]control.TeamView](c, "teams")
 	if err != nil {
 		return err
 	}
-	var all []control.TeamView
-	if err := json.Unmarshal(data, &all); err != nil {
-		return fmt.Errorf("teams: %w", err)
-	}
 	body := map[string]any{"revision": 0}
 	for _, t := range all {
 		if string(t.Team) == name {
@@ -124,8 +98,5 @@
 		method, path = "PUT", "teams/"+url.PathEscape(name)
 		body["cpus"], body["gpus"], body["cpus_max"], body["gpus_max"] = p.CPUs, p.GPUs, p.CPUsMax, p.GPUsMax
 	}
-	if data, err = json.Marshal(body); err != nil {
-		return err
-	}
-	return c.call(method, path, data)
+	return c.send(method, path, body)
 }
--- a/admin/pools.go
+++ b/admin/pools.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -52,18 +51,11 @@
 }
 
 func (c *Cmd) putPool(p poolPutCmd) error {
-	var at control.PoolView
 	path := "pools/" + url.PathEscape(p.Name)
-	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
+	at, err := read[control.PoolView](c, path)
 	var refused *Refused
-	switch {
-	case errors.As(err, &refused) && refused.Status == 404: // a new one
-	case err != nil:
+	if err != nil && !(errors.As(err, &refused) && refused.Status == 404) { // which is a new one
 		return err
-	default:
-		if err := json.Unmarshal(data, &at); err != nil {
-			return fmt.Errorf("%s: %w", path, err)
-		}
 	}
 	frozen := at.State == pool.Frozen
 	set(&at.Size, p.Size)
@@ -71,19 +63,6 @@
 	set(&at.Unit, p.Unit)
 	set(&frozen, p.Frozen)
 	set(&at.Reclaim, p.Reclaim)
-	teams, tenants := []string{}, []string{}
-	for _, t := range at.Teams {
-		teams = append(teams, string(t))
-	}
-	for _, t := range at.Tenants {
-		tenants = append(tenants, string(t))
-	}
-	if p.Team != nil {
-		teams = named(p.Team)
-	}
-	if p.Tenant != nil {
-		tenants = named(p.Tenant)
-	}
 	guaranteed := map[string]int{}
 	for team, units := range at.Guaranteed {
 		guaranteed[string(team)] = units
@@ -91,12 +70,8 @@
 	if p.Guarantee != nil {
 		guaranteed = p.Guarantee
 	}
-	body, err := json.Marshal(map[string]any{"guaranteed": guaranteed, "revision": at.Revision, "size": at.Size, "largest": max(at.Largest, at.Size), "unit": at.Unit,
-		"teams": teams, "tenants": tenants, "frozen": frozen, "reclaim": at.Reclaim})
-	if err != nil {
-		return err
-	}
-	return c.call("PUT", path, body)
+	return c.send("PUT", path, map[string]any{"guaranteed": guaranteed, "revision": at.Revision, "size": at.Size, "largest": max(at.Largest, at.Size), "unit": at.Unit,
+		"teams": named(p.Team, plain(at.Teams)), "tenants": named(p.Tenant, plain(at.Tenants)), "frozen": frozen, "reclaim": at.Reclaim})
 }
 
 func sum(list []int) int {
--- a/admin/tables.go
+++ b/admin/tables.go
@@ -64,23 +64,13 @@
 	return fmt.Sprint(v)
 }
 
-func joined[T ~string](list []T) string {
-	out := make([]string, len(list))
-	for i, s := range list {
-		out[i] = string(s)
-	}
-	return strings.Join(out, ",")
-}
+func joined[T ~string](list []T) string { return strings.Join(plain(list), ",") }
 
 func networks(n tenant.Networks, none string) string {
 	if n.IsZero() {
 		return none
 	}
-	out := []string{}
-	for _, p := range n.Prefixes() {
-		out = append(out, p.String())
-	}
-	return strings.Join(out, ",")
+	return strings.Join(texts(n), ",")
 }
 
 func tenantsTable(w io.Writer, all []control.TenantAt) {
--- a/admin/tenants.go
+++ b/admin/tenants.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/url"
 	"os"
@@ -82,7 +81,7 @@
 	case "add <name>":
 		return c.putTenant(t.Add, control.TenantAt{Tenant: tenant.Tenant{Retention: (90 * 24 * time.Hour).Seconds()}})
 	case "change <name>":
-		at, err := c.readTenant(t.Change.Name)
+		at, err := read[control.TenantAt](c, "tenants/"+url.PathEscape(t.Change.Name))
 		if err != nil {
 			return err
 		}
@@ -101,18 +100,6 @@
 	return fmt.Errorf("tenant %s: no such command", chosen)
 }
 
-func (c *Cmd) readTenant(name string) (control.TenantAt, error) {
-	var at control.TenantAt
-	body, err := ask(c.Addr, c.KeyFile, "GET", Prefix+"tenants/"+url.PathEscape(name), nil)
-	if err != nil {
-		return at, err
-	}
-	if err := json.Unmarshal(body, &at); err != nil {
-		return at, fmt.Errorf("tenant %s: %w", name, err)
-	}
-	return at, nil
-}
-
 // putTenant sends what is agreed: what is there already, but for what is named.
 func (c *Cmd) putTenant(p tenantPutCmd, at control.TenantAt) error {
 	t := at.Tenant
@@ -123,19 +110,8 @@
 	if p.Retention != nil {
 		t.Retention = p.Retention.Seconds()
 	}
-	teams := []string{}
-	for _, team := range t.Teams {
-		teams = append(teams, string(team))
-	}
-	if p.Team != nil {
-		teams = named(p.Team)
-	}
-	body, err := json.Marshal(map[string]any{"revision": at.Revision, "display": t.Display, "teams": teams, "rate": t.Rate, "burst": t.Burst,
-		"open_jobs": t.OpenJobs, "networks": texts(p.Network, t.Networks.Prefixes()), "retention_s": t.Retention})
-	if err != nil {
-		return err
-	}
-	return c.call("PUT", "tenants/"+url.PathEscape(p.Name), body)
+	return c.send("PUT", "tenants/"+url.PathEscape(p.Name), map[string]any{"revision": at.Revision, "display": t.Display, "teams": named(p.Team, plain(t.Teams)), "rate": t.Rate, "burst": t.Burst,
+		"open_jobs": t.OpenJobs, "networks": named(p.Network, texts(t.Networks)), "retention_s": t.Retention})
 }
 
 // set changes what is named.
@@ -145,28 +121,42 @@
 	}
 }
 
-// named is a list of what is not empty.
-func named(list []string) []string {
-	return slices.DeleteFunc(append([]string{}, list...), func(s string) bool { return s == "" })
+// named is a list as it is named, without empty texts, or as it is there if it is not.
+func named(list, there []string) []string {
+	if list == nil {
+		return there
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == "" })
+}
+
+// plain are names as texts.
+func plain[T ~string](list []T) []string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = string(s)
+	}
+	return out
+}
+
+// texts are networks as texts.
+func texts(n tenant.Networks) []string {
+	out := []string{}
+	for _, p := range n.Prefixes() {
+		out = append(out, p.String())
+	}
+	return out
 }
 
 // act asks for a change of what lies at a path, naming the revision that is read there.
 func (c *Cmd) act(path, what string, body map[string]any) error {
-	data, err := ask(c.Addr, c.KeyFile, "GET", Prefix+path, nil)
+	at, err := read[struct {
+		Revision api.Revision `json:"revision"`
+	}](c, path)
 	if err != nil {
 		return err
 	}
-	var at struct {
-		Revision api.Revision `json:"revision"`
-	}
-	if err := json.Unmarshal(data, &at); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
 	body["revision"] = at.Revision
-	if data, err = json.Marshal(body); err != nil {
-		return err
-	}
-	return c.call("POST", path+"/"+what, data)
+	return c.send("POST", path+"/"+what, body)
 }
 
 // newKey is what is asked for a key that lasts so long, for ever if 0.
--- a/api/wire.go
+++ b/api/wire.go
@@ -138,6 +138,23 @@
 	return u
 }
 
+// Need finds what the job takes of a pool.
+func (s *JobSpec) Need(pool PoolName) (Need, bool) {
+	i := slices.IndexFunc(s.Needs, func(n Need) bool { return n.Pool == pool })
+	if i < 0 {
+		return Need{}, false
+	}
+	return s.Needs[i], true
+}
+
+// AtOnce is how many of the job's tasks start together: a gang's all, else one.
+func (s *JobSpec) AtOnce() int {
+	if s.Kind == Gang {
+		return s.Tasks
+	}
+	return 1
+}
+
 // OfJob reports whether the job takes units for itself.
 func (s *JobSpec) OfJob() bool {
 	return slices.ContainsFunc(s.Needs, func(n Need) bool { return n.Job > 0 })
--- a/control/ask.go
+++ b/control/ask.go
@@ -192,7 +192,7 @@
 func (n *Node) change(c Ask, s SettingsAt) {
 	req := c.Req
 	v, err := json.Marshal(s.Settings)
-	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
+	if err != nil || n.tooLarge(v) {
 		n.refuse(req, 400, "drained: too many")
 		return
 	}
@@ -201,16 +201,10 @@
 		tx.Writes = append(tx.Writes, n.auditWrite(c, "settings", shownSettings(n.settings), shownSettings(s.Settings)))
 	}
 	n.txn(tx, func(a StateAnswer) {
-		switch a.Status {
-		case 200:
-			s.Revision = a.Txn.Revision
-			n.reply(req, 200, s, 0)
-			n.current(func() {}, func() {})
-		case 409:
-			n.refuse(req, 409, "revision: the settings have changed since")
-		default:
-			n.refuse(req, 503, "state service not reachable; the change may or may not have been made")
-		}
+		n.answerChange(req, a.Status, a.Txn.Revision, "the settings have", func(rev api.Revision) any {
+			s.Revision = rev
+			return s
+		})
 	})
 }
 
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -352,12 +352,7 @@
 		waiting = min(waiting, j.Demand.Slots(left[j.Spec.Team]), budget)
 		if len(j.Spec.Needs) > 0 { // no machine for work that its pools keep waiting
 			sj := sched.Job{Spec: j.Spec, Holds: j.Live() > 0}
-			fits := sj.InUnits(units, waiting)
-			if j.Spec.Kind == api.Gang && fits < waiting {
-				fits = 0
-			}
-			waiting = fits
-			if waiting > 0 {
+			if waiting = sj.InUnits(units, waiting); waiting > 0 {
 				sj.TakeUnits(units, waiting)
 			}
 		}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -336,7 +336,7 @@
 		v := j.JobValue
 		v.Split = split
 		data, err := json.Marshal(v)
-		if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+		if err != nil || n.tooLarge(data) {
 			continue
 		}
 		j.Note.moved = n.now
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -288,7 +288,7 @@
 	}
 	v := book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall, Tenant: string(e.Name), Own: shown}
 	data, err := json.Marshal(v)
-	if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+	if err != nil || n.tooLarge(data) {
 		n.refuse(c.Req, 400, "banchi: too long")
 		return
 	}
@@ -569,7 +569,7 @@
 func (n *Node) writeTenant(t tenant.Tenant, old *tenant.Entry, more []api.Write, answer func(status int, rev api.Revision)) {
 	key := keyTenant + string(t.Name)
 	data, err := json.Marshal(t)
-	if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+	if err != nil || n.tooLarge(data) {
 		answer(400, 0)
 		return
 	}
--- a/control/hosted_test.go
+++ b/control/hosted_test.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// putJob has a tenant's job accepted, all of it in part 0.
+func putJob(t testing.TB, n *Node, spec *api.JobSpec, name string, accepted api.Wall) *Job {
+	t.Helper()
+	data, err := json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: spec.Tasks}}, Accepted: accepted, Tenant: name, Own: spec.Ref})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.book.Put(book.KeyJob+string(spec.Ref), data, 9); err != nil {
+		t.Fatal(err)
+	}
+	return n.book.Jobs[spec.Ref]
+}
+
 // stateCalls are the calls to the state service that were wanted since the last time.
 func stateCalls(n *Node) []StateCall {
 	var out []StateCall
@@ -176,14 +189,7 @@
 	put := func(ref int, cpus float64, accepted api.Wall) *Job {
 		spec := testSpec(1)
 		spec.Ref, spec.Team, spec.CPUs = api.JobRef(fmt.Sprintf("run-1%05d", ref)), "blue", cpus
-		data, err := json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: 1}}, Accepted: accepted, Tenant: "flood", Own: spec.Ref})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := n.book.Put(book.KeyJob+string(spec.Ref), data, 9); err != nil {
-			t.Fatal(err)
-		}
-		return n.book.Jobs[spec.Ref]
+		return putJob(t, n, spec, "flood", accepted)
 	}
 	for i := range queue - 1 {
 		put(i, 9, 1000) // which no machine has
--- a/control/hostedadmin.go
+++ b/control/hostedadmin.go
@@ -53,11 +53,15 @@
 	}
 )
 
+func viewKey(k tenant.Key) KeyView {
+	return KeyView{ID: k.ID, Name: k.Name, Created: k.Created, Expires: k.Expires}
+}
+
 func viewTenant(e *tenant.Entry, w work) TenantAt {
 	v := TenantAt{Tenant: e.Tenant, Keys: []KeyView{}, Jobs: w.open, Tasks: w.tasks, Revision: e.Revision}
 	v.Tenant.Keys = nil
 	for _, k := range e.Keys {
-		v.Keys = append(v.Keys, KeyView{ID: k.ID, Name: k.Name, Created: k.Created, Expires: k.Expires})
+		v.Keys = append(v.Keys, viewKey(k))
 	}
 	return v
 }
@@ -181,25 +185,23 @@
 		switch status {
 		case 200:
 			slog.Info("tenant changed", "tenant", now.Name, "by", c.What, "key", c.by, "from", n.origin(c.Caller), "state", now.State, "revision", rev)
-			if secret != nil {
-				secret.Revision = rev
-				n.reply(c.Req, 200, secret, 0)
-				n.current(func() {}, func() {})
-				return
-			}
-			n.reply(c.Req, 200, viewTenant(&tenant.Entry{Tenant: now, Revision: rev}, n.workOf(now.Name)), 0)
-			n.current(func() {}, func() {})
 		case 400:
 			n.refuse(c.Req, 400, "networks: the record is too large")
+			return
 		case 413:
 			n.refuse(c.Req, 400, "teams: too many at once for one transaction")
-		case 409:
-			n.refuse(c.Req, 409, "revision: the tenant has changed since")
+			return
 		case 422:
 			n.refuse(c.Req, 422, "teams: one belongs to another tenant")
-		default:
-			n.refuse(c.Req, 503, "state service not reachable; the change may or may not have been made")
+			return
 		}
+		n.answerChange(c.Req, status, rev, "the tenant has", func(rev api.Revision) any {
+			if secret != nil {
+				secret.Revision = rev
+				return secret
+			}
+			return viewTenant(&tenant.Entry{Tenant: now, Revision: rev}, n.workOf(now.Name))
+		})
 	})
 }
 
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -181,10 +181,7 @@
 		v.Pools, v.PoolMoves = map[api.PoolName]PoolMetrics{}, h.pools.moves
 		names := h.pools.table.Names()
 		for _, name := range names[:min(maxPoolMetrics, len(names))] {
-			p := PoolMetrics{Size: h.pools.table.Get(name).Size}
-			for _, held := range n.heldOf(name) {
-				p.Held += held
-			}
+			p := PoolMetrics{Size: h.pools.table.Get(name).Size, Held: n.heldInAll(name)}
 			p.Waiting, p.Oldest = n.waitFor(name)
 			v.Pools[name] = p
 		}
--- a/control/operators.go
+++ b/control/operators.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return k, nil, err
 	}
-	return k, &NewKeyView{KeyView: KeyView{ID: k.ID, Name: k.Name, Created: k.Created, Expires: k.Expires}, Secret: s.String()}, nil
+	return k, &NewKeyView{KeyView: viewKey(k), Secret: s.String()}, nil
 }
 
 // as refuses a change that names another revision than the one it would replace.
@@ -198,7 +198,7 @@
 	v := OperatorsAt{First: n.hosted.admin.ID, Retired: slices.Contains(o.Retired, n.hosted.admin.ID), Keys: []OperatorKeyView{},
 		Networks: o.Networks, Proxies: o.Proxies, CPUs: o.CPUs, GPUs: o.GPUs, Given: n.hosted.given, Revision: rev}
 	for _, k := range o.Keys {
-		v.Keys = append(v.Keys, OperatorKeyView{KeyView{ID: k.ID, Name: k.Name, Created: k.Created, Expires: k.Expires}, k.Role})
+		v.Keys = append(v.Keys, OperatorKeyView{viewKey(k.Key), k.Role})
 	}
 	return v
 }
@@ -254,7 +254,7 @@
 		return err
 	}
 	data, err := json.Marshal(now)
-	if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+	if err != nil || n.tooLarge(data) {
 		return &tenant.Error{Status: 400, Field: "networks", Why: "the record is too large"}
 	}
 	tx := api.Txn{If: []api.Condition{{Key: keyOperators, Version: at}, n.book.If(keyGiven)},
@@ -272,19 +272,26 @@
 // changeWith writes an operators' change and answers with what is shown then.
 func (n *Node) changeWith(c Ask, tx api.Txn, what string, show func(api.Revision) any) {
 	n.txn(tx, func(a StateAnswer) {
-		switch a.Status {
-		case 200:
+		if a.Status == 200 {
 			slog.Info("changed by an operator", "what", c.What, "id", c.ID, "key", c.by, "from", n.origin(c.Caller), "revision", a.Txn.Revision)
-			n.reply(c.Req, 200, show(a.Txn.Revision), 0)
-			n.current(func() {}, func() {})
-		case 409:
-			n.refuse(c.Req, 409, "revision: "+what+" changed since")
-		default:
-			n.refuse(c.Req, 503, "state service not reachable; the change may or may not have been made")
 		}
+		n.answerChange(c.Req, a.Status, a.Txn.Revision, what, show)
 	})
 }
 
+// answerChange answers an operators' change by how its write ended.
+func (n *Node) answerChange(req ReqID, status int, rev api.Revision, what string, show func(api.Revision) any) {
+	switch status {
+	case 200:
+		n.reply(req, 200, show(rev), 0)
+		n.current(func() {}, func() {})
+	case 409:
+		n.refuse(req, 409, "revision: "+what+" changed since")
+	default:
+		n.refuse(req, 503, "state service not reachable; the change may or may not have been made")
+	}
+}
+
 // owners is whose the teams of a hosted service are.
 func (n *Node) owners() map[api.Team]tenant.Name {
 	out := map[api.Team]tenant.Name{}
--- a/control/part.go
+++ b/control/part.go
@@ -151,7 +151,6 @@
 	}
 	w.txn.If = append(w.txn.If, n.book.If(slot),
 		t.mine())
-	w.txn.If = append(w.txn.If, n.poolConditions(w.starts)...)
 	w.txn.Writes = []api.Write{{Put: slot, Value: body}}
 	w.begun = n.now
 	t.writing, t.coming = w, map[api.MachineID]api.Resources{}
@@ -255,6 +254,11 @@
 	t.dirty = true
 }
 
+// tooLarge reports whether what is to be written does not fit into a value.
+func (n *Node) tooLarge(data []byte) bool {
+	return float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024
+}
+
 // recordRoom is how many bytes of a round's record may be starts and ends: it must fit
 // into a value.
 func (n *Node) recordRoom() int { return int(n.cfg.Deployment.State.ValueKB*1024) - 512 }
@@ -338,6 +342,9 @@
 			w.txn.If = append(w.txn.If, api.Condition{Key: book.KeyJob + string(ref), Version: n.book.Jobs[ref].Ver})
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(named)) {
+		w.txn.If = append(w.txn.If, n.book.If(keyPool+string(name)))
+	}
 	w.rec.Gifts = n.gifts(t)
 	return w
 }
@@ -686,7 +693,7 @@
 				continue
 			}
 		}
-		if in.Jobs[i].InUnits(in.Units, missing) < 1 || j.Spec.Kind == api.Gang && in.Jobs[i].InUnits(in.Units, missing) < missing {
+		if in.Jobs[i].InUnits(in.Units, missing) == 0 {
 			continue // a machine would not help
 		}
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
--- a/control/pools.go
+++ b/control/pools.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"basaltwall/api"
@@ -43,6 +42,15 @@
 	return out
 }
 
+// heldInAll is what all parts together hold of a pool by the book.
+func (n *Node) heldInAll(name api.PoolName) int {
+	sum := 0
+	for i := range n.book.Parts {
+		sum += n.book.Parts[i].Held[name]
+	}
+	return sum
+}
+
 // asker is a job that waits in a part for units of a pool.
 type asker struct {
 	job      *Job
@@ -58,10 +66,8 @@
 	}
 	out := map[api.Team]int{}
 	for _, j := range n.book.Jobs {
-		for _, need := range j.Spec.Needs {
-			if need.Pool == e.Name {
-				out[j.Spec.Team] += need.Units(j.Live(), false)
-			}
+		if need, ok := j.Spec.Need(e.Name); ok {
+			out[j.Spec.Team] += need.Units(j.Live(), false)
 		}
 	}
 	return out
@@ -76,11 +82,10 @@
 	e := n.poolOf(name)
 	teams := n.heldBy(e)
 	for _, j := range n.book.Open {
-		i := slices.IndexFunc(j.Spec.Needs, func(x api.Need) bool { return x.Pool == name })
-		if i < 0 || n.held(j) || j.Note.hold > n.now {
+		need, ok := j.Spec.Need(name)
+		if !ok || n.held(j) || j.Note.hold > n.now {
 			continue
 		}
-		need := j.Spec.Needs[i]
 		for p := range n.book.Parts {
 			waiting := j.Waiting(api.PartID(p))
 			if waiting == 0 {
@@ -149,7 +154,7 @@
 			if head != nil || !a.ask.Reserve || looks == 0 {
 				continue
 			}
-			if looks--; a.job.Spec.Whole() || n.roomByPart(a.job.Spec)[a.part] > 0 {
+			if looks--; n.hasRoom(a) {
 				head = a.job
 			}
 		}
@@ -157,6 +162,12 @@
 	return out, slices.DeleteFunc(jobs, func(j *Job) bool { return after[j] })
 }
 
+// hasRoom reports whether work that asks for units could start where it does. Work that moves
+// whole, or makes others make way, needs its units first.
+func (n *Node) hasRoom(a asker) bool {
+	return a.job.Spec.Whole() || n.roomByPart(a.job.Spec)[a.part] > 0
+}
+
 func (n *Node) poolOf(name api.PoolName) *pool.Entry {
 	if n.hosted == nil {
 		return nil
@@ -173,16 +184,12 @@
 // mayNeed says why a job may not ask for what it needs of pools, or nothing.
 func (n *Node) mayNeed(s *api.JobSpec, name tenant.Name) string {
 	for _, need := range s.Needs {
-		e := n.poolOf(need.Pool)
-		tasks := 1
-		if s.Kind == api.Gang {
-			tasks = s.Tasks
-		}
+		e, units := n.poolOf(need.Pool), need.Units(s.AtOnce(), false)
 		switch {
 		case e == nil || e.State == pool.Removed || !e.Allows(s.Team, name):
 			return fmt.Sprintf("gettoni.nome: no pool %q", need.Pool)
-		case need.Units(tasks, false) > e.Largest:
-			return fmt.Sprintf("gettoni: %d units of %s at once, of which there are never more than %d", need.Units(tasks, false), need.Pool, e.Largest)
+		case units > e.Largest:
+			return fmt.Sprintf("gettoni: %d units of %s at once, of which there are never more than %d", units, need.Pool, e.Largest)
 		}
 	}
 	return ""
@@ -199,11 +206,7 @@
 		if e.State != pool.Active {
 			continue
 		}
-		left := e.Size
-		for _, h := range n.heldOf(name) {
-			left -= h
-		}
-		out[name] = max(0, left)
+		out[name] = max(0, e.Size-n.heldInAll(name))
 	}
 	return out
 }
@@ -215,15 +218,7 @@
 		if e == nil {
 			return fmt.Sprintf("pool %s: there is none", need.Pool)
 		}
-		tasks := 1
-		if j.Spec.Kind == api.Gang {
-			tasks = j.Spec.Tasks
-		}
-		units, held := need.Units(tasks, j.Live() > 0), n.heldOf(need.Pool)
-		all := 0
-		for _, h := range held {
-			all += h
-		}
+		units, held := need.Units(j.Spec.AtOnce(), j.Live() > 0), n.heldOf(need.Pool)
 		switch {
 		case !n.understood(e):
 			return fmt.Sprintf("pool %s: its record is not understood", need.Pool)
@@ -232,7 +227,7 @@
 		case units > e.Size:
 			return fmt.Sprintf("pool %s has %d units, fewer than the %d that are needed at once", need.Pool, e.Size, units)
 		case units > e.Free(p, held):
-			return fmt.Sprintf("pool %s: %d of %d units are held, %d are needed, %d are to be had here", need.Pool, all, e.Size, units, e.Free(p, held))
+			return fmt.Sprintf("pool %s: %d of %d units are held, %d are needed, %d are to be had here", need.Pool, n.heldInAll(need.Pool), e.Size, units, e.Free(p, held))
 		}
 	}
 	return ""
@@ -247,13 +242,13 @@
 	}
 	h.lookAt = n.now
 	for i, name := range h.table.Names() {
-		n.makeWay(h.table.Get(name))
+		e, asking := h.table.Get(name), n.asking(name)
+		n.makeWay(e, asking)
 		t := n.turfs[api.PartID(i%len(n.book.Parts))]
-		e := h.table.Get(name)
 		if t == nil || h.moving[name] || e.State != pool.Active || !n.understood(e) {
 			continue
 		}
-		asks := n.placeable(n.asking(name))
+		asks := n.placeable(asking)
 		if len(asks) == 0 {
 			continue
 		}
@@ -298,11 +293,10 @@
 	for p := range n.book.Parts {
 		for pl := range n.book.OnPart[p] {
 			j := pl.Job
-			i := slices.IndexFunc(j.Spec.Needs, func(x api.Need) bool { return x.Pool == name })
-			if i < 0 || pl.Over {
+			need, ok := j.Spec.Need(name)
+			if !ok || pl.Over {
 				continue
 			}
-			need := j.Spec.Needs[i]
 			if j.Spec.Kind != api.Gang && need.Job == 0 {
 				all = append(all, holding{j, []*Place{pl}, need.Task})
 				continue
@@ -328,17 +322,14 @@
 // only it stops less urgent work, gangs aside, as for want of machines. Each owner stops
 // what is its own; what has been told to stop counts as held until it has ended, so no more
 // is stopped than it takes.
-func (n *Node) makeWay(e *pool.Entry) {
+func (n *Node) makeWay(e *pool.Entry, asking []asker) {
 	if !n.understood(e) || e.State == pool.Removed {
 		return
 	}
-	lacks := -e.Size
-	for _, h := range n.heldOf(e.Name) {
-		lacks += h
-	}
+	lacks := n.heldInAll(e.Name) - e.Size
 	may := func(holding) bool { return e.Reclaim }
 	if lacks <= 0 || !e.Reclaim {
-		urgent := n.urgentAsk(e)
+		urgent := n.urgentAsk(e, asking)
 		if urgent == nil {
 			return
 		}
@@ -369,15 +360,15 @@
 
 // urgentAsk is the first urgent work that waits for a pool and has room to start, nil if
 // there is none.
-func (n *Node) urgentAsk(e *pool.Entry) *asker {
+func (n *Node) urgentAsk(e *pool.Entry, asking []asker) *asker {
 	if e.State != pool.Active {
 		return nil
 	}
-	for _, a := range n.asking(e.Name) {
+	for _, a := range asking {
 		if a.job.Spec.Priority.Rank() < urgentRank {
 			return nil
 		}
-		if a.ask.Units <= e.Size && (a.job.Spec.Whole() || n.roomByPart(a.job.Spec)[a.part] > 0) {
+		if a.ask.Units <= e.Size && n.hasRoom(a) {
 			return &a
 		}
 	}
@@ -475,10 +466,8 @@
 func (n *Node) holders(name api.PoolName) []HolderView {
 	out := []HolderView{}
 	for _, j := range n.book.Jobs {
-		for _, need := range j.Spec.Needs {
-			if live := j.Live(); need.Pool == name && live > 0 {
-				out = append(out, HolderView{j.Ref, j.Tenant, j.Own, j.Spec.Team, need.Units(live, false), live})
-			}
+		if need, ok := j.Spec.Need(name); ok && j.Live() > 0 {
+			out = append(out, HolderView{j.Ref, j.Tenant, j.Own, j.Spec.Team, need.Units(j.Live(), false), j.Live()})
 		}
 	}
 	slices.SortFunc(out, func(a, b HolderView) int { return cmp.Or(b.Units-a.Units, cmp.Compare(a.Job, b.Job)) })
@@ -528,9 +517,8 @@
 	}
 	// What is held is known of the same moment as the record, or of a later one: nobody
 	// hands out a unit under the old record after this is written.
-	held := n.heldOf(name)
 	if now.Size != was.Size || len(now.Shares) == 0 {
-		now.Shares = pool.Divide(now.Size, held, n.placeable(n.asking(name)))
+		now.Shares = pool.Divide(now.Size, n.heldOf(name), n.placeable(n.asking(name)))
 	}
 	if err := now.Check(len(n.book.Parts)); err != nil {
 		return err
@@ -553,16 +541,12 @@
 		return err
 	}
 	if c.What == "pool-remove" {
-		sum := 0
-		for _, h := range held {
-			sum += h
-		}
-		if asking := len(n.asking(name)); sum > 0 || asking > 0 {
-			return &tenant.Error{Status: 409, Field: "name", Why: fmt.Sprintf("%d units of %s are held, and %d jobs wait for it: freeze it, or cancel them", sum, name, asking)}
+		if held, asking := n.heldInAll(name), len(n.asking(name)); held > 0 || asking > 0 {
+			return &tenant.Error{Status: 409, Field: "name", Why: fmt.Sprintf("%d units of %s are held, and %d jobs wait for it: freeze it, or cancel them", held, name, asking)}
 		}
 	}
 	data, err := json.Marshal(now)
-	if err != nil || float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024 {
+	if err != nil || n.tooLarge(data) {
 		return &tenant.Error{Status: 400, Field: "teams", Why: "the record is too large"}
 	}
 	var before any
@@ -592,21 +576,3 @@
 	}
 	return true
 }
-
-// poolConditions are the pools that starts take units of, as conditions of their round.
-func (n *Node) poolConditions(starts []*Place) []api.Condition {
-	var out []api.Condition
-	var names []string
-	for _, s := range starts {
-		for _, need := range s.Job.Spec.Needs {
-			if !slices.Contains(names, string(need.Pool)) {
-				names = append(names, string(need.Pool))
-			}
-		}
-	}
-	slices.SortFunc(names, strings.Compare)
-	for _, name := range names {
-		out = append(out, n.book.If(keyPool+name))
-	}
-	return out
-}
--- a/control/pools_test.go
+++ b/control/pools_test.go
@@ -19,16 +19,21 @@
 	t.Helper()
 	n, turf, j, _ := hostedOwner(t)
 	n.book.Jobs[j.Ref].Spec.Needs = []api.Need{{Pool: "routing", Task: 1}}
-	table := n.hosted.pools.table
-	data, err := json.Marshal(pool.Pool{Name: "routing", Size: size, Largest: size, State: pool.Active, Shares: []int{size}})
+	putPool(t, n, "routing", size)
+	return n, turf, j
+}
+
+// putPool makes a pool of so many, all of them part 0's.
+func putPool(t testing.TB, n *Node, name api.PoolName, size int) {
+	t.Helper()
+	data, err := json.Marshal(pool.Pool{Name: name, Size: size, Largest: size, State: pool.Active, Shares: []int{size}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := table.Put("routing", data, 9); err != nil {
+	if err := n.hosted.pools.table.Put(string(name), data, 9); err != nil {
 		t.Fatal(err)
 	}
-	n.book.Wrote(keyPool+"routing", 9)
-	return n, turf, j
+	n.book.Wrote(keyPool+string(name), 9)
 }
 
 // A round that hands out units names the pool's version; a round that does not, names no
@@ -128,22 +133,9 @@
 				if pools > 0 {
 					name := api.PoolName(fmt.Sprintf("pool-%d", i%pools))
 					spec.Needs = []api.Need{{Pool: name, Task: 1}}
-					data, err := json.Marshal(pool.Pool{Name: name, Size: 3, Largest: 3, State: pool.Active, Shares: []int{3}})
-					if err != nil {
-						b.Fatal(err)
-					}
-					if err := n.hosted.pools.table.Put(string(name), data, 9); err != nil {
-						b.Fatal(err)
-					}
-					n.book.Wrote(keyPool+string(name), 9)
-				}
-				data, err := json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: 4}}, Tenant: "kipper", Own: spec.Ref})
-				if err != nil {
-					b.Fatal(err)
-				}
-				if err := n.book.Put(book.KeyJob+string(spec.Ref), data, 9); err != nil {
-					b.Fatal(err)
+					putPool(b, n, name, 3)
 				}
+				putJob(b, n, spec, "kipper", 0)
 			}
 			for b.Loop() {
 				n.plan(turf)
@@ -163,27 +155,20 @@
 		m := n.machine(api.MachineID(fmt.Sprintf("i-%06d", i)))
 		m.typ, m.zone, m.heard, m.session, m.token = "c8", "a", n.now, 1, 7
 		name := api.PoolName(fmt.Sprintf("pool-%d", i))
-		data, err := json.Marshal(pool.Pool{Name: name, Size: 1, Largest: 1, State: pool.Active, Shares: []int{1}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := n.hosted.pools.table.Put(string(name), data, 9); err != nil {
-			t.Fatal(err)
-		}
-		n.book.Wrote(keyPool+string(name), 9)
+		putPool(t, n, name, 1)
 		spec := testSpec(2)
 		spec.Ref = api.JobRef(fmt.Sprintf("run-1%03d", i))
 		spec.Needs = []api.Need{{Pool: name, Job: 1}}
-		if data, err = json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: 2}}, Tenant: "kipper", Own: spec.Ref}); err != nil {
-			t.Fatal(err)
-		}
-		if err := n.book.Put(book.KeyJob+string(spec.Ref), data, 9); err != nil {
-			t.Fatal(err)
-		}
-		n.book.AddPlace(&Place{Task: api.TaskID{Job: spec.Ref}, Machine: "i-000000", Session: 1, Attempt: 1, Job: n.book.Jobs[spec.Ref]})
+		n.book.AddPlace(&Place{Task: api.TaskID{Job: spec.Ref}, Machine: "i-000000", Session: 1, Attempt: 1, Job: putJob(t, n, spec, "kipper", 0)})
 	}
 	w := n.plan(turf)
-	if got := len(n.poolConditions(w.starts)); got != roundPools || len(w.starts) != roundPools || !turf.dirty {
+	got := 0
+	for _, c := range w.txn.If {
+		if strings.HasPrefix(c.Key, keyPool) {
+			got++
+		}
+	}
+	if got != roundPools || len(w.starts) != roundPools || !turf.dirty {
 		t.Errorf("%d pools are named by %d starts, expected %d; more rounds follow: %v", got, len(w.starts), roundPools, turf.dirty)
 	}
 }
@@ -197,14 +182,7 @@
 		t.Errorf("%+v after %d starts of 4 tasks", got, len(w.starts))
 	}
 	for i := range 300 {
-		name := api.PoolName(fmt.Sprintf("pool-%d", i))
-		data, err := json.Marshal(pool.Pool{Name: name, State: pool.Active, Shares: []int{0}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := n.hosted.pools.table.Put(string(name), data, 9); err != nil {
-			t.Fatal(err)
-		}
+		putPool(t, n, api.PoolName(fmt.Sprintf("pool-%d", i)), 0)
 	}
 	if got := len(n.viewMetrics().Pools); got != maxPoolMetrics {
 		t.Errorf("%d pools in the metrics", got)
--- a/control/usage.go
+++ b/control/usage.go
@@ -237,7 +237,7 @@
 		return "the limit of team " + string(j.Spec.Team)
 	}
 	for p := range n.book.Parts {
-		if len(j.Spec.Needs) > 0 && j.Waiting(api.PartID(p)) > 0 && n.whyPool(j, api.PartID(p)) != "" {
+		if j.Waiting(api.PartID(p)) > 0 && n.whyPool(j, api.PartID(p)) != "" {
 			return "units of a pool"
 		}
 	}
--- a/control/user.go
+++ b/control/user.go
@@ -208,7 +208,7 @@
 		return
 	}
 	v, err := json.Marshal(book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
-	if err != nil || float64(len(v)) > n.cfg.Deployment.State.ValueKB*1024 {
+	if err != nil || n.tooLarge(v) {
 		n.refuse(c.Req, 400, "banchi: too long")
 		return
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// playSeeds plays a script that takes a seed with so many of them.
+func playSeeds(t *testing.T, script string, seeds int) {
+	t.Helper()
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, fmt.Appendf(nil, script, seed))
+		})
+	}
+}
+
 // randomScript has work of every kind under faults drawn by chance, and then
 // the quiet in which all of it must come to its end.
 const randomScript = `
@@ -78,12 +89,7 @@
 `
 
 func TestRandomFaults(t *testing.T) {
-	for seed := range 24 {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			play(t, fmt.Appendf(nil, randomScript, seed))
-		})
-	}
+	playSeeds(t, randomScript, 24)
 }
 
 // hostedScript has two tenants with work of every kind, suspended and resumed under faults
@@ -117,12 +123,7 @@
 `
 
 func TestRandomFaultsHosted(t *testing.T) {
-	for seed := range 12 {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			play(t, fmt.Appendf(nil, hostedScript, seed))
-		})
-	}
+	playSeeds(t, hostedScript, 12)
 }
 
 // poolsScript has work of every kind that needs units of two pools, which become smaller
@@ -159,10 +160,5 @@
 `
 
 func TestRandomFaultsPools(t *testing.T) {
-	for seed := range 12 {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			play(t, fmt.Appendf(nil, poolsScript, seed))
-		})
-	}
+	playSeeds(t, poolsScript, 12)
 }
--- a/internal/standin/acts_test.go
+++ b/internal/standin/acts_test.go
@@ -371,7 +371,7 @@
 			w.Skew[name] = time.Duration(rapid.IntRange(-1, 1).Draw(t, "skew")) * clockError
 		}
 		w.Host()
-		w.Cloud.Types = []api.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 5, Zones: []api.Zone{"a", "b"}}}
+		w.Cloud.Types = smallOnly()
 		w.Cloud.Capacity = 3
 		for range 3 {
 			w.Cloud.Rent("small", "a", false, time.Second)
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -42,6 +42,11 @@
 	return l, nil
 }
 
+// smallOnly is a cloud with one small type of machines.
+func smallOnly() []api.MachineType {
+	return []api.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 5, Zones: []api.Zone{"a", "b"}}}
+}
+
 // StartLive starts the stand-ins with a few machines of a small type.
 func StartLive(ctx context.Context, controllers, machines int) (*Live, error) {
 	l := &Live{ctx: ctx, client: http.Client{Timeout: 4 * time.Second}}
@@ -59,7 +64,7 @@
 	l.Door = open[2].Addr().String()
 	w := NewWorld(1, l.Configs)
 	l.world = w
-	w.Cloud.Types = []api.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 5, Zones: []api.Zone{"a", "b"}}}
+	w.Cloud.Types = smallOnly()
 	w.Cloud.Capacity = 2 * machines
 	w.Deliver = l.deliver
 	workers := map[int]net.Listener{}
--- a/internal/standin/restart_test.go
+++ b/internal/standin/restart_test.go
@@ -21,7 +21,7 @@
 	}
 	w := NewWorld(1, l.Configs)
 	w.Host()
-	w.Cloud.Types = []api.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 5, Zones: []api.Zone{"a", "b"}}}
+	w.Cloud.Types = smallOnly()
 	put := func(key string, v any) {
 		data, err := json.Marshal(v)
 		if err != nil {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -181,8 +181,10 @@
 	return -int64(gain * costScale)
 }
 
-// InUnits is how many tasks of the job, so many at most, what is left of pools allows.
+// InUnits is how many tasks of the job, so many at most, what is left of pools allows: of a
+// gang all or none.
 func (j *Job) InUnits(units map[api.PoolName]int, tasks int) int {
+	most := tasks
 	for _, n := range j.Spec.Needs {
 		left := units[n.Pool]
 		if !j.Holds {
@@ -195,6 +197,9 @@
 			tasks = min(tasks, left/n.Task)
 		}
 	}
+	if j.Spec.Kind == api.Gang && tasks < most {
+		return 0
+	}
 	return max(0, tasks)
 }
 
@@ -253,7 +258,7 @@
 // gang places all tasks of a gang first-fit, or none.
 func gang(in *Input, ji int, free []api.Resources, left map[api.Team]api.Resources, units map[api.PoolName]int) []Placement {
 	j := &in.Jobs[ji]
-	if j.InUnits(units, len(j.Pending)) < len(j.Pending) {
+	if j.InUnits(units, len(j.Pending)) == 0 {
 		return nil
 	}
 	if !j.Demand.Times(len(j.Pending)).Fits(left[j.Spec.Team]) {
