A cancellation behind a cut is not held up by calls to very many silent machines

Cause: a machine that holds a task cancelled long ago was deleted only after three calls to it had failed. With two of three zones cut off a controller has several hundred silent machines and some twenty calls a second for them: the third call came after the cancellation's time. A controller inside the cut kept the leases alive meanwhile.

Ruled out: the deletions themselves (they went within a second of being decided).

Change: what must go is deleted by its time alone, and first of all that is to be deleted. Controllers of a scenario may stand in zones (controllers), and are cut off with them.

--- a/control/silence.go
+++ b/control/silence.go
@@ -30,7 +30,17 @@
 		// not come to us.
 		patience /= 2
 	}
-	if quiet <= patience || m.missed < enoughMissed && m.addr != "" {
+	if quiet <= patience {
+		return
+	}
+	if n.mustGo(m) {
+		// However likely it is that the network is at fault: somebody who is cut off
+		// from us may keep its lease alive. With very many silent machines the calls that
+		// would have to fail first take longer than the cancellation has.
+		n.remove(m, t, cancelledWhy)
+		return
+	}
+	if m.missed < enoughMissed && m.addr != "" {
 		return
 	}
 	if m.addr == "" && (n.fleet.listed == 0 || n.fleet.listed.Sub(t.since) < 2*api.Seconds(n.cfg.Deployment.Cloud.ListLag)) {
@@ -40,12 +50,6 @@
 		return // still booting, as far as we know
 	}
 	lease := n.cfg.WorkerLease()
-	if n.mustGo(m) {
-		// However likely it is that the network is at fault: somebody who is cut off
-		// from us may keep its lease alive.
-		n.remove(m, t, cancelledWhy)
-		return
-	}
 	switch busy := len(n.book.On(m.ID)) > 0; {
 	case n.lately(n.allMute(), "") && quiet < 2*lease:
 		return // it is we who do not hear, as it seems
@@ -232,8 +236,17 @@
 		return
 	}
 	n.removing = true
-	// Work that should never stop or that others of its gang wait for first.
-	slices.SortStableFunc(n.doomed, func(a, b doomed) int { return n.lasting(b.m) - n.lasting(a.m) })
+	// What a rule wants gone in time first, then work that should never stop or that
+	// others of its gang wait for.
+	slices.SortStableFunc(n.doomed, func(a, b doomed) int {
+		if a, b := a.why == cancelledWhy, b.why == cancelledWhy; a != b {
+			if a {
+				return -1
+			}
+			return 1
+		}
+		return n.lasting(b.m) - n.lasting(a.m)
+	})
 	batch := slices.Clone(n.doomed[:min(len(n.doomed), maxDelete)])
 	n.doomed = slices.Clone(n.doomed[len(batch):])
 	settle := func() {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -11,7 +11,10 @@
 //	                                    at most, instead of the usual ones
 //	aim KIND CLASS SECONDS              one more of the users' aims
 //	only TYPE                           the cloud has machines of this type alone, in zone a
-//	machines N [spot]                   machines that are up at the start
+//	zones ZONE...                       the zones, instead of a, b and c
+//	controllers ZONE...                 as many controllers as zones are named, and where they
+//	                                    are; instead of three that are in none
+//	machines N [spot] [TYPE] [in=ZONE]  machines that are up at the start, in the zones by turns or in one
 //	capacity N                          machines the cloud has in all
 //	submit AT REF KIND key=value...     a job; see submit for the keys
 //	cancel AT REF
@@ -20,7 +23,7 @@
 //	freeze AT FOR NODE|all              a controller stands still while its clocks run on
 //	roll AT EVERY                       all controllers restart one after the other
 //	cut AT FOR NODE SIDE hold|drop      SIDE: state, workers, peers, cloud, users or all
-//	cutzone AT FOR ZONE hold|drop       a zone's machines are cut off
+//	cutzone AT FOR ZONE hold|drop       a zone is cut off, with the controllers in it
 //	outage AT FOR                       the state service is down
 //	refuse AT FOR NODE                  the state service refuses one node
 //	lose AT FOR SHARE                   answers of the state service get lost
@@ -76,25 +79,26 @@
 	"basaltwall/tenant"
 )
 
-const settings = `{"label":"stone-%d","domain":"a","api_addr":"10.0.0.%d:8080","peer_listen":"10.0.0.%d:8081",
+const settings = `{"label":"stone-%d","domain":%q,"api_addr":"10.0.0.%d:8080","peer_listen":"10.0.0.%d:8081",
 "peers":[%s],"external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
-"deployment":{"initial_size":3,"zones":["a","b","c"],
+"deployment":{"initial_size":%d,"zones":["a","b","c"],
 "teams":[{"name":"red","cpus":16,"cpus_max":0,"gpus":2,"gpus_max":4},{"name":"blue","cpus":8,"cpus_max":0,"gpus":0,"gpus_max":0}],
 "objectives":[{"kind":"finished","class":"batch","within_s":120,"share":0.9}],
 "workers":{"report_s":3,"lease_s":30,"gang_wait_s":30,"gang_peer_s":5,"cancel_s":60},
 "state":{"rps":150,"write_rps":50,"value_kb":8,"txn_ops":12},"cloud":{"rps":10,"list_lag_s":5},
 "limits":{"cpu_share":0.36,"memory_mb":300,"fd_limit":2000},"clock_error_ms":250}}`
 
-func configs() ([]*config.Config, error) {
+// configs are the controllers' settings: a controller for each of the zones, which is in it.
+func configs(zones []string) ([]*config.Config, error) {
 	var out []*config.Config
-	for i := range 3 {
+	for i := range zones {
 		var peers []string
-		for k := range 3 {
+		for k := range zones {
 			if k != i {
-				peers = append(peers, fmt.Sprintf(`{"label":"stone-%d","domain":"a","peer_addr":"10.0.0.%d:8081"}`, k, k+1))
+				peers = append(peers, fmt.Sprintf(`{"label":"stone-%d","domain":%q,"peer_addr":"10.0.0.%d:8081"}`, k, zones[k], k+1))
 			}
 		}
-		c, err := config.Parse(fmt.Appendf(nil, settings, i, i+1, i+1, strings.Join(peers, ",")))
+		c, err := config.Parse(fmt.Appendf(nil, settings, i, zones[i], i+1, i+1, strings.Join(peers, ","), len(zones)))
 		if err != nil {
 			return nil, err
 		}
@@ -125,6 +129,7 @@
 	refs    []api.JobRef // of work that ends
 	most    map[string]float64
 	floor   float64
+	up      int         // machines that are up at the start
 	states  [][2]string // tenants, and the states they should end in
 	rates   []rated
 	held    map[api.PoolName]int // the most that should have been held of pools
@@ -152,10 +157,6 @@
 
 // Run plays a scenario.
 func Run(data []byte) (Result, error) {
-	cfgs, err := configs()
-	if err != nil {
-		return Result{}, err
-	}
 	var lines [][]string
 	for _, f := range txtar.Parse(data).Files {
 		if f.Name != "script" {
@@ -171,6 +172,17 @@
 	if len(lines) == 0 {
 		return Result{}, fmt.Errorf("no script")
 	}
+	// Unless the script says otherwise three, in no machine's zone.
+	domains := []string{"region", "region", "region"}
+	for _, l := range lines {
+		if l[0] == "controllers" {
+			domains = l[1:]
+		}
+	}
+	cfgs, err := configs(domains)
+	if err != nil {
+		return Result{}, err
+	}
 	for _, l := range lines {
 		for _, c := range cfgs {
 			if err := adjust(&c.Deployment, l); err != nil {
@@ -185,9 +197,10 @@
 			break
 		}
 	}
+	zones := cfgs[0].Deployment.Zones
 	r.w.Cloud.Types = []api.MachineType{
-		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
-		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: []api.Zone{"a", "b", "c"}},
+		{Name: "c8", CPUs: 8, MemGB: 32, CacheGB: 20, FetchRate: 1, Price: 1, SpotPrice: 0.4, Boot: 20, Zones: zones},
+		{Name: "g8", CPUs: 8, GPUs: 2, MemGB: 64, CacheGB: 20, FetchRate: 1, Price: 5, SpotPrice: 2, Boot: 20, Zones: zones},
 	}
 	for _, l := range lines {
 		if l[0] == "only" && len(l) == 2 {
@@ -301,6 +314,13 @@
 
 // adjust changes the settings as a line says.
 func adjust(d *config.Deployment, l []string) error {
+	if l[0] == "zones" {
+		d.Zones = nil
+		for _, z := range l[1:] {
+			d.Zones = append(d.Zones, api.Zone(z))
+		}
+		return nil
+	}
 	form, ok := map[string]string{"limit": "sn", "teams": "nnn", "aim": "ssn", "only": "s"}[l[0]]
 	if !ok {
 		return nil
@@ -369,7 +389,7 @@
 	}
 	machine := func(i int) api.MachineID { return api.MachineID(ss[i]) }
 	switch l[0] {
-	case "limit", "teams", "aim", "only":
+	case "limit", "teams", "aim", "only", "zones", "controllers":
 	case "machines":
 		return r.machines(rest)
 	case "capacity":
@@ -521,9 +541,11 @@
 	if err != nil {
 		return err
 	}
-	typ, spot := api.TypeName("c8"), false
+	typ, spot, zones := api.TypeName("c8"), false, r.w.Cloud.Types[0].Zones
 	for _, x := range rest[1:] {
-		if x == "spot" {
+		if z, ok := strings.CutPrefix(x, "in="); ok {
+			zones = []api.Zone{api.Zone(z)}
+		} else if x == "spot" {
 			spot = true
 		} else {
 			typ = api.TypeName(x)
@@ -531,12 +553,12 @@
 	}
 	lag := r.w.Cloud.Lag
 	r.w.Cloud.Lag = 0
-	zones := r.w.Cloud.Types[0].Zones
 	for i := range n {
 		r.w.Cloud.Rent(typ, zones[i%len(zones)], spot, 10*time.Millisecond)
 	}
 	r.w.Cloud.Lag = lag
-	r.w.Cloud.Capacity = max(r.w.Cloud.Capacity, n)
+	r.up += n
+	r.w.Cloud.Capacity = max(r.w.Cloud.Capacity, r.up)
 	return nil
 }
 
@@ -674,7 +696,8 @@
 		machine := api.MachineID(fmt.Sprintf("i-%06d", rnd.IntN(8)))
 		hold := rnd.IntN(2) == 0
 		share := 0.1 + 0.4*rnd.Float64()
-		zone := api.Zone([]string{"a", "b", "c"}[rnd.IntN(3)])
+		zones := r.cfgs[0].Deployment.Zones
+		zone := zones[rnd.IntN(len(zones))]
 		faults := []func(){
 			func() { r.w.Crash(node, time.Duration(1+rnd.IntN(8))*time.Second) },
 			func() { r.eachNode("all", func(n string) { r.w.Crash(n, 3*time.Second) }) },
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -221,7 +221,7 @@
 			other()
 		}
 	})
-	across := func(do func()) { w.into(wk.zone, func() { w.across(name, SideWorkers, do) }) }
+	across := func(do func()) { w.into(name, wk.zone, func() { w.across(name, SideWorkers, do) }) }
 	across(func() {
 		w.Deliver(name, "POST", api.PathCheckin, control.Caller{}, body, func(status int, answer []byte) {
 			across(func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -271,8 +271,8 @@
 		w.call(h, SideWorkers, 0, e.Timeout, func(answer func(int, []byte)) {
 			w.Direct++
 			if wk := w.byAddr[e.Addr]; wk != nil {
-				w.into(wk.zone, func() {
-					wk.commands(body, func(status int, body []byte) { w.into(wk.zone, func() { answer(status, body) }) })
+				w.into(h.name, wk.zone, func() {
+					wk.commands(body, func(status int, body []byte) { w.into(h.name, wk.zone, func() { answer(status, body) }) })
 				})
 			}
 		}, func(r httpx.Response, err error) control.Command { return worker.Answer(e, r, err) })
@@ -281,7 +281,7 @@
 		w.must(err)
 		w.call(h, SidePeers, 0, e.Timeout, func(answer func(int, []byte)) {
 			to := w.nodes[string(e.To)]
-			if to.node == nil || w.cuts[cutKey{to.name, SidePeers}] != nil {
+			if to.node == nil || w.cuts[cutKey{to.name, SidePeers}] != nil || w.border(w.cfgs[h.name].Zone, w.cfgs[to.name].Zone) != nil {
 				return
 			}
 			m, err := peer.ParseMessage(body)
@@ -344,22 +344,21 @@
 	w.After(extra, func() { w.across(h.name, side, deliver) })
 }
 
-// across does something one network latency later, unless a cut is in the way.
+// across does something one network latency later, unless a cut is in the way. State
+// service, cloud and users belong to no zone: a controller whose zone is cut off reaches
+// none of them.
 func (w *World) across(node string, side Side, do func()) {
 	w.After(w.latency(), func() {
-		if c := w.cuts[cutKey{node, side}]; c != nil {
-			if c.hold {
-				c.held = append(c.held, do)
-			}
-			return
+		c := w.cuts[cutKey{node, side}]
+		if c == nil && side != SideWorkers && side != SidePeers {
+			c = w.zones[w.cfgs[node].Zone]
 		}
-		do()
+		c.pass(do)
 	})
 }
 
-// into does something that passes a zone's border, unless the zone is cut off.
-func (w *World) into(zone api.Zone, do func()) {
-	c := w.zones[zone]
+// pass does something, or keeps or drops it where there is a cut.
+func (c *cut) pass(do func()) {
 	switch {
 	case c == nil:
 		do()
@@ -368,8 +367,25 @@
 	}
 }
 
-// CutZone cuts a zone's machines off for a while; with hold, packets are
-// delivered when it ends.
+// border is the cut between two zones, nil if there is none. A zone that is cut off
+// goes on inside.
+func (w *World) border(a, b api.Zone) *cut {
+	if a == b {
+		return nil
+	}
+	if c := w.zones[a]; c != nil {
+		return c
+	}
+	return w.zones[b]
+}
+
+// into does something that passes between a controller and a machine in a zone.
+func (w *World) into(node string, zone api.Zone, do func()) {
+	w.border(w.cfgs[node].Zone, zone).pass(do)
+}
+
+// CutZone cuts a zone off for a while, its machines and the controllers in it; with
+// hold, packets are delivered when it ends.
 func (w *World) CutZone(zone api.Zone, length time.Duration, hold bool) {
 	if w.zones[zone] != nil {
 		return
