While a zone is lost no class and no team is kept from half of its fair part of the room

Need: with two of three zones out urgent work alone would take all that comes free, and what never ends can't be made to give it back to less urgent work.

Change: the fair part of a class or team is the room by its part of all that is wanted; none takes what would leave less than half of the others' fair parts, and lower work gives way only down to there. Tasks whose jobs would be late for waiting count four times in the plan.

Ruled out: to let work below its floor go first in a round: by then nothing comes free.

--- a/control/gossip.go
+++ b/control/gossip.go
@@ -66,7 +66,7 @@
 func (n *Node) withLowerGone(id api.MachineID, free api.Resources) api.Resources {
 	could := free
 	for _, p := range n.book.On(id) {
-		if !p.Over && p.Job.Spec.Kind != api.Gang && p.Job.Spec.Priority.Rank() < urgentRank {
+		if !p.Over && p.Job.Spec.Kind != api.Gang && p.Job.Spec.Priority.Rank() < urgentRank && n.mayYield(p) {
 			could = could.Plus(p.Job.Demand)
 		}
 	}
--- a/control/part.go
+++ b/control/part.go
@@ -456,6 +456,11 @@
 	kept := jobs[:0]
 	for _, j := range jobs {
 		pending := n.pending(t, j, w, max(usable, 1))
+		if may := n.mayTake(j); may < len(pending) {
+			if pending = pending[:may]; j.Spec.Kind == api.Gang {
+				pending = nil
+			}
+		}
 		if len(pending) == 0 {
 			continue
 		}
@@ -484,6 +489,7 @@
 	placed := make([]int, len(jobs))
 	for _, pl := range sched.Round(in) {
 		m, j := machines[pl.Machine], jobs[pl.Job]
+		n.moves(j.Spec, j.Demand.CPU.Float())
 		placed[pl.Job]++
 		if !j.Note.begun {
 			j.Note.begun = true
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -61,7 +61,7 @@
 		if p.Note.stop || p.Job.Final() {
 			coming = coming.Plus(p.Job.Demand)
 		} else if p.Job.Spec.Priority.Rank() < rank && p.Part == t.part && p.Job.Spec.Kind != api.Gang &&
-			!(sparing && n.lateBy(p) > 0) {
+			n.mayYield(p) && !(sparing && n.lateBy(p) > 0) {
 			lower = append(lower, p)
 		}
 	}
@@ -268,6 +268,7 @@
 		n.metrics.Preempted++
 		p.Job.Note.madeWay++
 		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", ref)
+		n.moves(p.Job.Spec, -p.Job.Demand.CPU.Float())
 		n.stop(p)
 	}
 }
--- a/control/zones.go
+++ b/control/zones.go
@@ -27,7 +27,12 @@
 	outAt   api.Time // when the state service did not answer us last
 	planAt  api.Time
 	lost    map[api.JobRef]int // tasks on lost machines for which machines are rented
+	away    map[api.JobRef]int // all tasks on lost machines past their leases
 	waiting map[api.Zone]int   // tasks on lost machines past their leases
+
+	// What our parts' work may give way by and take while a zone is lost; nil: none is.
+	dueOfClass map[api.Class]zone.Due
+	dueOfTeam  map[api.Team]zone.Due
 }
 
 func (n *Node) initZones() {
@@ -318,20 +323,86 @@
 		return
 	}
 	n.zones.planAt = n.now
-	out := false
+	out, short := false, false
 	for _, r := range n.zones.records {
 		out = out || r.State == zone.Lost
+		short = short || r.State == zone.Lost || r.State == zone.Returning
+	}
+	n.zones.lost, n.zones.away, n.zones.waiting = nil, nil, map[api.Zone]int{}
+	n.zones.dueOfClass, n.zones.dueOfTeam = nil, nil
+	if !short || n.deaf() {
+		return
 	}
-	n.zones.lost, n.zones.waiting = nil, map[api.Zone]int{}
-	if !out || n.deaf() {
+	n.zones.lost, n.zones.away = n.countLost()
+	n.countFloors()
+	if !out {
 		return
 	}
-	n.zones.lost = n.countLost()
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		n.giveUpOf(n.turfs[p])
 	}
 }
 
+// countFloors reckons by how much the work of each class and team may still give way to more
+// urgent work. Each owner lets its parts' share of that go.
+func (n *Node) countFloors() {
+	room := 0.0
+	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
+		if typ := n.types[k.Type]; typ != nil && k.Usable {
+			room += typ.CPUs * float64(r.Count)
+		}
+	})
+	classes, teams := map[api.Class]zone.Held{}, map[api.Team]zone.Held{}
+	for _, j := range n.book.Jobs {
+		if j.Final() {
+			continue
+		}
+		lost := n.zones.away[j.Ref]
+		cpus := j.Demand.CPU.Float()
+		has, wants := cpus*float64(max(0, len(j.Places)-j.OverN-lost)), cpus*float64(j.Spec.Tasks-j.DoneN)
+		c, t := classes[j.Spec.Class], teams[j.Spec.Team]
+		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants}
+		teams[j.Spec.Team] = zone.Held{Has: t.Has + has, Wants: t.Wants + wants}
+	}
+	ours := float64(len(n.turfs)) / float64(len(n.book.Parts))
+	n.zones.dueOfClass, n.zones.dueOfTeam = zone.Floors(classes, room), zone.Floors(teams, room)
+	for c, d := range n.zones.dueOfClass {
+		n.zones.dueOfClass[c] = zone.Due{Spare: d.Spare * ours, May: d.May * ours}
+	}
+	for t, d := range n.zones.dueOfTeam {
+		n.zones.dueOfTeam[t] = zone.Due{Spare: d.Spare * ours, May: d.May * ours}
+	}
+}
+
+// mayYield reports whether a task may give way: while a zone is lost, no class and no team
+// goes below its floor.
+func (n *Node) mayYield(p *Place) bool {
+	if n.zones.dueOfClass == nil {
+		return true
+	}
+	cpus := p.Job.Demand.CPU.Float()
+	return n.zones.dueOfClass[p.Job.Spec.Class].Spare >= cpus && n.zones.dueOfTeam[p.Job.Spec.Team].Spare >= cpus
+}
+
+// mayTake is how many more of a job's tasks may start: while a zone is lost, no class and no
+// team takes what would leave less than the floors of the others.
+func (n *Node) mayTake(j *Job) int {
+	if n.zones.dueOfClass == nil || j.Demand.CPU <= 0 {
+		return j.Spec.Tasks
+	}
+	may := min(n.zones.dueOfClass[j.Spec.Class].May, n.zones.dueOfTeam[j.Spec.Team].May)
+	return int(max(0, may) / j.Demand.CPU.Float())
+}
+
+// moves notes that a class and a team have so many CPUs more, or less.
+func (n *Node) moves(s *api.JobSpec, cpus float64) {
+	if n.zones.dueOfClass != nil {
+		c, t := n.zones.dueOfClass[s.Class], n.zones.dueOfTeam[s.Team]
+		n.zones.dueOfClass[s.Class] = zone.Due{Spare: c.Spare + cpus, May: c.May - cpus}
+		n.zones.dueOfTeam[s.Team] = zone.Due{Spare: t.Spare + cpus, May: t.May - cpus}
+	}
+}
+
 // planEvery is how often the plan is made anew.
 const planEvery = 500 * time.Millisecond
 
@@ -461,28 +532,32 @@
 }
 
 // countLost counts the tasks of each job, of all parts, that are on machines of lost zones
-// past their leases, where a controller inside does not keep them and another machine is
-// likely to be up before the zone is back: machines are rented for them as for waiting work.
-func (n *Node) countLost() map[api.JobRef]int {
-	out := map[api.JobRef]int{}
+// past their leases (away), and of these the ones that no controller inside keeps and for
+// which another machine is likely to be up before the zone is back: machines are rented for
+// them as for waiting work.
+func (n *Node) countLost() (wanted, away map[api.JobRef]int) {
+	wanted, away = map[api.JobRef]int{}, map[api.JobRef]int{}
 	for _, id := range n.fleet.order {
 		h := n.fleet.hosts[id]
 		r := n.zones.records[h.Zone]
-		if r.State != zone.Lost || n.silence(h.Zone) < n.cfg.WorkerLease().Seconds() {
-			continue
-		}
-		n.zones.waiting[h.Zone] += len(n.book.On(id))
-		if slices.Contains(r.Inside, n.partOf(id)) || r.Remaining(n.silence(h.Zone)) <= n.bootOf(h.Type) {
+		silence := n.silence(h.Zone)
+		if r.State != zone.Lost || silence < n.cfg.WorkerLease().Seconds() {
 			continue
 		}
 		if m := n.machines[id]; m != nil && (m.deleting || m.heard != 0 && n.now.Sub(m.heard) < n.cfg.WorkerLease()) {
 			continue
 		}
+		rent := !slices.Contains(r.Inside, n.partOf(id)) && r.Remaining(silence) > n.bootOf(h.Type)
 		for _, pl := range n.book.On(id) {
-			if !pl.Over && !pl.Job.Final() {
-				out[pl.Job.Ref]++
+			if pl.Over || pl.Job.Final() {
+				continue
+			}
+			n.zones.waiting[h.Zone]++
+			away[pl.Job.Ref]++
+			if rent {
+				wanted[pl.Job.Ref]++
 			}
 		}
 	}
-	return out
+	return wanted, away
 }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -15,7 +15,7 @@
 //	controllers ZONE...                 as many controllers as zones are named, and where they
 //	                                    are; instead of three that are in none
 //	machines N [spot] [TYPE] [in=ZONE]  machines that are up at the start, in the zones by turns or in one
-//	capacity N                          machines the cloud has in all
+//	capacity N [ZONE]                   machines the cloud has, in all or in a zone
 //	submit AT REF KIND key=value...     a job; see submit for the keys
 //	cancel AT REF
 //	ask AT REF                          a poll for a job nobody submitted
@@ -382,7 +382,7 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"capacity": "n", "cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
+	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
@@ -400,7 +400,21 @@
 	case "machines":
 		return r.machines(rest)
 	case "capacity":
-		w.Cloud.Capacity = int(ns[0])
+		if len(rest) == 0 || len(rest) > 2 {
+			return fmt.Errorf("not understood")
+		}
+		n, err := strconv.Atoi(rest[0])
+		if err != nil {
+			return err
+		}
+		if len(rest) == 1 {
+			w.Cloud.Capacity = n
+		} else {
+			if w.Cloud.InZone == nil {
+				w.Cloud.InZone = map[api.Zone]int{}
+			}
+			w.Cloud.InZone[api.Zone(rest[1])] = n
+		}
 	case "submit":
 		return r.submit(rest)
 	case "cancel":
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -24,14 +24,16 @@
 	Types []api.MachineType
 	// Capacity is how many machines there may be in all.
 	Capacity int
-	hosts    map[api.MachineID]*rentedHost
-	answers  map[string][]api.MachineID
-	last     int
-	Down     bool
-	Calls    int // requests so far
-	Deleted  int // machines
-	Rentals  int // calls that got some
-	Rented   int // machines they got
+	// InZone is how many there may be in a zone; a zone that is not named has no bound.
+	InZone  map[api.Zone]int
+	hosts   map[api.MachineID]*rentedHost
+	answers map[string][]api.MachineID
+	last    int
+	Down    bool
+	Calls   int // requests so far
+	Deleted int // machines
+	Rentals int // calls that got some
+	Rented  int // machines they got
 	// Lag is how old the list is.
 	Lag time.Duration
 }
@@ -56,6 +58,20 @@
 	return id
 }
 
+// roomIn reports whether a zone may have one more machine.
+func (c *Cloud) roomIn(zone api.Zone) bool {
+	most, bound := c.InZone[zone]
+	if !bound {
+		return true
+	}
+	for _, h := range c.hosts {
+		if h.Zone == zone {
+			most--
+		}
+	}
+	return most > 0
+}
+
 // SpotMachines lists the spot machines that are up, in order.
 func (c *Cloud) SpotMachines() []api.MachineID {
 	var out []api.MachineID
@@ -107,7 +123,7 @@
 		}
 		got, known := c.answers[r.Name]
 		if !known {
-			for len(got) < r.Count && len(c.hosts) < c.Capacity {
+			for len(got) < r.Count && len(c.hosts) < c.Capacity && c.roomIn(r.Zone) {
 				boot := 20 * time.Second
 				for _, t := range c.Types {
 					if t.Name == r.Type {
--- a/zone/plan.go
+++ b/zone/plan.go
@@ -77,6 +77,9 @@
 
 const (
 	idleWeight = 0.25
+	// lateWeight is how many times more a task is missed whose job would be late for waiting
+	// as long as its zone is likely to stay away.
+	lateWeight = 4
 	// keptInside is how likely a controller that was lost with its zone goes on inside.
 	keptInside = 0.9
 	// restart is how long a task is missed that ends here and starts elsewhere, in seconds.
@@ -203,10 +206,14 @@
 			order = append(order, l.mi)
 		}
 		placed[l.mi] = append(placed[l.mi], Placed{l.t.ID, where})
-		missed := in.Remaining(m.Zone)
+		away := in.Remaining(m.Zone)
+		missed := away
 		if m.Inside {
 			missed *= 1 - keptInside
 		}
+		if l.t.Slack < away {
+			missed *= lateWeight
+		}
 		gain[l.mi] += rankWeight[l.t.Spec.Priority.Rank()] * l.t.Demand.CPU.Float() * missed
 	}
 	var out []Given
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -270,21 +270,28 @@
 	spec := func(kind api.Kind, p api.Priority) *api.JobSpec {
 		return &api.JobSpec{Ref: "run-1", Kind: kind, Priority: p, Team: "red", Tasks: 4, CPUs: 2, MemGB: 1}
 	}
+	slack := Forever
 	given := func(s *api.JobSpec, tasks int, room float64, inside bool, remaining float64) bool {
 		m := Machine{ID: "i-1", Zone: "a", Capacity: api.Resources{CPU: api.ToAmount(16)}, Boot: 50, Inside: inside}
 		for i := range tasks {
-			m.Tasks = append(m.Tasks, Task{ID: api.TaskID{Job: "run-1", Index: i}, Spec: s, Demand: s.Demand()})
+			m.Tasks = append(m.Tasks, Task{ID: api.TaskID{Job: "run-1", Index: i}, Spec: s, Demand: s.Demand(), Slack: slack})
 		}
 		r := api.Resources{CPU: api.ToAmount(room), Mem: api.ToAmount(64)}
 		return len(Plan(&Input{Machines: []Machine{m}, Rooms: []Room{{Type: "c", Zone: "b", Free: r, Could: r, Count: 1}},
 			Urgent: 2, Most: 9, Remaining: func(api.Zone) float64 { return remaining }})) == 1
 	}
 	web, batch := spec(api.Service, api.Production), spec(api.Array, api.Normal)
+	late := func() bool {
+		slack = 20
+		defer func() { slack = Forever }()
+		return given(batch, 4, 8, false, 31)
+	}
 	for _, tc := range []struct {
 		what string
 		got  bool
 		want bool
 	}{
+		{"four tasks of an array that would be late", late(), true},
 		{"a replica that has a place", given(web, 1, 8, false, 31), true},
 		{"a replica that has none", given(web, 1, 1, false, 31), false},
 		{"a replica that may live inside", given(web, 1, 8, true, 31), false},
@@ -300,3 +307,45 @@
 		}
 	}
 }
+
+// When all give way by as much as they may, each still has half of its fair part, or what
+// it had before; and the floors together leave half of the room to whoever is more urgent.
+func TestFloorsAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.Float64Range(1, 1000).Draw(t, "room")
+		held, wanted, kept := map[int]Held{}, 0.0, 0.0
+		left := room
+		for k := range rapid.IntRange(1, 6).Draw(t, "classes") {
+			h := Held{Has: rapid.Float64Range(0, left).Draw(t, "has")}
+			left -= h.Has
+			h.Wants = h.Has + rapid.Float64Range(0, 2000).Draw(t, "more")
+			held[k] = h
+			wanted += h.Wants
+		}
+		for k, d := range Floors(held, room) {
+			h := held[k]
+			floor := Floor * min(room, wanted) * h.Wants / max(wanted, 1e-12)
+			if d.Spare < 0 || d.Spare > h.Has || h.Has-d.Spare < min(h.Has, floor)-1e-6 {
+				t.Fatalf("%+v may give %v, its floor is %v", h, d.Spare, floor)
+			}
+			if d.May < 0 || d.May > max(0, room-h.Has)+1e-6 || h.Has+d.May < min(floor, room)-1e-6 {
+				t.Fatalf("%+v may take %v of %v, its floor is %v", h, d.May, room, floor)
+			}
+			if d.May > 0 { // and the others' floors are left
+				others := 0.0
+				for other, o := range held {
+					if other != k {
+						others += Floor * min(room, wanted) * o.Wants / max(wanted, 1e-12)
+					}
+				}
+				if h.Has+d.May+others > room+1e-6 {
+					t.Fatalf("%+v may take %v of %v, the others' floors are %v", h, d.May, room, others)
+				}
+			}
+			kept += floor
+		}
+		if kept > Floor*room+1e-6 {
+			t.Fatalf("%v of %v are kept", kept, room)
+		}
+	})
+}
