The owner that rents knows where other parts' tasks are, and what room they can use

Cause: after the loss of a zone from a cluster of 200 machines that ran little but services, two replicas were never started again: the owner that rents did not know in which zones tasks on other owners' machines are (their zones were not known, which it did not mind), and counted on room in parts that the job can't use, since its tasks stay in one. Found by counting the replicas that are up with the stand-ins.

Change: a machine's zone is also taken from the list; room of other parts counts for work that stays together if a whole machine can be lent. Urgent work that would have no place even if all lower work made way is rented for before the leases end, where the zone's silence is more likely than not to outlast the boot. Floors count what fits what is left, within its limit.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -308,21 +308,24 @@
 		offer
 		free   api.Resources
 		closed bool
+		part   api.PartID
+		empty  bool // it may be lent
 	}
 	var spaces []space
-	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
+	n.eachRoom(func(p api.PartID, k Kind, r Room) {
 		if !k.Usable {
 			return
 		}
+		empty := n.types[k.Type] != nil && r.Free == n.types[k.Type].Capacity()
 		for range r.Count {
-			spaces = append(spaces, space{offer{k.Type, k.Zone, k.Spot}, r.Free, k.Closed})
+			spaces = append(spaces, space{offer{k.Type, k.Zone, k.Spot}, r.Free, k.Closed, p, empty})
 		}
 	})
 	coming := n.comingMachines()
 	for _, o := range slices.SortedFunc(maps.Keys(coming), compareOffers) {
 		if typ := n.types[o.typ]; typ != nil {
 			for range coming[o] {
-				spaces = append(spaces, space{o, typ.Capacity(), false})
+				spaces = append(spaces, space{o, typ.Capacity(), false, 0, true})
 			}
 		}
 	}
@@ -370,6 +373,8 @@
 			continue
 		}
 		plain := n.plain(j.Spec)
+		// A job whose tasks stay together does not leave its part once some have started.
+		bound, home := j.Spec.Whole() && len(j.Places) > 0, j.Split[0].Part
 		var zone api.Zone
 		if j.Spec.OneZone && waiting > 0 {
 			room := map[api.Zone]int{}
@@ -413,9 +418,13 @@
 			if waiting == 0 {
 				break
 			}
+			if bound && !s.empty && s.part != home {
+				continue // its tasks stay in one part, and what is not empty is not lent
+			}
 			if open(s.zone) && !(plain && s.closed) && sched.Allowed(j.Spec, s.typ, s.zone, s.spot) {
 				k := min(spread(s.zone), j.Demand.Slots(s.free))
 				s.free = s.free.Minus(j.Demand.Times(k))
+				s.empty = s.empty && k == 0
 				waiting -= k
 				zones[s.zone] += k
 			}
@@ -441,7 +450,7 @@
 			k := min(spread(o.zone), j.Demand.Slots(free))
 			waiting -= k
 			zones[o.zone] += k
-			spaces = append(spaces, space{o, free.Minus(j.Demand.Times(k)), false})
+			spaces = append(spaces, space{o, free.Minus(j.Demand.Times(k)), false, home, false})
 		}
 	}
 	n.rentAhead(need, coming)
--- a/control/part.go
+++ b/control/part.go
@@ -553,16 +553,25 @@
 		if p.Over {
 			continue
 		}
-		m := n.machines[p.Machine]
-		if m == nil || m.zone == "" {
+		z := n.zoneOn(p.Machine)
+		if z == "" {
 			known = false
 			continue
 		}
-		zones[m.zone]++
+		zones[z]++
 	}
 	return zones, known
 }
 
+// zoneOn is a machine's zone, as it or the cloud's list tells: of other parts' machines
+// only the list does. It is empty if neither has yet.
+func (n *Node) zoneOn(id api.MachineID) api.Zone {
+	if m := n.machines[id]; m != nil && m.zone != "" {
+		return m.zone
+	}
+	return n.fleet.hosts[id].Zone
+}
+
 // plain reports whether a type without accelerators can take the job's tasks.
 // Such work goes to the others last, and they are neither rented nor kept for
 // it: they are dear, and whole pieces of them should be free for the work that
--- a/control/zones.go
+++ b/control/zones.go
@@ -9,6 +9,7 @@
 
 	"basaltwall/api"
 	"basaltwall/book"
+	"basaltwall/sched"
 	"basaltwall/zone"
 )
 
@@ -27,7 +28,7 @@
 	outAt   api.Time // when the state service did not answer us last
 	planAt  api.Time
 	lost    map[api.JobRef]int // tasks on lost machines for which machines are rented
-	away    map[api.JobRef]int // all tasks on lost machines past their leases
+	away    map[api.JobRef]int // all tasks on lost machines
 	waiting map[api.Zone]int   // tasks on lost machines past their leases
 
 	// What our parts' work may give way by and take while a zone is lost; nil: none is.
@@ -347,30 +348,57 @@
 // urgent work. Each owner lets its parts' share of that go.
 func (n *Node) countFloors() {
 	room := 0.0
+	kinds := map[Kind]bool{}
 	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
 		if typ := n.types[k.Type]; typ != nil && k.Usable {
 			room += typ.CPUs * float64(r.Count)
+			kinds[k] = true
 		}
 	})
+	// Work that fits nothing that is left, or is beyond its team's limit, has no claim on it.
+	fits := func(s *api.JobSpec) bool {
+		for k := range kinds {
+			if sched.Allowed(s, k.Type, k.Zone, k.Spot) && s.Demand().Fits(n.types[k.Type].Capacity()) {
+				return true
+			}
+		}
+		return false
+	}
+	left, use := map[api.Team]api.Resources{}, n.totalUsage()
+	for name, team := range n.teams {
+		left[name] = limitOf(team).Minus(use[name])
+	}
 	classes, teams := map[api.Class]zone.Held{}, map[api.Team]zone.Held{}
-	for _, j := range n.book.Jobs {
+	for _, ref := range slices.Sorted(maps.Keys(n.book.Jobs)) {
+		j := n.book.Jobs[ref]
 		if j.Final() {
 			continue
 		}
-		lost := n.zones.away[j.Ref]
+		lost := n.zones.away[ref]
+		running := max(0, len(j.Places)-j.OverN-lost)
+		waits := 0
+		if !n.held(j) && fits(j.Spec) {
+			// What is on lost machines is in the team's use already.
+			fresh := min(max(0, j.Spec.Tasks-j.DoneN-running-lost), j.Demand.Slots(left[j.Spec.Team]))
+			left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(fresh))
+			waits = lost + fresh
+		}
 		cpus := j.Demand.CPU.Float()
-		has, wants := cpus*float64(max(0, len(j.Places)-j.OverN-lost)), cpus*float64(j.Spec.Tasks-j.DoneN)
+		has, wants := cpus*float64(running), cpus*float64(running+waits)
 		c, t := classes[j.Spec.Class], teams[j.Spec.Team]
 		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants}
 		teams[j.Spec.Team] = zone.Held{Has: t.Has + has, Wants: t.Wants + wants}
 	}
-	ours := float64(len(n.turfs)) / float64(len(n.book.Parts))
+	ours := func(d zone.Due) zone.Due {
+		d.Spare *= float64(len(n.turfs)) / float64(len(n.book.Parts))
+		return d
+	}
 	n.zones.dueOfClass, n.zones.dueOfTeam = zone.Floors(classes, room), zone.Floors(teams, room)
 	for c, d := range n.zones.dueOfClass {
-		n.zones.dueOfClass[c] = zone.Due{Spare: d.Spare * ours, May: d.May * ours}
+		n.zones.dueOfClass[c] = ours(d)
 	}
 	for t, d := range n.zones.dueOfTeam {
-		n.zones.dueOfTeam[t] = zone.Due{Spare: d.Spare * ours, May: d.May * ours}
+		n.zones.dueOfTeam[t] = ours(d)
 	}
 }
 
@@ -391,7 +419,10 @@
 		return j.Spec.Tasks
 	}
 	may := min(n.zones.dueOfClass[j.Spec.Class].May, n.zones.dueOfTeam[j.Spec.Team].May)
-	return int(max(0, may) / j.Demand.CPU.Float())
+	if j.Spec.Kind != api.Gang {
+		may *= float64(len(n.turfs)) / float64(len(n.book.Parts)) // the rest is other owners' to take
+	}
+	return int(min(float64(j.Spec.Tasks), max(0, may)/j.Demand.CPU.Float()))
 }
 
 // moves notes that a class and a team have so many CPUs more, or less.
@@ -513,6 +544,10 @@
 	}
 }
 
+// rentChance is how likely a zone must be to stay silent until another machine is up for one to
+// be rented in its stead.
+const rentChance = 0.5
+
 // maxWaiting bounds the waiting tasks that a plan looks at.
 const maxWaiting = 1000
 
@@ -532,28 +567,45 @@
 }
 
 // countLost counts the tasks of each job, of all parts, that are on machines of lost zones
-// past their leases (away), and of these the ones that no controller inside keeps and for
+// (away), and of these the ones past their leases that no controller inside keeps and for
 // which another machine is likely to be up before the zone is back: machines are rented for
-// them as for waiting work.
+// them as for waiting work (wanted). Urgent work that would have no place elsewhere even if
+// all lower work made way is counted before the leases end, where it is likely to outlast
+// them: only for that a machine that may not be needed costs less than one that is late.
 func (n *Node) countLost() (wanted, away map[api.JobRef]int) {
 	wanted, away = map[api.JobRef]int{}, map[api.JobRef]int{}
+	could := api.Amount(0)
+	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
+		if k.Usable {
+			could += r.Could.CPU * api.Amount(r.Count)
+		}
+	})
 	for _, id := range n.fleet.order {
 		h := n.fleet.hosts[id]
 		r := n.zones.records[h.Zone]
-		silence := n.silence(h.Zone)
-		if r.State != zone.Lost || silence < n.cfg.WorkerLease().Seconds() {
+		if r.State != zone.Lost {
 			continue
 		}
-		if m := n.machines[id]; m != nil && (m.deleting || m.heard != 0 && n.now.Sub(m.heard) < n.cfg.WorkerLease()) {
+		silence, lease := n.silence(h.Zone), n.cfg.WorkerLease().Seconds()
+		ahead := silence < lease
+		rent := !slices.Contains(r.Inside, n.partOf(id)) && r.Outlasts(max(lease, silence+n.bootOf(h.Type)), silence) >= rentChance
+		if m := n.machines[id]; m != nil && (m.deleting || m.heard != 0 && n.now.Sub(m.heard) < n.silentAfter) {
 			continue
 		}
-		rent := !slices.Contains(r.Inside, n.partOf(id)) && r.Remaining(silence) > n.bootOf(h.Type)
 		for _, pl := range n.book.On(id) {
 			if pl.Over || pl.Job.Final() {
 				continue
 			}
-			n.zones.waiting[h.Zone]++
 			away[pl.Job.Ref]++
+			if ahead {
+				if urgent := pl.Job.Spec.Priority.Rank() >= urgentRank; rent && urgent && could < pl.Job.Demand.CPU {
+					wanted[pl.Job.Ref]++
+				} else if urgent {
+					could -= pl.Job.Demand.CPU
+				}
+				continue
+			}
+			n.zones.waiting[h.Zone]++
 			if rent {
 				wanted[pl.Job.Ref]++
 			}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -54,6 +54,7 @@
 //	expect all done [by AT]             all arrays and gangs
 //	starts MIN MAX                      task starts in all
 //	deleted MIN MAX                     machines deleted by the controllers
+//	up AT SHARE                         of the replicas that are due so many are up then, at least
 //	sofar AT WHAT MIN MAX               the same by then: deleted, rented (machines) or starts
 //	most WHAT N                         state-rps, state-writes, cloud-rps (a second, on
 //	                                    average), value (bytes), direct-calls a start, rentals
@@ -384,7 +385,7 @@
 	rest := l[1:]
 	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
-		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "starts": "nn", "deleted": "nn", "most": "sn"}
+		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -505,6 +506,12 @@
 		r.most[ss[0]] = ns[0]
 	case "deleted":
 		r.delMin, r.delMax = int(ns[0]), int(ns[1])
+	case "up":
+		w.After(ds[0], func() {
+			if up, due := w.Check.Replicas(w.Now); float64(up) < ns[0]*float64(due) {
+				r.problems = append(r.problems, fmt.Sprintf("%d of %d replicas are up at %.0f s, expected %v", up, due, ds[0].Seconds(), ns[0]))
+			}
+		})
 	case "sofar":
 		w.After(ds[0], func() {
 			got, ok := map[string]int{"deleted": w.Cloud.Deleted, "rented": w.Cloud.Rented, "starts": w.Check.Starts}[ss[0]]
--- a/zone/floor.go
+++ b/zone/floor.go
@@ -1,5 +1,7 @@
 package zone
 
+import "math"
+
 // Held is what the work of a class or team holds on machines that can be used, and what it
 // holds and wants together, in CPUs.
 type Held struct{ Has, Wants float64 }
@@ -8,18 +10,20 @@
 // zone is lost, whatever more urgent work there is.
 const Floor = 0.5
 
-// Due is what a class or team may give way by, and what it may still take, in CPUs.
+// Due is what a class or team may give way by, and what it may still take (infinite: all it
+// finds), in CPUs.
 type Due struct{ Spare, May float64 }
 
 // Floors reckons for each class or team what it may give way by while a zone is lost, and
 // what it may take of the room that is left. Its fair part of that is as large as its part
-// of all that is wanted; half of it is its floor. None may take what would leave less than
-// the floors of the others: work that never ends would else take all that comes free, and
-// can't be made to give it back to less urgent work. That is what the floors cost.
+// of all that is wanted; half of it is its floor. While some lack to their floors, none of
+// the others takes what comes free and they lack: work that never ends would else take all
+// of it, and can't be made to give it back to less urgent work. That is what the floors cost.
 func Floors[K comparable](held map[K]Held, room float64) map[K]Due {
-	wanted := 0.0
+	wanted, has, lacked := 0.0, 0.0, 0.0
 	for _, h := range held {
 		wanted += max(h.Has, h.Wants)
+		has += h.Has
 	}
 	floor := func(h Held) float64 {
 		if wanted <= 0 {
@@ -27,14 +31,17 @@
 		}
 		return Floor * min(room, wanted) * max(h.Has, h.Wants) / wanted
 	}
-	floors := 0.0
+	lack := func(h Held) float64 { return max(0, floor(h)-h.Has) }
 	for _, h := range held {
-		floors += floor(h)
+		lacked += lack(h)
 	}
 	out := make(map[K]Due, len(held))
 	for k, h := range held {
-		f := floor(h)
-		out[k] = Due{max(0, h.Has-f), max(0, room-(floors-f)-h.Has)}
+		d := Due{Spare: max(0, h.Has-floor(h)), May: math.Inf(1)}
+		if others := lacked - lack(h); others > 1e-9 {
+			d.May = max(0, room-has-others)
+		}
+		out[k] = d
 	}
 	return out
 }
