An image that a machine is fetching is as near as what is left of its fetch

Cause: replicas of one image were spread over machines that all fetched it, since one that had begun counted as far away as one that had not; with 0.2 GB a second each image more on a machine delays the rest.

Change: a fetch counts from when its first task was placed.

--- a/control/part.go
+++ b/control/part.go
@@ -382,10 +382,15 @@
 	var out []sched.Image
 	for _, p := range n.book.On(m.ID) {
 		img := sched.Image{Name: p.Job.Spec.Image, GB: p.Job.Spec.ImageGB}
+		if p.Note.since != 0 {
+			img.Begun = n.now.Sub(p.Note.since).Seconds()
+		}
 		if _, has := m.images[img.Name]; has || p.Over || p.Note.reported && p.Note.state != api.TaskFetching {
 			continue
 		}
-		if !slices.ContainsFunc(out, func(o sched.Image) bool { return o.Name == img.Name }) {
+		if i := slices.IndexFunc(out, func(o sched.Image) bool { return o.Name == img.Name }); i >= 0 {
+			out[i].Begun = max(out[i].Begun, img.Begun)
+		} else {
 			out = append(out, img)
 		}
 	}
--- a/control/zones.go
+++ b/control/zones.go
@@ -25,7 +25,8 @@
 	muteAt  map[api.Zone]api.Time  // when it was last seen mute
 	goneAt  map[api.Label]api.Time // when a controller was last seen to go
 	writing bool
-	outAt   api.Time // when the state service did not answer us last
+	okAt    api.Time // when the state service answered us last
+	outAt   api.Time // when it had not answered us for a while
 	planAt  api.Time
 	lost    map[api.JobRef]int // tasks on lost machines for which machines are rented
 	away    map[api.JobRef]int // all tasks on lost machines
@@ -173,7 +174,9 @@
 			n.zones.goneAt[l] = n.now
 		}
 	}
-	if n.unreachable() {
+	if n.stateOK {
+		n.zones.okAt = n.now
+	} else if n.now.Sub(n.zones.okAt) > stateTimeout {
 		n.zones.outAt = n.now
 	}
 	t := n.zoneDuty()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -31,10 +31,12 @@
 	Kept   api.JobRef // only for this job, for which others made way
 }
 
-// Image is an image and its size.
+// Image is an image that a machine fetches: its size, and for how long it has been fetched,
+// in seconds.
 type Image struct {
-	Name api.Image
-	GB   float64
+	Name  api.Image
+	GB    float64
+	Begun float64
 }
 
 // Cached is an image that a machine holds, as far as is known.
@@ -63,13 +65,15 @@
 	if m.Fetch <= 0 || m.Has(s.Image) {
 		return 0
 	}
-	gb := s.ImageGB
+	gb, begun := s.ImageGB, 0.0
 	for _, other := range m.Coming {
-		if other.Name != s.Image {
+		if other.Name == s.Image {
+			begun = other.Begun
+		} else {
 			gb += other.GB
 		}
 	}
-	return gb / m.Fetch
+	return max(0, gb/m.Fetch-begun)
 }
 
 // Job is a job with pending tasks.
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -231,3 +231,56 @@
 		t.Errorf("placed %v on a machine kept for job 1", plan)
 	}
 }
+
+// A round puts one task on a machine. When a zone is lost, a service's replicas must not all
+// be sent to machines that fetch for long while the one that has the image has room for them
+// in the next rounds; but if it has not, the slow ones are better than none. Work without an
+// aim for its start waits for nothing.
+func TestReplicasWaitSomeRoundsForTheirImage(t *testing.T) {
+	round := func(kind api.Kind, room api.Amount) (near, far int) {
+		s := &api.JobSpec{Ref: "run-1", Team: "red", Kind: kind, Priority: api.Production, Tasks: 4, CPUs: 1, MemGB: 1, Image: "img", ImageGB: 3}
+		in := &Input{Largest: api.Resources{CPU: 16e6, Mem: 64e6}, Most: 100, Left: map[api.Team]api.Resources{"red": {CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}},
+			Jobs: []Job{{Spec: s, Demand: s.Demand(), Pending: []int{0, 1, 2, 3}, Within: 3}}}
+		for i := range 5 {
+			m := Machine{ID: api.MachineID(fmt.Sprintf("i-%d", i)), Type: "t", Zone: "a", Free: api.Resources{CPU: 16e6, Mem: 64e6}, Fetch: 0.2}
+			if i == 0 {
+				m.Free.CPU, m.Images = room, map[api.Image]Cached{"img": {GB: 3}}
+			}
+			in.Machines = append(in.Machines, m)
+		}
+		for _, p := range Round(in) {
+			if p.Machine == 0 {
+				near++
+			} else {
+				far++
+			}
+		}
+		return near, far
+	}
+	if near, far := round(api.Service, 16e6); near != 1 || far != 0 {
+		t.Errorf("with room where the image is: %d there, %d elsewhere", near, far)
+	}
+	if near, far := round(api.Service, 2e6); near != 1 || far != 3 {
+		t.Errorf("without: %d there, %d elsewhere", near, far)
+	}
+	if near, far := round(api.Array, 16e6); near+far != 4 {
+		t.Errorf("an array: %d there, %d elsewhere", near, far)
+	}
+}
+
+// An image that is being fetched already is nearer than one that is not.
+func TestFetchTime(t *testing.T) {
+	s := &api.JobSpec{Image: "img", ImageGB: 2}
+	m := Machine{Fetch: 0.5, Coming: []Image{{Name: "other", GB: 1, Begun: 1}}}
+	if got := m.FetchTime(s); got != 6 {
+		t.Errorf("beside another: %v s", got)
+	}
+	m.Coming = append(m.Coming, Image{Name: "img", GB: 2, Begun: 4})
+	if got := m.FetchTime(s); got != 2 {
+		t.Errorf("begun 4 s ago: %v s", got)
+	}
+	m.Coming[1].Begun = 60
+	if got := m.FetchTime(s); got != 0 {
+		t.Errorf("overdue: %v s", got)
+	}
+}
