--- a/control/part.go
+++ b/control/part.go
@@ -494,7 +494,7 @@
 	placed := make([]int, len(jobs))
 	for _, pl := range sched.Round(in) {
 		m, j := machines[pl.Machine], jobs[pl.Job]
-		n.moves(j.Spec, j.Demand.CPU.Float())
+		n.noteTaken(j.Spec, j.Demand.CPU.Float())
 		placed[pl.Job]++
 		if !j.Note.begun {
 			j.Note.begun = true
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -268,7 +268,7 @@
 		n.metrics.Preempted++
 		p.Job.Note.madeWay++
 		slog.Info("task makes way", "task", p.Task, "machine", p.Machine, "for", ref)
-		n.moves(p.Job.Spec, -p.Job.Demand.CPU.Float())
+		n.noteTaken(p.Job.Spec, -p.Job.Demand.CPU.Float())
 		n.stop(p)
 	}
 }
--- a/control/zones.go
+++ b/control/zones.go
@@ -428,8 +428,8 @@
 	return int(min(float64(j.Spec.Tasks), max(0, may)/j.Demand.CPU.Float()))
 }
 
-// moves notes that a class and a team have so many CPUs more, or less.
-func (n *Node) moves(s *api.JobSpec, cpus float64) {
+// noteTaken notes that a class and a team have so many CPUs more, or less.
+func (n *Node) noteTaken(s *api.JobSpec, cpus float64) {
 	if n.zones.dueOfClass != nil {
 		c, t := n.zones.dueOfClass[s.Class], n.zones.dueOfTeam[s.Team]
 		n.zones.dueOfClass[s.Class] = zone.Due{Spare: c.Spare + cpus, May: c.May - cpus}
--- a/zone/floor.go
+++ b/zone/floor.go
@@ -1,6 +1,11 @@
 package zone
 
-import "math"
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+)
 
 // Held is what the work of a class or team holds on machines that can be used, and what it
 // holds and wants together, in CPUs.
@@ -19,11 +24,12 @@
 // of all that is wanted; half of it is its floor. While some lack to their floors, none of
 // the others takes what comes free and they lack: work that never ends would else take all
 // of it, and can't be made to give it back to less urgent work. That is what the floors cost.
-func Floors[K comparable](held map[K]Held, room float64) map[K]Due {
+func Floors[K cmp.Ordered](held map[K]Held, room float64) map[K]Due {
 	wanted, has, lacked := 0.0, 0.0, 0.0
-	for _, h := range held {
-		wanted += max(h.Has, h.Wants)
-		has += h.Has
+	names := slices.Sorted(maps.Keys(held)) // sums depend on the order
+	for _, k := range names {
+		wanted += max(held[k].Has, held[k].Wants)
+		has += held[k].Has
 	}
 	floor := func(h Held) float64 {
 		if wanted <= 0 {
@@ -32,8 +38,8 @@
 		return Floor * min(room, wanted) * max(h.Has, h.Wants) / wanted
 	}
 	lack := func(h Held) float64 { return max(0, floor(h)-h.Has) }
-	for _, h := range held {
-		lacked += lack(h)
+	for _, k := range names {
+		lacked += lack(held[k])
 	}
 	out := make(map[K]Due, len(held))
 	for k, h := range held {
