Replicas wait for a machine that boots rather than for a fetch that takes longer

Ruled out: to move what fetches when a machine comes up (two writes and calls for each).

Change: while machines boot that may take them, a service's replicas look at no machine whose fetch takes longer than such a boot and the fetch there, for twice that time at most.

--- a/control/part.go
+++ b/control/part.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"basaltwall/api"
@@ -457,7 +458,7 @@
 			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare || n.now < m.clearing, Pace: m.pace, Fetch: typ.FetchRate, Coming: n.fetching(m), Images: m.images, Kept: n.keptFor(m)})
 		machines = append(machines, m)
 	}
-	total := n.totalUsage()
+	total, coming := n.totalUsage(), sync.OnceValue(n.comingMachines)
 	kept := jobs[:0]
 	for _, j := range jobs {
 		pending := n.pending(t, j, w, max(usable, 1))
@@ -474,7 +475,7 @@
 			continue // where its other tasks are is not known yet
 		}
 		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
-			Entitled: n.entitled(j, total), Holds: j.Live() > 0, Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn,
+			Entitled: n.entitled(j, total), Holds: j.Live() > 0, Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn, Fresh: n.freshFor(j, coming),
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.Note.failedOn)*2 > usable {
 			sj.AvoidedBy = nil
@@ -577,6 +578,30 @@
 	return n.fleet.hosts[id].Zone
 }
 
+// freshFor is how long a machine that boots takes until it has the image of a service's
+// replicas, in seconds; 0 if none boots that may take them. They wait for one rather than
+// for a fetch that takes longer, for twice as long at most: it may not come.
+func (n *Node) freshFor(j *Job, coming func() map[offer]int) float64 {
+	if j.Spec.Kind != api.Service || n.startAim(j.Spec.Class) <= 0 {
+		return 0
+	}
+	best := 0.0
+	for o, count := range coming() {
+		typ := n.types[o.typ]
+		if count <= 0 || typ == nil || typ.FetchRate <= 0 || !sched.Allowed(j.Spec, o.typ, o.zone, o.spot) || !j.Demand.Fits(typ.Capacity()) ||
+			n.plain(j.Spec) && typ.GPUs > 0 {
+			continue
+		}
+		if s := typ.Boot + j.Spec.ImageGB/typ.FetchRate; best == 0 || s < best {
+			best = s
+		}
+	}
+	if n.awaited(j) > 2*best {
+		return 0
+	}
+	return best
+}
+
 // plain reports whether a type without accelerators can take the job's tasks.
 // Such work goes to the others last, and they are neither rented nor kept for
 // it: they are dear, and whole pieces of them should be free for the work that
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -86,6 +86,7 @@
 	Entitled  bool             // within its team's guarantee
 	Holds     bool             // what the job takes of pools for itself is held already
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
+	Fresh     float64          // seconds until a machine that boots now would have the image; 0: none does
 	AvoidedBy map[api.MachineID]bool
 	Prompt    bool    // should start sooner than a machine boots
 	Plain     bool    // some type without accelerators can take its tasks
@@ -478,7 +479,7 @@
 
 // soonEnough is how long, in seconds, a fetch may take for a machine to be looked at for a
 // service's replicas in this round: as long as it must for all that wait to find room
-// within some rounds. A round puts one task on a machine, so when a zone is lost the
+// within some rounds, but no longer than a machine that boots would take. A round puts one task on a machine, so when a zone is lost the
 // machines that hold an image are soon used up in it; the next round, a tenth of a second
 // later, has more of their room, and a fetch on a slow machine takes a hundred times that.
 func soonEnough(in *Input, j *Job, free []api.Resources) float64 {
@@ -497,13 +498,17 @@
 		}
 	}
 	slices.SortFunc(rooms, func(a, b room) int { return cmp.Compare(a.fetch, b.fetch) })
+	most := math.Inf(1)
+	if j.Fresh > 0 {
+		most = j.Fresh
+	}
 	left := len(j.Pending)
 	for _, r := range rooms {
 		if left -= r.slots; left <= 0 {
-			return max(r.fetch, j.Within/3)
+			return min(most, max(r.fetch, j.Within/3))
 		}
 	}
-	return math.Inf(1)
+	return most
 }
 
 // someRounds is how many rounds a replica may wait for a machine that has its image: they
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -284,3 +284,20 @@
 		t.Errorf("overdue: %v s", got)
 	}
 }
+
+// Replicas wait for a machine that boots rather than for a fetch that takes longer; where
+// none boots a late place is better than none.
+func TestReplicasWaitForAMachineThatBoots(t *testing.T) {
+	for _, tc := range []struct {
+		fresh float64
+		want  int
+	}{{0, 1}, {30, 0}, {60, 1}} {
+		s := &api.JobSpec{Ref: "run-1", Team: "red", Kind: api.Service, Priority: api.Production, Tasks: 1, CPUs: 1, MemGB: 1, Image: "img", ImageGB: 2}
+		in := &Input{Largest: api.Resources{CPU: 16e6, Mem: 64e6}, Most: 100, Left: map[api.Team]api.Resources{"red": {CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}},
+			Machines: []Machine{{ID: "i-1", Type: "t", Zone: "a", Free: api.Resources{CPU: 16e6, Mem: 64e6}, Fetch: 0.2, Coming: []Image{{Name: "other", GB: 8}}}},
+			Jobs:     []Job{{Spec: s, Demand: s.Demand(), Pending: []int{0}, Within: 3, Fresh: tc.fresh}}}
+		if got := len(Round(in)); got != tc.want {
+			t.Errorf("50 s away, with a machine up in %v s: %d placed", tc.fresh, got)
+		}
+	}
+}
