--- a/control/zones.go
+++ b/control/zones.go
@@ -421,10 +421,14 @@
 // mayTake is how many more of a job's tasks may start: while a zone is lost, no class and no
 // team takes what would leave less than the floors of the others.
 func (n *Node) mayTake(j *Job) int {
-	if n.zones.dueOfClass == nil || j.Demand.CPU <= 0 {
-		return j.Spec.Tasks
+	c, known := n.zones.dueOfClass[j.Spec.Class]
+	if !known || j.Demand.CPU <= 0 {
+		return j.Spec.Tasks // none is lost, or the class is new since the last count
+	}
+	may := c.May
+	if t, ok := n.zones.dueOfTeam[j.Spec.Team]; ok {
+		may = min(may, t.May)
 	}
-	may := min(n.zones.dueOfClass[j.Spec.Class].May, n.zones.dueOfTeam[j.Spec.Team].May)
 	if j.Spec.Kind != api.Gang {
 		may *= float64(len(n.turfs)) / float64(len(n.book.Parts)) // the rest is other owners' to take
 	}
@@ -433,9 +437,10 @@
 
 // noteTaken notes that a class and a team have so many CPUs more, or less.
 func (n *Node) noteTaken(s *api.JobSpec, cpus float64) {
-	if n.zones.dueOfClass != nil {
-		c, t := n.zones.dueOfClass[s.Class], n.zones.dueOfTeam[s.Team]
+	if c, ok := n.zones.dueOfClass[s.Class]; ok {
 		n.zones.dueOfClass[s.Class] = zone.Due{Spare: c.Spare + cpus, May: c.May - cpus}
+	}
+	if t, ok := n.zones.dueOfTeam[s.Team]; ok {
 		n.zones.dueOfTeam[s.Team] = zone.Due{Spare: t.Spare + cpus, May: t.May - cpus}
 	}
 }
