--- a/control/zones_test.go
+++ b/control/zones_test.go
@@ -31,3 +31,40 @@
 		t.Error("without a lost zone there is a floor")
 	}
 }
+
+// What a machine says of its zone. One that reports to us again is back, though calls to it
+// failed before: a zone was held for lost half a minute too long for want of calls. One
+// that is heard by way of peers alone, or not, is silent; what boots, was never called, or
+// gets no answers from us because it is being returned, says nothing.
+func TestWhatAMachineSaysOfItsZone(t *testing.T) {
+	for _, tc := range []struct {
+		what        string
+		change      func(*Node, *Machine)
+		all, silent int
+	}{
+		{"heard", func(*Node, *Machine) {}, 1, 0},
+		{"heard again after calls that failed", func(_ *Node, m *Machine) { m.missed = 4 }, 1, 0},
+		{"heard by way of a peer, and calls fail", func(_ *Node, m *Machine) { m.missed, m.relayed = 2, true }, 1, 1},
+		{"not heard for long", func(n *Node, _ *Machine) { n.now = n.now.Add(n.cfg.WorkerLease()) }, 1, 1},
+		{"never heard nor called", func(_ *Node, m *Machine) { m.heard = 0 }, 0, 0},
+		{"never heard, called in vain, not known to be up", func(_ *Node, m *Machine) { m.heard, m.missed = 0, 3 }, 0, 0},
+		{"never heard, called in vain, listed as up", func(n *Node, m *Machine) {
+			m.heard, m.missed = 0, 3
+			n.fleet.hosts[m.ID] = api.Host{ID: m.ID, State: api.MachineRunning}
+		}, 1, 1},
+		{"being returned", func(n *Node, m *Machine) {
+			n.remove(m, n.turfs[0], idleWhy)
+			n.now = n.now.Add(n.cfg.WorkerLease())
+		}, 0, 0},
+		{"being given up", func(n *Node, m *Machine) {
+			n.remove(m, n.turfs[0], zoneWhy)
+			n.now = n.now.Add(n.cfg.WorkerLease())
+		}, 1, 1},
+	} {
+		n, turf, m, _ := owner(t, testSpec(1))
+		tc.change(n, m)
+		if c := n.silentOf(turf)["a"]; c.All != tc.all || c.Silent != tc.silent {
+			t.Errorf("%s: %d of %d silent, expected %d of %d", tc.what, c.Silent, c.All, tc.silent, tc.all)
+		}
+	}
+}
