Reading the change again: one walk over a job's machines, floors scaled in one place

Ruled out: running the zones' watch less often than each tick, which would move its times.

Result: the same tests with the same assertions; conduct is meant to be unchanged.

--- a/control/zones.go
+++ b/control/zones.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -229,10 +230,7 @@
 // insideOf lists the parts whose home sits in a zone and was lost with it: when it was
 // last seen to live, the zone was heard.
 func (n *Node) insideOf(name api.Zone) []api.PartID {
-	heard := n.zones.sights[name].Heard
-	if old := n.zones.records[name].Heard; heard == 0 {
-		heard = old
-	}
+	heard := cmp.Or(n.zones.sights[name].Heard, n.zones.records[name].Heard)
 	var out []api.PartID
 	for i := range n.book.Parts {
 		h := n.home(api.PartID(i))
@@ -395,19 +393,12 @@
 		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants}
 		teams[j.Spec.Team] = zone.Held{Has: t.Has + has, Wants: t.Wants + wants}
 	}
-	ours := func(d zone.Due) zone.Due {
-		d.Spare *= float64(len(n.turfs)) / float64(len(n.book.Parts))
-		return d
-	}
-	n.zones.dueOfClass, n.zones.dueOfTeam = zone.Floors(classes, room), zone.Floors(teams, room)
-	for c, d := range n.zones.dueOfClass {
-		n.zones.dueOfClass[c] = ours(d)
-	}
-	for t, d := range n.zones.dueOfTeam {
-		n.zones.dueOfTeam[t] = ours(d)
-	}
+	n.zones.dueOfClass, n.zones.dueOfTeam = zone.Floors(classes, room, n.ourShare()), zone.Floors(teams, room, n.ourShare())
 }
 
+// ourShare is the share of the parts that are ours.
+func (n *Node) ourShare() float64 { return float64(len(n.turfs)) / float64(len(n.book.Parts)) }
+
 // mayYield reports whether a task may give way: while a zone is lost, no class and no team
 // goes below its floor.
 func (n *Node) mayYield(p *Place) bool {
@@ -430,7 +421,7 @@
 		may = min(may, t.May)
 	}
 	if j.Spec.Kind != api.Gang {
-		may *= float64(len(n.turfs)) / float64(len(n.book.Parts)) // the rest is other owners' to take
+		may *= n.ourShare() // the rest is other owners' to take
 	}
 	return int(min(float64(j.Spec.Tasks), max(0, may)/j.Demand.CPU.Float()))
 }
@@ -451,10 +442,7 @@
 // silence is for how long a lost zone has been silent, in seconds.
 func (n *Node) silence(name api.Zone) float64 {
 	r := n.zones.records[name]
-	if r.Heard == 0 {
-		return max(0, float64(n.wall-r.Since)/1000)
-	}
-	return max(0, float64(n.wall-r.Heard)/1000)
+	return max(0, float64(n.wall-cmp.Or(r.Heard, r.Since))/1000)
 }
 
 func (n *Node) giveUpOf(t *turf) {
@@ -498,8 +486,8 @@
 		if in.Zones[j.Ref] == nil {
 			in.Zones[j.Ref] = map[api.Zone]int{}
 			for _, p := range j.Places {
-				if m := n.machines[p.Machine]; m != nil && !p.Over && !lost[m] {
-					in.Zones[j.Ref][m.zone]++
+				if z := n.zoneOn(p.Machine); z != "" && !p.Over && !lost[n.machines[p.Machine]] {
+					in.Zones[j.Ref][z]++
 				}
 			}
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -451,12 +451,17 @@
 	j := &in.Jobs[ji]
 	nodes := []flowNode{{supply: supply, parent: -1}}
 	byZone := map[api.Zone]int{}
-	soon := soonEnough(in, j, free)
+	var open []int // machines
 	for mi := range in.Machines {
-		m := &in.Machines[mi]
-		if !j.Demand.Fits(free[mi]) || !m.Open(j) || !ZoneOpen(j.Spec, j.Zones, m.Zone) || m.FetchTime(j.Spec) > soon {
-			continue
+		if m := &in.Machines[mi]; j.Demand.Fits(free[mi]) && m.Open(j) && ZoneOpen(j.Spec, j.Zones, m.Zone) {
+			open = append(open, mi)
 		}
+	}
+	if j.Spec.Kind == api.Service && j.Within > 0 {
+		open = soonEnough(in, j, free, open)
+	}
+	for _, mi := range open {
+		m := &in.Machines[mi]
 		to := 0
 		if j.Spec.Spread {
 			var ok bool
@@ -477,38 +482,41 @@
 	return nodes
 }
 
-// soonEnough is how long, in seconds, a fetch may take for a machine to be looked at for a
-// service's replicas in this round: as long as it must for all that wait to find room
-// within some rounds, but no longer than a machine that boots would take. A round puts one task on a machine, so when a zone is lost the
-// machines that hold an image are soon used up in it; the next round, a tenth of a second
-// later, has more of their room, and a fetch on a slow machine takes a hundred times that.
-func soonEnough(in *Input, j *Job, free []api.Resources) float64 {
-	if j.Spec.Kind != api.Service || j.Within <= 0 {
-		return math.Inf(1)
-	}
+// soonEnough chooses, of the machines that are open to a service's replicas, those that are
+// looked at in this round: whose fetch is as short as it must be for all that wait to find
+// room within some rounds, but no longer than a machine that boots would take. A round puts
+// one task on a machine, so when a zone is lost the machines that hold an image are soon used
+// up in it; the next round, a tenth of a second later, has more of their room, and a fetch
+// on a slow machine takes a hundred times that.
+func soonEnough(in *Input, j *Job, free []api.Resources, open []int) []int {
 	type room struct {
+		mi    int
 		fetch float64
-		slots int
 	}
-	var rooms []room
-	for mi := range in.Machines {
-		m := &in.Machines[mi]
-		if j.Demand.Fits(free[mi]) && m.Open(j) && ZoneOpen(j.Spec, j.Zones, m.Zone) {
-			rooms = append(rooms, room{m.FetchTime(j.Spec), min(someRounds, j.Demand.Slots(free[mi]))})
-		}
+	rooms := make([]room, len(open))
+	for i, mi := range open {
+		rooms[i] = room{mi, in.Machines[mi].FetchTime(j.Spec)}
 	}
-	slices.SortFunc(rooms, func(a, b room) int { return cmp.Compare(a.fetch, b.fetch) })
+	byFetch := slices.Clone(rooms)
+	slices.SortFunc(byFetch, func(a, b room) int { return cmp.Compare(a.fetch, b.fetch) })
 	most := math.Inf(1)
 	if j.Fresh > 0 {
 		most = j.Fresh
 	}
 	left := len(j.Pending)
+	for _, r := range byFetch {
+		if left -= min(someRounds, j.Demand.Slots(free[r.mi])); left <= 0 {
+			most = min(most, max(r.fetch, j.Within/3))
+			break
+		}
+	}
+	open = open[:0]
 	for _, r := range rooms {
-		if left -= r.slots; left <= 0 {
-			return min(most, max(r.fetch, j.Within/3))
+		if r.fetch <= most {
+			open = append(open, r.mi)
 		}
 	}
-	return most
+	return open
 }
 
 // someRounds is how many rounds a replica may wait for a machine that has its image: they
--- a/zone/floor.go
+++ b/zone/floor.go
@@ -24,7 +24,8 @@
 // of all that is wanted; half of it is its floor. While some lack to their floors, none of
 // the others takes what comes free and they lack: work that never ends would else take all
 // of it, and can't be made to give it back to less urgent work. That is what the floors cost.
-func Floors[K cmp.Ordered](held map[K]Held, room float64) map[K]Due {
+// What may be given way by is a share of it: the rest is other owners'.
+func Floors[K cmp.Ordered](held map[K]Held, room, share float64) map[K]Due {
 	wanted, has, lacked := 0.0, 0.0, 0.0
 	names := slices.Sorted(maps.Keys(held)) // sums depend on the order
 	for _, k := range names {
@@ -43,7 +44,7 @@
 	}
 	out := make(map[K]Due, len(held))
 	for k, h := range held {
-		d := Due{Spare: max(0, h.Has-floor(h)), May: math.Inf(1)}
+		d := Due{Spare: share * max(0, h.Has-floor(h)), May: math.Inf(1)}
 		if others := lacked - lack(h); others > 1e-9 {
 			d.May = max(0, room-has-others)
 		}
--- a/zone/plan.go
+++ b/zone/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"basaltwall/api"
@@ -117,13 +118,8 @@
 // tasks that have a place elsewhere now are missed more, for as long as the zone is likely to
 // stay away, than the machine would be for as long as another takes to boot.
 func Plan(in *Input) []Given {
-	rooms := make([]Room, len(in.Rooms))
-	copy(rooms, in.Rooms)
+	rooms, left := slices.Clone(in.Rooms), maps.Clone(in.Left)
 	zones := map[api.JobRef]map[api.Zone]int{}
-	left := map[api.Team]api.Resources{}
-	for t, l := range in.Left {
-		left[t] = l
-	}
 	full := map[api.JobRef]bool{} // room only shrinks, and a job's tasks are alike
 	place := func(t *Task, limited bool) (api.Zone, bool) {
 		if full[t.ID.Job] {
@@ -135,9 +131,7 @@
 		where := zones[t.ID.Job]
 		if where == nil {
 			where = map[api.Zone]int{}
-			for z, n := range in.Zones[t.ID.Job] {
-				where[z] = n
-			}
+			maps.Copy(where, in.Zones[t.ID.Job])
 			zones[t.ID.Job] = where
 		}
 		best := -1
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -5,6 +5,7 @@
 package zone
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -119,13 +120,13 @@
 	case Whole:
 		if s.Mute {
 			to = Doubtful
-			r.Heard, r.Inside = heard(s, now), nil
+			r.Heard, r.Inside = cmp.Or(s.Heard, now), nil
 		}
 	case Doubtful:
 		switch {
-		case s.Mute && between(heard(s, r.Heard), now) >= t.Lost:
+		case s.Mute && between(cmp.Or(s.Heard, r.Heard), now) >= t.Lost:
 			to = Lost
-			r.Heard = heard(s, r.Heard)
+			r.Heard = cmp.Or(s.Heard, r.Heard)
 			r.Inside = slices.Sorted(slices.Values(inside))
 		case !s.Mute && calm >= t.Calm && (s.All > s.Silent || s.All == 0):
 			to = Whole
@@ -141,7 +142,7 @@
 		switch {
 		case s.Mute && between(r.Since, now) >= t.Calm:
 			to = Lost
-			r.Heard = heard(s, now)
+			r.Heard = cmp.Or(s.Heard, now)
 		case !s.Mute && calm >= t.Calm && s.All > s.Silent:
 			to = Whole
 		}
@@ -165,14 +166,6 @@
 // Same reports whether nothing would be written anew.
 func (r Record) Same(o Record) bool { return r.State == o.State && r.Since == o.Since }
 
-// heard is when the silent machines were last heard, or another time if none ever was.
-func heard(s Sight, other api.Wall) api.Wall {
-	if s.Heard != 0 {
-		return s.Heard
-	}
-	return other
-}
-
 func between(from, to api.Wall) time.Duration { return time.Duration(to-from) * time.Millisecond }
 
 // Outlasts is the chance that the zone stays silent for longer than some time if it has
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -322,7 +322,7 @@
 			held[k] = h
 			wanted += h.Wants
 		}
-		for k, d := range Floors(held, room) {
+		for k, d := range Floors(held, room, 1) {
 			h := held[k]
 			floor := Floor * min(room, wanted) * h.Wants / max(wanted, 1e-12)
 			if d.Spare < 0 || d.Spare > h.Has || h.Has-d.Spare < min(h.Has, floor)-1e-6 {
