--- a/control/ask.go
+++ b/control/ask.go
@@ -275,6 +275,8 @@
 		return "is silent"
 	case m.missed > 0 && n.now.Sub(m.heard) > time.Second:
 		return "does not answer"
+	case m.unsure != 0:
+		return "it was silent, and its report may be an old one"
 	case n.zoneOut(m.zone) && n.now.Sub(m.heard) > n.cfg.ReportEvery()*5/4:
 		return "its zone is cut off"
 	case m.token < n.base(t, m.ID):
--- /dev/null
+++ b/control/due.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"basaltwall/api"
+	"basaltwall/due"
+	"basaltwall/sched"
+)
+
+// What a part does a second for jobs that must begin: it looks at so many of them.
+const (
+	dueEvery = time.Second
+	maxDue   = 16
+)
+
+// waited is for how long a job has not begun: since it was accepted, or since its last attempt
+// came to nothing. ok is false when it has begun or may not start now.
+func (n *Node) waited(j *Job) (d time.Duration, ok bool) {
+	if j.DoneN > 0 || j.Live() > 0 || j.Note.hold > n.now || n.held(j) {
+		return 0, false
+	}
+	d = time.Duration(n.wall-j.Accepted) * time.Millisecond
+	if at := j.Note.endedAt; at != 0 {
+		d = min(d, n.now.Sub(at))
+	}
+	return d, true
+}
+
+// stageOf is a job's stage, see package due.
+func (n *Node) stageOf(j *Job) sched.Stage {
+	d, ok := n.waited(j)
+	if !ok {
+		return sched.Patient
+	}
+	return due.StageOf(d)
+}
+
+// turnOf is a job's stage in a round, and for how many seconds it has waited. What must begin
+// goes before others with no more than half of the work that a part starts: where more of it
+// waits than that no order keeps the bound, and what has begun must end too.
+func (n *Node) turnOf(t *turf, j *Job) (sched.Stage, float64) {
+	d, _ := n.waited(j)
+	stage := n.stageOf(j)
+	if stage != sched.Patient && t.credit < 0 && !n.keepsFor(t, j.Ref) {
+		stage = sched.Patient
+	}
+	if stage == sched.Patient {
+		return stage, 0
+	}
+	return stage, d.Seconds()
+}
+
+// lasting is for how long a task of a service is reckoned to run, in seconds.
+const lasting = 600
+
+// chargeTurn counts a start for turnOf: what it takes of the largest machine, for as long as it
+// is likely to run. What may be saved up, or owed, is some machines for as long as the bound.
+func (n *Node) chargeTurn(t *turf, j *Job, stage sched.Stage) {
+	seconds := j.Spec.Estimate
+	if j.Spec.Kind == api.Service {
+		seconds = lasting
+	}
+	work := due.Share(j.Demand, n.largest) * max(1, seconds)
+	if stage != sched.Patient {
+		work = -work
+	}
+	most := 4 * due.Within.Seconds()
+	t.credit = max(-most, min(most, t.credit+work))
+}
+
+// dueJobs are the jobs that wait in a part and must begin, in the order of their turn.
+func (n *Node) dueJobs(t *turf) []*Job {
+	var out []*Job
+	for _, j := range n.book.Open {
+		if n.stageOf(j) != sched.Patient && j.Waiting(t.part) > 0 {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Job) int {
+		x, _ := n.waited(a)
+		y, _ := n.waited(b)
+		return cmp.Or(cmp.Compare(due.StageOf(y), due.StageOf(x)), cmp.Compare(y, x), cmp.Compare(a.Ref, b.Ref))
+	})
+	return out[:min(len(out), maxDue)]
+}
+
+// endsOn is the room that comes free on a machine by itself. A task's end is known by its
+// owner's estimate only; one that is overdue may last as long again as it is.
+func (n *Node) endsOn(m *Machine) []due.End {
+	var out []due.End
+	for _, p := range n.book.On(m.ID) {
+		after := math.Inf(1)
+		switch {
+		case p.Over:
+			continue // its room is free already
+		case p.Note.stop || p.Job.Final():
+			after = clearTime.Seconds() + p.Job.Spec.Save
+		case p.Job.Spec.Kind != api.Service:
+			ran := 0.0
+			if at := cmp.Or(p.Note.running, p.Note.since); at != 0 {
+				ran = n.now.Sub(at).Seconds()
+			}
+			after = max(p.Job.Spec.Estimate*longer-ran, (ran-p.Job.Spec.Estimate)/2, 1)
+		}
+		out = append(out, due.End{After: after, Frees: p.Job.Demand})
+	}
+	return out
+}
+
+// hostsFor are a part's machines that a job may use and that are kept for no other.
+func (n *Node) hostsFor(t *turf, s *api.JobSpec, avoided map[api.MachineID]bool, all []*Machine, ends map[*Machine][]due.End) (ms []*Machine, hosts []due.Host) {
+	plain := n.plain(s)
+	for _, m := range all {
+		kept := n.keptFor(m)
+		if kept != "" && kept != s.Ref && (!m.soft || s.Priority.Rank() <= m.keptOf) || avoided[m.ID] || plain && n.accelerated(m.typ) ||
+			!sched.Allowed(s, m.typ, m.zone, m.spot) {
+			continue
+		}
+		e, ok := ends[m]
+		if !ok {
+			e = n.endsOn(m)
+			ends[m] = e
+		}
+		ms = append(ms, m)
+		hosts = append(hosts, due.Host{Zone: m.zone, Free: n.freeOn(m, t), Ends: e, Kept: kept == s.Ref})
+	}
+	return ms, hosts
+}
+
+// gatherDue keeps machines for the jobs of a part that must begin and found no room: nothing
+// else starts there, so that the room comes free as a whole. What is kept follows from what
+// the book and the machines' reports say, and from the jobs' ages: a new owner comes to
+// nearly the same and need not remember anything.
+func (n *Node) gatherDue(t *turf) {
+	if n.now.Sub(t.dueAt) < dueEvery {
+		return
+	}
+	t.dueAt = n.now
+	n.keepLent(t)
+	jobs := n.dueJobs(t)
+	if len(jobs) == 0 {
+		return
+	}
+	var all []*Machine
+	for _, m := range n.machinesOf(t.part) {
+		if n.usable(m, t) {
+			all = append(all, m)
+		}
+	}
+	ends := map[*Machine][]due.End{}
+	left := n.leftOf(t.part)
+	for _, j := range jobs {
+		stage, need := n.stageOf(j), 1
+		if j.Spec.Kind == api.Gang {
+			need = j.Spec.Tasks
+		}
+		if j.Demand.Slots(left[j.Spec.Team]) < need {
+			continue // it is the limit that it waits for, see dueShares
+		}
+		ms, hosts := n.hostsFor(t, j.Spec, j.Note.failedOn, all, ends)
+		w := due.Want{Demand: j.Demand, Tasks: need, OneZone: j.Spec.OneZone}
+		w.Zones, _ = n.zonesOf(j)
+		if j.Spec.Spread {
+			w.Spread = (j.Spec.Tasks + 1) / 2
+		}
+		chosen, after := due.Choose(hosts, w)
+		j.Note.stuck = chosen == nil
+		if after == 0 && chosen != nil && !hosts[chosen[0]].Kept {
+			t.dirty = true // there is room: the next round places it
+		}
+		for _, i := range chosen {
+			n.keep(t, ms[i], j.Ref, j.Spec.Priority.Rank(), stage)
+		}
+		if len(chosen) > 0 {
+			slog.Debug("room is gathered", "job", j.Ref, "part", t.part, "machines", len(chosen), "after", after)
+		}
+	}
+}
+
+// keepLent keeps the machines that were lent to a part for a job until that has begun, for some
+// time: they come one by one, and the first would be returned as idle before the last is there.
+func (n *Node) keepLent(t *turf) {
+	for id, l := range n.book.Lent {
+		j, m := n.book.Jobs[l.For], n.machines[id]
+		if l.Part != t.part || j == nil || m == nil || n.now.Sub(n.lendings[id].at) > due.Within/2 || j.Waiting(t.part) == 0 {
+			continue
+		}
+		if _, waits := n.waited(j); waits && n.keptFor(m) != "" {
+			m.keptTill, m.idle = n.now.Add(keepTime), n.now
+		}
+	}
+}
+
+// keep keeps a machine for a job for which room is gathered.
+func (n *Node) keep(t *turf, m *Machine, ref api.JobRef, rank int, stage sched.Stage) {
+	if n.keptFor(m) != ref {
+		n.metrics.Gathered++
+		slog.Info("machine kept", "machine", m.ID, "for", ref, "tasks", len(n.book.On(m.ID)))
+		t.dirty = true
+	}
+	m.kept, m.keptOf, m.soft, m.keptTill, m.gathered = ref, rank, stage != sched.First, n.now.Add(keepTime), true
+}
+
+// dueShares is the share of teams' limits that this part leaves to others' jobs that must
+// begin and lack nothing else. Of two parts that want of each other the lower one has it.
+func (n *Node) dueShares(t *turf) map[api.PartID]map[api.Team]api.Resources {
+	out := map[api.PartID]map[api.Team]api.Resources{}
+	left := n.leftOf(t.part)
+	for _, pn := range n.newsBesides(t) {
+		if n.now < t.gaveAt[pn.Part] {
+			continue // it has not told since
+		}
+		for _, team := range slices.Sorted(maps.Keys(pn.Due)) {
+			if _, ours := t.wantDue[team]; ours && t.part < pn.Part {
+				continue
+			}
+			want := pn.Due[team]
+			g := api.Resources{CPU: max(0, min(want.CPU, left[team].CPU)), GPU: max(0, min(want.GPU, left[team].GPU))}
+			if g == (api.Resources{}) {
+				continue
+			}
+			left[team] = left[team].Minus(g)
+			if out[pn.Part] == nil {
+				out[pn.Part] = map[api.Team]api.Resources{}
+			}
+			out[pn.Part][team] = g
+		}
+	}
+	return out
+}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -238,7 +238,7 @@
 	if len(n.types) == 0 {
 		return
 	}
-	if n.keeps(m.ID, m.typ) || n.zoneOut(m.zone) {
+	if n.keeps(m.ID, m.typ) || n.zoneOut(m.zone) || m.gathered && n.keptFor(m) != "" {
 		m.idle, m.closing = n.now, false // one that is out is the plan's, see giveUp
 	}
 	if t == nil {
@@ -344,10 +344,8 @@
 		}
 	}
 	jobs := slices.SortedFunc(slices.Values(open), func(a, b *Job) int {
-		if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.Ref, b.Ref)
+		return cmp.Or(first(n.stageOf(b) == sched.First)-first(n.stageOf(a) == sched.First), b.Spec.Priority.Rank()-a.Spec.Priority.Rank(),
+			cmp.Compare(n.stageOf(b), n.stageOf(a)), cmp.Compare(a.Ref, b.Ref))
 	})
 	need := map[offer]int{}
 	var first []offer // in the order of the work that needs them
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -9,13 +9,14 @@
 
 	"basaltwall/api"
 	"basaltwall/book"
+	"basaltwall/due"
 	"basaltwall/sched"
 )
 
 // news describes one of our parts to the others: machines that are alike are
 // counted, since there may be very many.
 func (n *Node) news(t *turf) PartNews {
-	pn := PartNews{Part: t.part, Want: t.want, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
+	pn := PartNews{Part: t.part, Want: t.want, Due: t.wantDue, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
 		Accelerated: n.countAccelerated(t.part), Zones: n.silentOf(t)}
 	kinds := map[Kind]int{}
 	rooms := map[Room]int{}
@@ -75,7 +76,8 @@
 
 func (n *Node) kindOf(m *Machine, t *turf) Kind {
 	why := n.avoided(m, t)
-	return Kind{m.typ, m.zone, m.spot, why == "" || why == unannounced, m.closing}
+	gathered := m.gathered && n.keptFor(m) != "" // its room is spoken for
+	return Kind{m.typ, m.zone, m.spot, (why == "" || why == unannounced) && !gathered, m.closing}
 }
 
 // gossip tells every peer about our parts.
@@ -227,7 +229,7 @@
 	out := n.othersNews()
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		if o := n.turfs[p]; o != t {
-			out = append(out, PartNews{Part: p, Want: o.want, Lack: o.lack})
+			out = append(out, PartNews{Part: p, Want: o.want, Due: o.wantDue, Lack: o.lack})
 		}
 	}
 	return out
@@ -241,6 +243,15 @@
 		return nil
 	}
 	var out []book.Gift
+	for _, to := range slices.Sorted(maps.Keys(t.reserved)) {
+		// No start of this round uses it, whatever else waits here.
+		for _, team := range slices.Sorted(maps.Keys(t.reserved[to])) {
+			amount := t.reserved[to][team]
+			left[team] = left[team].Minus(amount)
+			out = append(out, book.Gift{To: to, Team: team, Amount: amount})
+		}
+		t.gaveAt[to] = n.now.Add(2 * gossipEvery)
+	}
 	for _, pn := range n.newsBesides(t) {
 		if n.now < t.gaveAt[pn.Part] {
 			continue
@@ -295,6 +306,10 @@
 			return
 		}
 		t.looked = ref
+		if n.keepsFor(t, ref) {
+			continue // room is gathered for it here
+		}
+		stuck := j.Note.stuck && n.stageOf(j) != sched.Patient && n.now.Sub(j.Note.moved) > wanderEvery
 		room := n.roomByPart(j.Spec)
 		if room[t.part] > 0 && j.Spec.Kind == api.Array {
 			continue // it will be placed here
@@ -333,6 +348,17 @@
 				most = j.Spec.Tasks
 			}
 		}
+		if most == 0 && stuck {
+			// It must begin, and nothing that it may use comes free here by itself: the next
+			// part that has such machines may be better off.
+			capacity := n.capacityByPart(j.Spec)
+			for i := 1; i < len(capacity) && most == 0; i++ {
+				if q := (int(t.part) + i) % len(capacity); capacity[q] > 0 {
+					best, most = api.PartID(q), waiting
+				}
+			}
+			j.Note.stuck = false
+		}
 		if most == 0 {
 			continue
 		}
@@ -362,6 +388,14 @@
 	}
 }
 
+// wanderEvery is how long a job that must begin stays in a part that has no room to hope for.
+const wanderEvery = 15 * time.Second
+
+// keepsFor reports whether a part keeps a machine for a job because room is gathered for it.
+func (n *Node) keepsFor(t *turf, ref api.JobRef) bool {
+	return slices.ContainsFunc(n.machinesOf(t.part), func(m *Machine) bool { return m.gathered && n.keptFor(m) == ref })
+}
+
 // maxMoveLooks bounds the jobs that are looked at at once for moving elsewhere.
 const maxMoveLooks = 16
 
@@ -486,7 +520,7 @@
 				continue // of two that lack something, one must give
 			}
 			plain := n.plain(l.Spec)
-			if plain && t.waiting > 0 {
+			if plain && t.waiting > 0 && l.Stage == sched.Patient {
 				continue // our own tasks can use what is free
 			}
 			var best way
@@ -502,7 +536,7 @@
 					}
 					continue
 				}
-				if plain {
+				if plain && l.Stage == sched.Patient {
 					continue
 				}
 				w := n.wayOn(m, t, l.Spec, l.Spec.Tasks, false)
@@ -511,13 +545,29 @@
 				}
 			}
 			if best.m != nil {
-				best.m.kept, best.m.keptTill = l.Spec.Ref, n.now.Add(keepTime)
+				n.keepFirmly(best.m, l.Spec.Ref)
 				n.clear(best, l.Spec.Ref)
+			} else if l.Stage != sched.Patient {
+				n.gatherToLend(t, l)
 			}
 		}
 	}
 }
 
+// gatherToLend keeps the machine that is empty soonest for another part's job that must begin.
+func (n *Node) gatherToLend(t *turf, l Lack) {
+	var all []*Machine
+	for _, m := range n.machinesOf(t.part) {
+		if n.usable(m, t) && (l.Zone == "" || m.zone == l.Zone) && sched.ZoneOpen(l.Spec, l.Zones, m.zone) {
+			all = append(all, m)
+		}
+	}
+	ms, hosts := n.hostsFor(t, l.Spec, nil, all, map[*Machine][]due.End{})
+	if i, _ := due.Empty(hosts, l.Spec.Demand()); i >= 0 {
+		n.keep(t, ms[i], l.Spec.Ref, l.Spec.Priority.Rank(), l.Stage)
+	}
+}
+
 func (n *Node) lendTo(t *turf, id api.MachineID, to api.PartID, ref api.JobRef) {
 	t.lending = true
 	key := book.KeyLend + string(id)
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -304,6 +304,7 @@
 		case 200:
 			n.tally(e.Name, "")
 			n.reply(c.Req, 201, api.JobStatus{Ref: shown, State: api.JobPending}, 0)
+			slog.Info("job accepted", "job", spec.Ref, asked(spec))
 			gone := func() { n.goes(e.Name, spec.Ref) }
 			n.current(gone, gone)
 			return
--- a/control/machine.go
+++ b/control/machine.go
@@ -34,6 +34,7 @@
 	heard   api.Time  // last newer report
 	upAt    api.Time  // first report
 	found   api.Time  // first known to us
+	unsure  api.Time  // heard again after a silence, by a report that may be late; 0: not so
 	notice  bool
 	tasks   map[taskKey]api.TaskReport
 	extra   api.Resources // what tasks on it take that the book does not know
@@ -56,8 +57,11 @@
 	sickTill api.Time
 	fullTill api.Time
 	pace     float64    // see learnPace
-	kept     api.JobRef // others made way for this job here
+	kept     api.JobRef // others made way for this job here, or room is gathered for it
+	soft     bool       // work of a higher rank than keptOf may start here all the same
+	keptOf   int
 	keptTill api.Time
+	gathered bool // it is kept because room is gathered
 	lentAt   api.Revision
 }
 
@@ -139,6 +143,8 @@
 			return
 		}
 		n.kick(m)
+	} else if m.unsure != 0 {
+		n.kick(m)
 	} else {
 		m.kick = false // the answer carries all that a direct call would
 	}
@@ -180,7 +186,8 @@
 		n.byPart[p] = append(n.byPart[p], m)
 		if l := n.book.Lent[m.ID]; l.Rev != m.lentAt {
 			// It came for a job: until that has it, it is no one else's.
-			m.lentAt, m.kept, m.keptTill = l.Rev, l.For, n.now.Add(keepTime)
+			m.lentAt = l.Rev
+			n.keepFirmly(m, l.For)
 		}
 	}
 }
@@ -279,6 +286,14 @@
 	if m.heard == 0 {
 		m.upAt = n.now
 	}
+	switch {
+	case r.Token > 0 && (m.heard == 0 || n.now.Sub(m.heard) > n.silentAfter):
+		// Packets may have been held for minutes: the machine may be gone, by another's
+		// deletion. It is called before anything is started there.
+		m.unsure = n.now
+	case m.unsure != 0 && n.now.Sub(m.unsure) > n.cfg.ReportEvery()/2:
+		m.unsure = 0 // what was held comes all at once
+	}
 	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, n.now
 	m.addr, m.typ, m.zone, m.spot, m.notice = r.Address, r.Type, r.Zone, r.Spot, r.Notice != nil
 	if r.Token > m.doubt {
@@ -623,12 +638,15 @@
 		if n.turfs[t.part] != t || m.deleting {
 			return
 		}
-		m.direct, m.missed = n.now, 0
+		m.direct, m.missed, m.unsure = n.now, 0, 0
 		if a.Report.Token > m.cmd {
 			n.current(func() {}, func() {}) // deposed, as the book will tell
 			return
 		}
 		n.process(m, a.Report, t)
+		if m.unsure != 0 {
+			m.unsure, t.dirty = 0, true // it has just answered
+		}
 		for _, o := range n.orders(m, t) {
 			if o.Op == api.OpStart {
 				n.kick(m) // decided meanwhile
--- a/control/messages.go
+++ b/control/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/sched"
 	"basaltwall/tenant"
 	"basaltwall/zone"
 )
@@ -218,6 +219,7 @@
 	Silent      []api.MachineID            // that do not report to their owner
 	Fresh       []api.MachineID            // that have come up lately
 	Want        map[api.Team]api.Resources // share it could use
+	Due         map[api.Team]api.Resources // of that, what jobs lack that must begin
 	Spare       map[api.Team]api.Resources // share it does not use
 	Waiting     int                        // tasks that found no room
 	Lack        []Lack                     // jobs that this part can't hold whole
@@ -249,6 +251,7 @@
 	Spec  *api.JobSpec
 	Zones map[api.Zone]int // where some of its tasks are
 	Zone  api.Zone         // where it should be, when they must be together
+	Stage sched.Stage      // whether it must begin
 }
 
 // maxLack bounds the lacks a part tells of.
--- a/control/notes.go
+++ b/control/notes.go
@@ -41,6 +41,8 @@
 	wayAt    api.Time // others are not made to give way before
 	quick    bool     // others were made to give way so that it starts soon
 	begun    bool     // a start was planned here
+	endedAt  api.Time // when an attempt last came to nothing
+	stuck    bool     // must begin, and has no room to hope for in its part
 	lostWith int      // tasks that our parts lost with their machines
 	lostAt   api.Time // when the last of them was known to be lost
 	madeWay  int      // tasks that our parts stopped for more urgent work
--- a/control/part.go
+++ b/control/part.go
@@ -45,6 +45,10 @@
 	moveAt   api.Time
 	looked   api.JobRef                      // the job last looked at for moving
 	coming   map[api.MachineID]api.Resources // what the round in flight starts, by machine
+	dueAt    api.Time                        // jobs that must begin were looked at
+	credit   float64                         // what they may still take before others, see turnOf
+	wantDue  map[api.Team]api.Resources      // of want, what those lack
+	reserved map[api.PartID]map[api.Team]api.Resources
 }
 
 // writing is a round's record on its way to the state service.
@@ -98,6 +102,7 @@
 			p.Job.Note.lostWith++
 			p.Job.Note.lostAt, p.Job.Note.quick = n.now, false
 		}
+		p.Job.Note.endedAt = n.now
 		slog.Info("task over", tenantOf(p.Job), "task", p.Task, "machine", p.Machine, "why", why)
 	}
 }
@@ -125,6 +130,7 @@
 		n.rebalance(t)
 		n.lend(t)
 	}
+	n.gatherDue(t)
 	if t.leftOut > 0 && n.now.Sub(t.planAt) >= turnEvery {
 		t.dirty = true
 	}
@@ -239,7 +245,7 @@
 	for _, d := range w.rec.Jobs {
 		n.metrics.Completions += uint64(len(d.Done))
 		if j := n.book.Jobs[d.Job]; j != nil && len(d.Done) > 0 && j.State() == api.JobDone {
-			slog.Info("job done", tenantOf(j), "job", d.Job, "class", j.Spec.Class, "tasks", j.Spec.Tasks, "estimate", j.Spec.Estimate,
+			slog.Info("job done", tenantOf(j), "job", d.Job, asked(j.Spec), "estimate", j.Spec.Estimate,
 				"after", float64(n.wall-j.Accepted)/1000, "limits", n.limits(j.Spec))
 		}
 	}
@@ -324,6 +330,7 @@
 		delete(t.ends, p)
 	}
 	t.planned = map[api.Team]bool{}
+	t.reserved = n.dueShares(t)
 	most := room / 64
 	named := map[api.PoolName]bool{}
 	for _, s := range n.schedule(t, w, most) {
@@ -411,9 +418,20 @@
 	return left
 }
 
+// leftOver is the same less what is reserved for others' jobs that must begin.
+func (n *Node) leftOver(t *turf) map[api.Team]api.Resources {
+	left := n.leftOf(t.part)
+	for _, teams := range t.reserved {
+		for team, r := range teams {
+			left[team] = left[team].Minus(r)
+		}
+	}
+	return left
+}
+
 // schedule runs a round over the part's pending tasks.
 func (n *Node) schedule(t *turf, w *writing, most int) []*Place {
-	t.want, t.lack, t.waiting = map[api.Team]api.Resources{}, nil, 0
+	t.want, t.wantDue, t.lack, t.waiting = map[api.Team]api.Resources{}, map[api.Team]api.Resources{}, nil, 0
 	var jobs []*Job
 	var least api.Resources
 	for _, ref := range slices.Sorted(maps.Keys(n.book.Open)) {
@@ -440,7 +458,7 @@
 	if len(jobs) == 0 {
 		return nil
 	}
-	in := &sched.Input{Units: units, Largest: n.largest, Left: n.leftOf(t.part), Most: most}
+	in := &sched.Input{Units: units, Largest: n.largest, Left: n.leftOver(t), Most: most}
 	var machines []*Machine // with room for something
 	cpus, usable := 0.0, 0
 	for _, m := range n.machinesOf(t.part) {
@@ -455,14 +473,18 @@
 			continue
 		}
 		in.Machines = append(in.Machines, sched.Machine{ID: m.ID, Type: m.typ, Zone: m.zone, Spot: m.spot, Free: free, GPU: typ.GPUs > 0,
-			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare || n.now < m.clearing, Pace: m.pace, Fetch: typ.FetchRate, Coming: n.fetching(m), Images: m.images, Kept: n.keptFor(m)})
+			Closed: m.closing, Prompt: n.forPrompt(m), Spare: m.spare || n.now < m.clearing, Pace: m.pace, Fetch: typ.FetchRate, Coming: n.fetching(m), Images: m.images, Kept: n.keptFor(m), Soft: m.soft, KeptOf: m.keptOf})
 		machines = append(machines, m)
 	}
 	total, coming := n.totalUsage(), sync.OnceValue(n.comingMachines)
 	kept := jobs[:0]
 	for _, j := range jobs {
 		pending := n.pending(t, j, w, max(usable, 1))
-		if may := n.mayTake(j); may < len(pending) {
+		stage, waited := n.turnOf(t, j)
+		if stage != sched.Patient && j.Spec.Kind == api.Array {
+			pending = pending[:min(len(pending), 1)] // to begin; the others take their turn
+		}
+		if may := n.mayTake(j); may < len(pending) && stage != sched.First {
 			if pending = pending[:may]; j.Spec.Kind == api.Gang {
 				pending = nil
 			}
@@ -474,7 +496,7 @@
 		if !known && (j.Spec.OneZone || j.Spec.Spread) {
 			continue // where its other tasks are is not known yet
 		}
-		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus),
+		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus), Stage: stage, Waited: waited,
 			Entitled: n.entitled(j, total), Holds: j.Live() > 0, Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn, Fresh: n.freshFor(j, coming),
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.Note.failedOn)*2 > usable {
@@ -497,9 +519,10 @@
 		m, j := machines[pl.Machine], jobs[pl.Job]
 		n.noteTaken(j.Spec, j.Demand.CPU.Float())
 		placed[pl.Job]++
+		n.chargeTurn(t, j, in.Jobs[pl.Job].Stage)
 		if !j.Note.begun {
 			j.Note.begun = true
-			slog.Info("job starts", tenantOf(j), "job", j.Ref, "class", j.Spec.Class, "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
+			slog.Info("job starts", tenantOf(j), "job", j.Ref, asked(j.Spec), "part", t.part, "after", float64(n.wall-j.Accepted)/1000)
 		}
 		if j.Note.lostAt != 0 && j.Spec.Kind == api.Service {
 			slog.Debug("replica starts again", "job", j.Ref, "task", pl.Task, "machine", m.ID, "type", m.typ, "lost_s", n.now.Sub(j.Note.lostAt).Seconds(),
@@ -723,7 +746,7 @@
 // unplaced notes what found no room: what share is wanted, and which tasks of
 // lower priority must make way.
 func (n *Node) unplaced(t *turf, in *sched.Input, jobs []*Job, placed []int) {
-	left := n.leftOf(t.part)
+	left := n.leftOver(t)
 	searches := maxPreempt
 	for i, j := range jobs {
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(placed[i]))
@@ -738,6 +761,9 @@
 			need := j.Demand.Times(missing)
 			need.Mem = 0
 			t.want[j.Spec.Team] = t.want[j.Spec.Team].Plus(need)
+			if in.Jobs[i].Stage == sched.First {
+				t.wantDue[j.Spec.Team] = t.wantDue[j.Spec.Team].Plus(need)
+			}
 			if can == 0 || j.Spec.Kind == api.Gang {
 				continue
 			}
@@ -746,7 +772,7 @@
 			continue // a machine would not help
 		}
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
-			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec)})
+			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec), Stage: in.Jobs[i].Stage})
 		}
 		if placed[i] == 0 && searches > 0 && n.now >= j.Note.wayAt && n.anyBelow(t.part, j.Spec.Priority.Rank()) {
 			searches--
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -40,6 +40,11 @@
 	return m.kept
 }
 
+// keepFirmly keeps a machine for a job for which others made way, or it was lent.
+func (n *Node) keepFirmly(m *Machine, ref api.JobRef) {
+	m.kept, m.soft, m.keptTill, m.gathered = ref, false, n.now.Add(keepTime), false
+}
+
 // way is what stopping lower work on a machine would bring.
 type way struct {
 	m       *Machine
@@ -170,7 +175,7 @@
 		best = any[:min(len(any), need)]
 	}
 	for _, w := range best {
-		w.m.kept, w.m.keptTill = j.Ref, n.now.Add(keepTime)
+		n.keepFirmly(w.m, j.Ref)
 		n.clear(w, j.Ref)
 	}
 	return len(best)
--- a/control/user.go
+++ b/control/user.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"log/slog"
 	"maps"
 	"slices"
 
@@ -125,6 +126,13 @@
 		func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
 }
 
+// asked is what a job asks for, for the log: its line of acceptance, and those of its start
+// and its end, as the first may have been written by a controller that never heard of it.
+func asked(s *api.JobSpec) slog.Attr {
+	return slog.Group("asks", "class", s.Class, "team", s.Team, "priority", s.Priority, "form", s.Kind, "tasks", s.Tasks,
+		"cpus", s.CPUs, "gpus", s.GPUs, "mem_gb", s.MemGB)
+}
+
 // limitOf is a team's limit; none is expressed by an amount nothing reaches.
 func limitOf(t config.Team) api.Resources {
 	const none = api.Amount(1) << 52
@@ -224,6 +232,7 @@
 		switch a.Status {
 		case 200:
 			n.reply(c.Req, 201, api.JobStatus{Ref: spec.Ref, State: api.JobPending}, 0)
+			slog.Info("job accepted", "job", spec.Ref, asked(spec))
 			n.current(func() {}, func() {}) // so that its first round comes soon
 		case 409:
 			n.lookup(spec.Ref, known, elsewhere, elsewhere)
@@ -411,6 +420,7 @@
 		}
 		n.lookup(ref, func(s api.JobStatus) {
 			if s.State == api.JobDone || s.State == api.JobCancelled {
+				slog.Info("job cancelled", "job", ref, "state", s.State)
 				answer(s)
 				return
 			}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -21,11 +21,15 @@
 //	ask AT REF                          a poll for a job nobody submitted
 //	crash AT NODE|all BACK              a controller ends and returns after BACK seconds
 //	freeze AT FOR NODE|all              a controller stands still while its clocks run on
-//	roll AT EVERY                       all controllers restart one after the other
+//	crashes AT NODE|all BACK EVERY N    the same N times, so many seconds apart
+//	roll AT EVERY [BACK]                all controllers restart one after the other, back after 3 s
+//	                                    or as said
 //	cut AT FOR NODE SIDE hold|drop      SIDE: state, workers, peers, cloud, users or all
 //	cutzone AT FOR ZONE hold|drop       a zone is cut off, with the controllers in it
 //	outage AT FOR                       the state service is down
 //	refuse AT FOR NODE                  the state service refuses one node
+//	limits                              the state service keeps its limits: what is beyond gets 429
+//	polls AT FOR EACH                   users ask so many times as often about each open job
 //	lose AT FOR SHARE                   answers of the state service get lost
 //	delay AT FOR SHARE                  transactions arrive seconds late
 //	cloud AT FOR                        the cloud is down
@@ -47,8 +51,10 @@
 //	gone AT NAME                        no task of a tenant is on a machine then
 //	rate NAME RATE BURST                over no time more of its jobs are accepted
 //	finally NAME STATE                  a tenant's state at the end
-//	floor SHARE                         every class and every team is served to that share, see
-//	                                    standin.Served; without it to half
+//	floor SHARE                         every class, every team and each class's largest jobs are
+//	                                    served to that share, see standin.Served; without it to half
+//	begin SECONDS                       how long the largest jobs of a class may wait to begin;
+//	                                    without it 240, 0: for ever
 //	end AT
 //	expect REF done|aborted|pending|running [by AT]
 //	expect all done [by AT]             all arrays and gangs
@@ -131,8 +137,9 @@
 	refs    []api.JobRef // of work that ends
 	most    map[string]float64
 	floor   float64
-	up      int         // machines that are up at the start
-	states  [][2]string // tenants, and the states they should end in
+	begin   time.Duration // how long the largest may wait
+	up      int           // machines that are up at the start
+	states  [][2]string   // tenants, and the states they should end in
 	rates   []rated
 	held    map[api.PoolName]int // the most that should have been held of pools
 	uses    []used
@@ -195,7 +202,7 @@
 			}
 		}
 	}
-	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, floor: usualFloor, most: map[string]float64{}, held: map[api.PoolName]int{}}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, floor: usualFloor, begin: usualBegin, most: map[string]float64{}, held: map[api.PoolName]int{}}
 	for _, l := range lines {
 		if l[0] == "tenant" {
 			r.w.Host()
@@ -302,6 +309,9 @@
 // no other.
 const usualFloor = 0.5
 
+// usualBegin is how long the largest jobs of a class may wait to begin in one that says nothing else.
+const usualBegin = 240 * time.Second
+
 // below names the classes and teams that were served less than the floor.
 func (r *runner) below() []string {
 	var out []string
@@ -317,7 +327,11 @@
 	for _, t := range slices.Sorted(maps.Keys(teams)) {
 		note("team", string(t), teams[t])
 	}
-	return out
+	largest, late := r.w.Check.Largest(r.w.Now, r.begin)
+	for _, c := range slices.Sorted(maps.Keys(largest)) {
+		note("the largest of class", string(c), largest[c])
+	}
+	return append(out, late...)
 }
 
 // adjust changes the settings as a line says.
@@ -383,7 +397,7 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "roll": "dd",
+	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "limits": "", "polls": "ddn", "begin": "d",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
@@ -426,10 +440,28 @@
 		w.After(ds[0], func() { r.eachNode(ss[0], func(n string) { w.Crash(n, ds[1]) }) })
 	case "freeze":
 		w.After(ds[0], func() { r.eachNode(ss[0], func(n string) { w.Freeze(n, ds[1]) }) })
+	case "crashes":
+		for i := range int(ns[0]) {
+			w.After(ds[0]+time.Duration(i)*ds[2], func() { r.eachNode(ss[0], func(n string) { w.Crash(n, ds[1]) }) })
+		}
 	case "roll":
-		for i, c := range r.cfgs {
-			w.After(ds[0]+time.Duration(i)*ds[1], func() { w.Crash(string(c.Label), 3*time.Second) })
+		if len(rest) == 2 {
+			rest = append(rest, "3")
 		}
+		ds, _, _, err := args(rest, "ddd")
+		if err != nil {
+			return err
+		}
+		for i, c := range r.cfgs {
+			w.After(ds[0]+time.Duration(i)*ds[1], func() { w.Crash(string(c.Label), ds[2]) })
+		}
+	case "limits":
+		w.State.Limited = true
+	case "polls":
+		w.After(ds[0], func() { w.Users.Often = int(ns[0]) })
+		w.After(ds[0]+ds[1], func() { w.Users.Often = 0 })
+	case "begin":
+		r.begin = ds[0]
 	case "cut":
 		w.After(ds[0], func() { r.cut(ss[0], ss[1], ds[1], ss[2] == "hold") })
 	case "cutzone":
@@ -439,9 +471,11 @@
 	case "refuse":
 		w.After(ds[0], func() { w.State.Refuse(ss[0], ds[1]) })
 	case "lose":
+		w.Check.Trouble(ds[0] + ds[1])
 		w.After(ds[0], func() { w.LoseAnswers = ns[0] })
 		w.After(ds[0]+ds[1], func() { w.LoseAnswers = 0 })
 	case "delay":
+		w.Check.Trouble(ds[0] + ds[1])
 		w.After(ds[0], func() { w.DelayState = ns[0] })
 		w.After(ds[0]+ds[1], func() { w.DelayState = 0 })
 	case "cloud":
@@ -743,8 +777,16 @@
 			func() { r.cut(node, "peers", length, hold) },
 			func() { r.w.State.Outage(length / 2) },
 			func() { r.w.State.Refuse(node, length) },
-			func() { r.w.LoseAnswers = share; r.w.After(length, func() { r.w.LoseAnswers = 0 }) },
-			func() { r.w.DelayState = share; r.w.After(length, func() { r.w.DelayState = 0 }) },
+			func() {
+				r.w.Check.Trouble(r.w.Now + length)
+				r.w.LoseAnswers = share
+				r.w.After(length, func() { r.w.LoseAnswers = 0 })
+			},
+			func() {
+				r.w.Check.Trouble(r.w.Now + length)
+				r.w.DelayState = share
+				r.w.After(length, func() { r.w.DelayState = 0 })
+			},
 			func() { r.w.Kill(machine) },
 			func() { r.w.Hang(machine, length) },
 			func() { r.w.Sicken(machine, length) },
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,29 @@
 	known  map[api.JobRef]*api.JobSpec
 	submit map[api.JobRef]bool
 	served service
+	asking map[api.JobRef]*asking // accepted jobs whose users ask
+	calm   time.Duration          // when the last trouble is over
+}
+
+// asking is how a job's questions were answered.
+type asking struct {
+	good time.Duration // when one was last answered with 200
+	last time.Duration // when one was last sent
+	lost bool          // it was noted as unknown
+}
+
+// unknownAfter is how long no question about an accepted job may be answered, once all
+// troubles are over.
+const unknownAfter = 75 * time.Second
+
+// Trouble notes that something is wrong until then: what is asked meanwhile may go unanswered.
+func (c *Checker) Trouble(until time.Duration) { c.calm = max(c.calm, until) }
+
+// Asked notes that a user has asked about a job.
+func (c *Checker) Asked(at time.Duration, ref api.JobRef) {
+	if a := c.asking[ref]; a != nil {
+		a.last = at
+	}
 }
 
 type placed struct {
@@ -35,7 +59,7 @@
 func NewChecker(cfg *config.Config) *Checker {
 	return &Checker{cfg: cfg, on: map[api.TaskID]map[api.MachineID]placed{}, done: map[api.TaskID]bool{},
 		told: map[api.JobRef]api.JobState{}, ended: map[api.JobRef]time.Duration{}, asked: map[api.JobRef]bool{},
-		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService()}
+		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}}
 }
 
 func (c *Checker) broke(at time.Duration, rule, format string, args ...any) {
@@ -139,6 +163,9 @@
 		}
 		return
 	}
+	if status == 401 {
+		delete(c.asking, ref) // its tenant was removed: nobody can ask any more
+	}
 	if status != 200 && status != 201 {
 		return
 	}
@@ -165,6 +192,10 @@
 			c.ended[ref] = at
 		}
 	}
+	if c.asking[ref] == nil {
+		c.asking[ref] = &asking{}
+	}
+	c.asking[ref].good = at
 	if strength(s) >= strength(c.told[ref]) {
 		c.told[ref] = s
 	}
@@ -181,4 +212,11 @@
 			c.broke(at, "ran_cancelled", "%s is still on a machine", id)
 		}
 	}
+	for _, ref := range slices.Sorted(maps.Keys(c.asking)) {
+		a := c.asking[ref]
+		if since := max(a.good, c.calm); !a.lost && !c.asked[ref] && a.last > since && at > since+unknownAfter {
+			a.lost = true
+			c.broke(at, "unknown", "%s, accepted before, has had no answer since %.1f s", ref, since.Seconds())
+		}
+	}
 }
--- a/internal/standin/served.go
+++ b/internal/standin/served.go
@@ -1,6 +1,9 @@
 package standin
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 
 	"basaltwall/api"
@@ -43,6 +46,8 @@
 	at    time.Duration
 	run   time.Duration
 	ended time.Duration // cancelled by its user; 0: not
+	first time.Duration // when it began: a task was on a machine, or all of a gang; 0: not yet
+	onNow int
 }
 
 func newService() service {
@@ -67,9 +72,17 @@
 	if spec.Kind == api.Service {
 		s.since[id] = at
 	}
+	if j := s.jobs[id.Job]; j != nil {
+		if j.onNow++; j.first == 0 && (spec.Kind != api.Gang || j.onNow == spec.Tasks) {
+			j.first = at
+		}
+	}
 }
 
 func (s *service) off(at time.Duration, id api.TaskID) {
+	if j := s.jobs[id.Job]; j != nil {
+		j.onNow--
+	}
 	if from, ok := s.since[id]; ok {
 		delete(s.since, id)
 		s.up[id.Job] += s.due(id.Job, from, at)
@@ -91,7 +104,57 @@
 
 // Served tells, as of now, how each class and each team was served.
 func (c *Checker) Served(now time.Duration) (classes map[api.Class]Served, teams map[api.Team]Served) {
-	s := &c.served
+	classes, teams = map[api.Class]Served{}, map[api.Team]Served{}
+	for j, got := range c.served.shares(now) {
+		k, t := classes[j.spec.Class], teams[j.spec.Team]
+		classes[j.spec.Class] = Served{k.Jobs + 1, k.Sum + got}
+		teams[j.spec.Team] = Served{t.Jobs + 1, t.Sum + got}
+	}
+	return classes, teams
+}
+
+// Largest tells how the largest tenth of each class's jobs was served, one at least, and
+// which of them waited longer than they may. Largest is what all tasks take together: first of
+// accelerators, then of CPUs, then of memory.
+func (c *Checker) Largest(now, within time.Duration) (classes map[api.Class]Served, late []string) {
+	byClass := map[api.Class][]*dueJob{}
+	for _, j := range c.served.jobs {
+		byClass[j.spec.Class] = append(byClass[j.spec.Class], j)
+	}
+	size := func(j *dueJob) api.Resources { return j.spec.Demand().Times(j.spec.Tasks) }
+	shares := c.served.shares(now)
+	classes = map[api.Class]Served{}
+	for class, jobs := range byClass {
+		slices.SortFunc(jobs, func(a, b *dueJob) int {
+			x, y := size(a), size(b)
+			return cmp.Or(cmp.Compare(y.GPU, x.GPU), cmp.Compare(y.CPU, x.CPU), cmp.Compare(y.Mem, x.Mem), cmp.Compare(a.spec.Ref, b.spec.Ref))
+		})
+		last := (len(jobs) + 9) / 10
+		for last < len(jobs) && size(jobs[last]) == size(jobs[last-1]) {
+			last++ // as large
+		}
+		for _, j := range jobs[:last] {
+			if got, due := shares[j]; due {
+				classes[class] = Served{classes[class].Jobs + 1, classes[class].Sum + got}
+			}
+			until := now
+			if j.ended != 0 {
+				until = min(until, j.ended)
+			}
+			if j.first != 0 {
+				until = min(until, j.first)
+			}
+			if within > 0 && until-j.at > within {
+				late = append(late, fmt.Sprintf("%s, of the largest of class %s, waited %.0f s to begin", j.spec.Ref, class, (until-j.at).Seconds()))
+			}
+		}
+	}
+	slices.Sort(late)
+	return classes, late
+}
+
+// shares is how much of each job that counts was served.
+func (s *service) shares(now time.Duration) map[*dueJob]float64 {
 	up := map[api.JobRef]time.Duration{}
 	for ref, d := range s.up {
 		up[ref] = d
@@ -99,28 +162,19 @@
 	for id, from := range s.since {
 		up[id.Job] += s.due(id.Job, from, now)
 	}
-	classes, teams = map[api.Class]Served{}, map[api.Team]Served{}
+	out := map[*dueJob]float64{}
 	for ref, j := range s.jobs {
-		got := 0.0
 		if j.spec.Kind == api.Service {
-			due := s.due(ref, 0, now) * time.Duration(j.spec.Tasks)
-			if due == 0 {
-				continue
+			if due := s.due(ref, 0, now) * time.Duration(j.spec.Tasks); due != 0 {
+				out[j] = float64(up[ref]) / float64(due)
 			}
-			got = float64(up[ref]) / float64(due)
-		} else {
-			if j.ended != 0 || j.at+2*j.run+workGrace > now {
-				continue
-			}
-			if s.done[ref] >= j.spec.Tasks {
-				got = 1
+		} else if j.ended == 0 && j.at+2*j.run+workGrace <= now {
+			if out[j] = 0; s.done[ref] >= j.spec.Tasks {
+				out[j] = 1
 			}
 		}
-		k, t := classes[j.spec.Class], teams[j.spec.Team]
-		classes[j.spec.Class] = Served{k.Jobs + 1, k.Sum + got}
-		teams[j.spec.Team] = Served{t.Jobs + 1, t.Sum + got}
 	}
-	return classes, teams
+	return out
 }
 
 // Replicas counts the replicas of services that are up and those that are due, now.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -40,6 +40,13 @@
 	// PageBytes what was read page by page.
 	Requests, Writes, Largest, Pages, PageBytes int
 	refused                                     map[string]bool // these nodes are not served
+
+	// Limited makes it keep its limits on requests and writes; Over counts what it refused
+	// for them.
+	Limited                 bool
+	Over                    int
+	requestsLeft, writeLeft float64
+	filled                  time.Duration
 }
 
 func newState(w *World) *State {
@@ -81,6 +88,7 @@
 // Outage stops the service for a while; afterwards leases have their full time.
 func (s *State) Outage(length time.Duration) {
 	s.out = true
+	s.w.Check.Trouble(s.w.Now + length)
 	s.w.After(length, func() {
 		s.out = false
 		for id := range s.leases {
@@ -92,6 +100,7 @@
 // Refuse turns one node away for a while.
 func (s *State) Refuse(node string, length time.Duration) {
 	s.refused[node] = true
+	s.w.Check.Trouble(s.w.Now + length)
 	s.w.After(length, func() { delete(s.refused, node) })
 }
 
@@ -139,6 +148,30 @@
 	s.watches = open
 }
 
+// over takes a request off what the limits allow, and reports whether it is beyond them.
+func (s *State) over(method, target string, body []byte) bool {
+	if !s.Limited {
+		return false
+	}
+	cfg := s.w.cfgs[s.w.names[0]].Deployment.State
+	since := (s.w.Now - s.filled).Seconds()
+	s.filled = s.w.Now
+	s.requestsLeft = min(cfg.RPS, s.requestsLeft+cfg.RPS*since)
+	s.writeLeft = min(cfg.WriteRPS, s.writeLeft+cfg.WriteRPS*since)
+	writes := 0.0
+	if method == "POST" && target == api.PathMulti {
+		var t api.Txn
+		s.w.must(json.Unmarshal(body, &t))
+		writes = float64(len(t.Writes))
+	}
+	if s.requestsLeft < 1 || s.writeLeft < writes {
+		return true
+	}
+	s.requestsLeft--
+	s.writeLeft -= writes
+	return false
+}
+
 // Serve answers a request, a watch possibly later.
 func (s *State) Serve(node, method, target string, body []byte, answer func(int, []byte)) {
 	s.Requests++
@@ -146,6 +179,11 @@
 		answer(503, []byte(`{"error":"trouble"}`))
 		return
 	}
+	if s.over(method, target, body) {
+		s.Over++
+		answer(429, []byte(`{"error":"too many"}`))
+		return
+	}
 	u, err := url.Parse(target)
 	if err != nil {
 		answer(400, nil)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -18,6 +18,9 @@
 	Accepted map[api.JobRef]time.Duration
 	DoneAt   map[api.JobRef]time.Duration
 	polling  map[api.JobRef]bool
+	// Often is how many times as often as usual each open job is asked about, beside the
+	// question whose answer counts.
+	Often int
 }
 
 func newUsers(w *World) *Users {
@@ -120,16 +123,26 @@
 	})
 }
 
+// pollEvery and pollPatience are how often users ask about a job, and for how long they wait.
+const (
+	pollEvery    = 5 * time.Second
+	pollPatience = 2 * time.Second
+)
+
 func (u *Users) poll(ref api.JobRef) {
 	before := u.w.Check.Known(ref)
+	u.w.Check.Asked(u.w.Now, ref)
+	for i := range u.Often {
+		u.w.After(pollEvery*time.Duration(i)/time.Duration(u.Often), func() { u.Ask(ref) })
+	}
 	caller, shown := u.w.caller(ref)
-	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(shown), caller, nil, 2*time.Second, func(status int, b []byte) {
+	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(shown), caller, nil, pollPatience, func(status int, b []byte) {
 		s := u.told(ref, status, b, before)
 		if _, ok := u.DoneAt[ref]; !ok && s == api.JobDone {
 			u.DoneAt[ref] = u.w.Now
 		}
 		// Final states are asked for again too, more seldom.
-		pause := 2 * time.Second
+		pause := pollEvery
 		if strength(s) == 2 {
 			pause = 20 * time.Second
 		}
@@ -153,7 +166,7 @@
 // Ask polls for a job that nobody has submitted.
 func (u *Users) Ask(ref api.JobRef) {
 	caller, shown := u.w.caller(ref)
-	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(shown), caller, nil, 2*time.Second, func(status int, b []byte) {
+	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(shown), caller, nil, pollPatience, func(status int, b []byte) {
 		u.told(ref, status, b, u.w.Check.Known(ref))
 	})
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -188,6 +188,7 @@
 		return
 	}
 	h.node = nil
+	w.Check.Trouble(w.Now + back)
 	w.After(back, func() { w.Start(name) })
 }
 
@@ -217,6 +218,7 @@
 		return
 	}
 	h.frozen = w.Now + length
+	w.Check.Trouble(h.frozen)
 	w.After(length, func() { w.step(h) })
 }
 
@@ -392,6 +394,7 @@
 	}
 	c := &cut{hold: hold}
 	w.zones[zone] = c
+	w.Check.Trouble(w.Now + length)
 	w.After(length, func() {
 		delete(w.zones, zone)
 		for _, do := range c.held {
@@ -409,6 +412,7 @@
 	}
 	c := &cut{hold: hold}
 	w.cuts[k] = c
+	w.Check.Trouble(w.Now + length)
 	w.After(length, func() {
 		delete(w.cuts, k)
 		for _, do := range c.held {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -28,9 +28,21 @@
 	Images map[api.Image]Cached
 	Fetch  float64    // GB per second
 	Coming []Image    // that it is fetching: they may share the rate
-	Kept   api.JobRef // only for this job, for which others made way
+	Kept   api.JobRef // only for this job, for which others made way or room is gathered
+	Soft   bool       // work of a higher rank than KeptOf may use it all the same
+	KeptOf int
 }
 
+// Stage is how far a job is in the time in which it must begin; see package due.
+type Stage int
+
+// The stages. A patient one takes its turn by rank, guarantee and urgency.
+const (
+	Patient Stage = iota
+	Next          // before its equals
+	First         // before all
+)
+
 // Image is an image that a machine fetches: its size, and for how long it has been fetched,
 // in seconds.
 type Image struct {
@@ -49,7 +61,7 @@
 // another, be allowed to none but work that needs its accelerators, or have seen
 // the job fail. Work without an end would block an accelerator for good.
 func (m *Machine) Open(j *Job) bool {
-	return (m.Kept == "" || m.Kept == j.Spec.Ref) && !(j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service)) &&
+	return (m.Kept == "" || m.Kept == j.Spec.Ref || m.Soft && j.Spec.Priority.Rank() > m.KeptOf) && !(j.Plain && m.GPU && (m.Closed || j.Spec.Kind == api.Service)) &&
 		!j.AvoidedBy[m.ID] && Allowed(j.Spec, m.Type, m.Zone, m.Spot)
 }
 
@@ -83,6 +95,8 @@
 	Pending   []int            // task numbers that wait
 	Zones     map[api.Zone]int // where its other tasks are
 	Urgency   float64          // orders jobs of equal rank, between 0 and 1
+	Stage     Stage            // of a job that has not begun
+	Waited    float64          // for so many seconds, if it is not patient any more
 	Entitled  bool             // within its team's guarantee
 	Holds     bool             // what the job takes of pools for itself is held already
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
@@ -133,6 +147,8 @@
 	costScale     = 1e6
 	baseBonus     = 16.0 // being placed always beats waiting
 	rankBonus     = 32.0 // a higher priority outweighs every other term
+	nextBonus     = 8.0  // before its equals: more than guarantee and urgency together
+	firstBonus    = 5 * rankBonus
 	entitledBonus = 4.0
 	urgencyBonus  = 2.0
 	spotPenalty   = 2.0 // being late for certain outweighs that the machines left are for prompt work
@@ -160,6 +176,12 @@
 	if j.Entitled {
 		gain += entitledBonus
 	}
+	switch j.Stage {
+	case Next:
+		gain += nextBonus
+	case First:
+		gain += firstBonus
+	}
 	if m.Pace > slowPace {
 		gain -= m.Pace - 1
 	}
@@ -242,22 +264,22 @@
 
 // before orders jobs for gangs' first fit and for a team's share.
 func before(a, b *Job) int {
-	if d := b.Spec.Priority.Rank() - a.Spec.Priority.Rank(); d != 0 {
-		return d
-	}
-	if a.Entitled != b.Entitled {
-		if a.Entitled {
-			return -1
-		}
-		return 1
+	if first := cmp.Or(boolOrder(a.Stage == First, b.Stage == First), b.Spec.Priority.Rank()-a.Spec.Priority.Rank(),
+		cmp.Compare(b.Stage, a.Stage), cmp.Compare(b.Waited, a.Waited)); first != 0 {
+		return first
 	}
+	return cmp.Or(boolOrder(a.Entitled, b.Entitled), cmp.Compare(b.Urgency, a.Urgency))
+}
+
+// boolOrder puts what holds first.
+func boolOrder(a, b bool) int {
 	switch {
-	case a.Urgency > b.Urgency:
+	case a == b:
+		return 0
+	case a:
 		return -1
-	case a.Urgency < b.Urgency:
-		return 1
 	}
-	return 0
+	return 1
 }
 
 // gang places all tasks of a gang first-fit, or none.
--- /dev/null
+++ b/tools/regress/grow.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// grow writes a copy of a deployment into a folder, with so many times the machines, the
+// work and the teams' limits, and processes that are back so many seconds after they end.
+// What the controllers and the state service may use stays. It returns the copy's path.
+func grow(file, dir string, by, back float64) (string, error) {
+	var site map[string]any
+	if _, err := toml.DecodeFile(file, &site); err != nil {
+		return "", fmt.Errorf("%s: %w", file, err)
+	}
+	grown := func(table any, fields ...string) {
+		rows, _ := table.([]map[string]any)
+		if one, ok := table.(map[string]any); ok {
+			rows = []map[string]any{one}
+		}
+		for _, row := range rows {
+			for _, f := range fields {
+				switch v := row[f].(type) {
+				case int64:
+					row[f] = int64(math.Round(float64(v) * by))
+				case float64:
+					row[f] = v * by
+				}
+			}
+		}
+	}
+	grown(site["capacity"], "count", "spot")
+	grown(site["machines"], "count")
+	grown(site["teams"], "cpus", "cpus_max", "gpus", "gpus_max")
+	grown(site["jobs"], "initial")
+	jobs, _ := site["jobs"].([]map[string]any)
+	for _, j := range jobs {
+		grown(j["arrivals"], "rate")
+	}
+	days, _ := site["day"].([]map[string]any)
+	for _, d := range days {
+		faults, _ := d["faults"].([]map[string]any)
+		for _, f := range faults {
+			if kind, _ := f["kind"].(string); strings.HasPrefix(kind, "machine_") {
+				grown(f, "count")
+			}
+		}
+	}
+	if nodes, ok := site["nodes"].(map[string]any); ok {
+		nodes["restart_delay_s"] = back
+	}
+	name := strings.TrimSuffix(filepath.Base(file), ".toml") + fmt.Sprintf("-x%g", by)
+	site["name"] = name
+	if wire, _ := site["wire"].(string); wire != "" {
+		data, err := os.ReadFile(filepath.Join(filepath.Dir(file), wire))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, wire), data, 0o644)
+		}
+		if err != nil {
+			return "", err
+		}
+	}
+	out := filepath.Join(dir, name+".toml")
+	f, err := os.Create(out)
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	return out, toml.NewEncoder(f).Encode(site)
+}
--- a/tools/regress/main.go
+++ b/tools/regress/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -31,13 +32,15 @@
 const noise = 0.03
 
 var cli struct {
-	Bench   string `required:"" type:"existingfile" help:"The bench's program."`
-	Sites   string `required:"" type:"existingdir" help:"The folder with the deployments."`
-	Journal string `default:"journal" type:"existingdir" help:"Where the bench writes its entries."`
-	Why     string `required:"" help:"What the run is for, in a sentence under 120 characters."`
-	Jobs    int    `default:"6" help:"Days at once."`
-	Hunt    int    `default:"0" help:"Days to draw on each deployment after the score."`
-	Set     string `arg:"" enum:"landing,state,full" help:"landing: every change; state: also what touches storage, membership, timers or messages; full: all days of all deployments."`
+	Bench   string  `required:"" type:"existingfile" help:"The bench's program."`
+	Sites   string  `required:"" type:"existingdir" help:"The folder with the deployments."`
+	Journal string  `default:"journal" type:"existingdir" help:"Where the bench writes its entries."`
+	Why     string  `required:"" help:"What the run is for, in a sentence under 120 characters."`
+	Jobs    int     `default:"6" help:"Days at once."`
+	Hunt    int     `default:"0" help:"Days to draw on each deployment after the score."`
+	Grow    float64 `help:"Play copies with so many times the machines and the work instead. The set state plays the fleets' copies with 1.5 beside them unless this is 1."`
+	Back    float64 `default:"0.2" help:"Seconds until a process of such a copy is back."`
+	Set     string  `arg:"" enum:"landing,state,full" help:"landing: every change; state: also what touches storage, membership, timers or messages; full: all days of all deployments."`
 }
 
 // entry is what the tool reads of an entry in the journal.
@@ -137,16 +140,17 @@
 	return top
 }
 
-func bench(out io.Writer, args ...string) error {
+func bench(out, errs io.Writer, args ...string) error {
 	c := exec.Command(cli.Bench, args...)
-	c.Stdout, c.Stderr = out, os.Stderr
+	c.Stdout, c.Stderr = out, errs
 	return c.Run()
 }
 
 // served is what a day's report tells of how classes and teams were served. Of teams it
 // counts the jobs that started and no more.
 type served struct {
-	Classes map[string]struct {
+	Duration float64 `json:"duration_s"`
+	Classes  map[string]struct {
 		Jobs      int      `json:"jobs"`
 		Started   int      `json:"started"`
 		Done      int      `json:"done"`
@@ -208,7 +212,8 @@
 			defer func() { <-turns }()
 			report, name := filepath.Join(dir, fmt.Sprintf("%d.json", i)), strings.TrimSuffix(filepath.Base(d[0]), ".toml")+", day "+d[1]
 			// A day that misses its aims is no news here, so what counts is the report.
-			_ = bench(io.Discard, "run", d[0], d[1], "--no-cpu", "--report", report, "--why", cli.Why)
+			var log bytes.Buffer
+			_ = bench(io.Discard, &log, "run", d[0], d[1], "--no-cpu", "--log", "info", "--report", report, "--why", cli.Why)
 			var r served
 			data, err := os.ReadFile(report)
 			if err == nil {
@@ -219,14 +224,22 @@
 				return
 			}
 			class, cs, team, ts := r.least()
-			lines[i] = fmt.Sprintf("%-40s %-16s %6.3f   %-16s %6.3f", name, class, cs, team, ts)
-			if min(cs, ts) < leastServed {
-				bad[i] = fmt.Sprintf("%s: class %s was served to %.3f, team %s to %.3f, at least %.1f is expected", name, class, cs, team, ts, leastServed)
+			l := largest(readLog(&log), r.Duration)
+			lines[i] = fmt.Sprintf("%-40s %-16s %6.3f   %-16s %6.3f   %-16s %6.3f %6.0f s", name, class, cs, team, ts, l.class, l.share, l.latest)
+			var why []string
+			if min(cs, ts, l.share) < leastServed {
+				why = append(why, fmt.Sprintf("class %s was served to %.3f, team %s to %.3f, the largest of %s to %.3f, at least %.1f is expected", class, cs, team, ts, l.class, l.share, leastServed))
+			}
+			if l.latest > latestBegin {
+				why = append(why, fmt.Sprintf("%s, of the largest of its class, waited %.0f s to begin, %.0f s at most is expected", l.late, l.latest, latestBegin))
+			}
+			if len(why) > 0 {
+				bad[i] = name + ": " + strings.Join(why, "; ")
 			}
 		})
 	}
 	wait.Wait()
-	fmt.Printf("\n%-40s %-16s %6s   %-16s %6s  (simulated)\n", "least served", "class", "", "team", "")
+	fmt.Printf("\n%-40s %-16s %6s   %-16s %6s   %-16s %6s %s  (simulated)\n", "least served", "class", "", "team", "", "largest of", "", "latest begin")
 	for _, l := range lines {
 		if l != "" {
 			fmt.Println(l)
@@ -247,6 +260,14 @@
 	for i, f := range files {
 		files[i] = filepath.Join(cli.Sites, f)
 	}
+	dir, err := os.MkdirTemp("", "grown")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if files, err = copies(files, dir); err != nil {
+		return err
+	}
 	before, err := readJournal(cli.Journal)
 	if err != nil {
 		return err
@@ -260,10 +281,10 @@
 		args = append(args, "--quick")
 	}
 	// What the bench makes of it is in the journal, so its exit code alone is not the verdict.
-	failed := bench(os.Stdout, append(args, "--jobs", fmt.Sprint(cli.Jobs), "--why", cli.Why)...)
+	failed := bench(os.Stdout, os.Stderr, append(args, "--jobs", fmt.Sprint(cli.Jobs), "--why", cli.Why)...)
 	if cli.Hunt > 0 {
 		for _, f := range files {
-			if err := bench(os.Stdout, "hunt", f, "--days", fmt.Sprint(cli.Hunt), "--jobs", fmt.Sprint(cli.Jobs), "--why", cli.Why); err != nil {
+			if err := bench(os.Stdout, os.Stderr, "hunt", f, "--days", fmt.Sprint(cli.Hunt), "--jobs", fmt.Sprint(cli.Jobs), "--why", cli.Why); err != nil {
 				failed = errors.Join(failed, err)
 			}
 		}
@@ -316,6 +337,32 @@
 	return failed
 }
 
+// usualGrowth is how many times the machines the copies of the fleets have in the set state.
+const usualGrowth = 1.5
+
+// copies makes of the deployments what is to be played: grown copies in their stead, or beside
+// the fleets.
+func copies(files []string, dir string) ([]string, error) {
+	by, of := cli.Grow, files
+	switch {
+	case by == 1 || by == 0 && cli.Set != "state":
+		return files, nil
+	case by == 0:
+		by, of = usualGrowth, files[len(sets["landing"]):]
+	default:
+		files = nil
+	}
+	out := slices.Clone(files)
+	for _, f := range of {
+		grown, err := grow(f, dir, by, cli.Back)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, grown)
+	}
+	return out, nil
+}
+
 func main() {
 	ctx := kong.Parse(&cli, kong.Description("Runs a set of deployments on the bench and compares it with the journal."))
 	ctx.FatalIfErrorf(run())
