--- a/tools/regress/grow.go
+++ b/tools/regress/grow.go
@@ -44,10 +44,11 @@
 	}
 	days, _ := site["day"].([]map[string]any)
 	for _, d := range days {
-		faults, _ := d["faults"].([]map[string]any)
+		faults, _ := d["faults"].([]any) // tables in a line
 		for _, f := range faults {
-			if kind, _ := f["kind"].(string); strings.HasPrefix(kind, "machine_") {
-				grown(f, "count")
+			fault, _ := f.(map[string]any)
+			if kind, _ := fault["kind"].(string); strings.HasPrefix(kind, "machine_") {
+				grown(fault, "count")
 			}
 		}
 	}
