Quick returns, questions for final states, starved tails of arrays, limits left to gangs

Cause: a process may be back within a fraction of a second, also mid-election, and no question about an accepted job may go unanswered for 75 s.

What must begin has a clock for each part, so an array's last large tasks are not left; a gang's limit is left to it in all parts; nothing is gathered for what lacks units of a pool.

--- a/control/due.go
+++ b/control/due.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/config"
 	"basaltwall/due"
 	"basaltwall/sched"
 )
@@ -19,22 +20,27 @@
 	maxDue   = 16
 )
 
-// waited is for how long a job has not begun: since it was accepted, or since its last attempt
-// came to nothing. ok is false when it has begun or may not start now.
-func (n *Node) waited(j *Job) (d time.Duration, ok bool) {
-	if j.DoneN > 0 || j.Live() > 0 || j.Note.hold > n.now || n.held(j) {
+// anyPart stands for all parts together.
+const anyPart = api.PartID(-1)
+
+// waited is for how long nothing of a job has run in a part: since it was accepted, or since
+// its last task ended. ok is false when something runs or it may not start now.
+func (n *Node) waited(j *Job, p api.PartID) (d time.Duration, ok bool) {
+	if p == anyPart && j.Live() > 0 || p != anyPart && j.Placed[p] > 0 || j.Note.hold > n.now || n.held(j) {
 		return 0, false
 	}
 	d = time.Duration(n.wall-j.Accepted) * time.Millisecond
 	if at := j.Note.endedAt; at != 0 {
 		d = min(d, n.now.Sub(at))
+	} else if j.DoneN > 0 || j.Again > 0 {
+		d = min(d, n.now.Sub(n.startedAt)) // it ended before this process began
 	}
 	return d, true
 }
 
-// stageOf is a job's stage, see package due.
-func (n *Node) stageOf(j *Job) sched.Stage {
-	d, ok := n.waited(j)
+// stageOf is a job's stage in a part, see package due.
+func (n *Node) stageOf(j *Job, p api.PartID) sched.Stage {
+	d, ok := n.waited(j, p)
 	if !ok {
 		return sched.Patient
 	}
@@ -45,8 +51,8 @@
 // goes before others with no more than half of the work that a part starts: where more of it
 // waits than that no order keeps the bound, and what has begun must end too.
 func (n *Node) turnOf(t *turf, j *Job) (sched.Stage, float64) {
-	d, _ := n.waited(j)
-	stage := n.stageOf(j)
+	d, _ := n.waited(j, t.part)
+	stage := n.stageOf(j, t.part)
 	if stage != sched.Patient && t.credit < 0 && !n.keepsFor(t, j.Ref) {
 		stage = sched.Patient
 	}
@@ -78,13 +84,13 @@
 func (n *Node) dueJobs(t *turf) []*Job {
 	var out []*Job
 	for _, j := range n.book.Open {
-		if n.stageOf(j) != sched.Patient && j.Waiting(t.part) > 0 {
+		if n.stageOf(j, t.part) != sched.Patient && j.Waiting(t.part) > 0 {
 			out = append(out, j)
 		}
 	}
 	slices.SortFunc(out, func(a, b *Job) int {
-		x, _ := n.waited(a)
-		y, _ := n.waited(b)
+		x, _ := n.waited(a, t.part)
+		y, _ := n.waited(b, t.part)
 		return cmp.Or(cmp.Compare(due.StageOf(y), due.StageOf(x)), cmp.Compare(y, x), cmp.Compare(a.Ref, b.Ref))
 	})
 	return out[:min(len(out), maxDue)]
@@ -143,6 +149,7 @@
 	}
 	t.dueAt = n.now
 	n.keepLent(t)
+	n.keepWhole(t)
 	jobs := n.dueJobs(t)
 	if len(jobs) == 0 {
 		return
@@ -156,12 +163,12 @@
 	ends := map[*Machine][]due.End{}
 	left := n.leftOf(t.part)
 	for _, j := range jobs {
-		stage, need := n.stageOf(j), 1
+		stage, need := n.stageOf(j, t.part), 1
 		if j.Spec.Kind == api.Gang {
 			need = j.Spec.Tasks
 		}
-		if j.Demand.Slots(left[j.Spec.Team]) < need {
-			continue // it is the limit that it waits for, see dueShares
+		if j.Demand.Slots(left[j.Spec.Team]) < need || n.whyPool(j, t.part) != "" {
+			continue // it is no machine that it waits for, see dueShares and asking
 		}
 		ms, hosts := n.hostsFor(t, j.Spec, j.Note.failedOn, all, ends)
 		w := due.Want{Demand: j.Demand, Tasks: need, OneZone: j.Spec.OneZone}
@@ -170,6 +177,10 @@
 			w.Spread = (j.Spec.Tasks + 1) / 2
 		}
 		chosen, after := due.Choose(hosts, w)
+		for w.Tasks > 1 && chosen == nil { // the rest is lent by other parts
+			w.Tasks = w.Tasks * 3 / 4
+			chosen, after = due.Choose(hosts, w)
+		}
 		j.Note.stuck = chosen == nil
 		if after == 0 && chosen != nil && !hosts[chosen[0]].Kept {
 			t.dirty = true // there is room: the next round places it
@@ -191,31 +202,55 @@
 		if l.Part != t.part || j == nil || m == nil || n.now.Sub(n.lendings[id].at) > due.Within/2 || j.Waiting(t.part) == 0 {
 			continue
 		}
-		if _, waits := n.waited(j); waits && n.keptFor(m) != "" {
+		if _, waits := n.waited(j, t.part); waits && n.keptFor(m) != "" {
 			m.keptTill, m.idle = n.now.Add(keepTime), n.now
 		}
 	}
 }
 
+// keepWhole goes on keeping a machine that was gathered for tasks that fill most of it, for the
+// next of them: else each would be gathered for anew.
+func (n *Node) keepWhole(t *turf) {
+	for _, m := range n.machinesOf(t.part) {
+		if !m.gathered || n.keptFor(m) == "" || n.now.Sub(m.gatheredAt) > due.Within {
+			continue
+		}
+		if j, typ := n.book.Jobs[m.kept], n.types[m.typ]; j.Waiting(t.part) > 0 && typ != nil && due.Share(j.Demand, typ.Capacity()) > 0.5 {
+			m.keptTill = n.now.Add(keepTime)
+		}
+	}
+}
+
 // keep keeps a machine for a job for which room is gathered.
 func (n *Node) keep(t *turf, m *Machine, ref api.JobRef, rank int, stage sched.Stage) {
 	if n.keptFor(m) != ref {
 		n.metrics.Gathered++
+		m.gatheredAt = n.now
 		slog.Info("machine kept", "machine", m.ID, "for", ref, "tasks", len(n.book.On(m.ID)))
 		t.dirty = true
 	}
 	m.kept, m.keptOf, m.soft, m.keptTill, m.gathered = ref, rank, stage != sched.First, n.now.Add(keepTime), true
 }
 
+// limitAllows reports whether so many tasks of a job fit its team's limit once all that ends by
+// itself has ended: only then is the limit left to it.
+func (n *Node) limitAllows(j *Job, tasks int) bool {
+	left := limitOf(n.teams[j.Spec.Team])
+	for _, o := range n.book.Jobs {
+		if o.Spec.Team == j.Spec.Team && o.Spec.Kind == api.Service {
+			left = left.Minus(o.Demand.Times(o.Live()))
+		}
+	}
+	left.Mem = limitOf(config.Team{}).Mem
+	return tasks > 0 && j.Demand.Times(tasks).Fits(left)
+}
+
 // dueShares is the share of teams' limits that this part leaves to others' jobs that must
 // begin and lack nothing else. Of two parts that want of each other the lower one has it.
 func (n *Node) dueShares(t *turf) map[api.PartID]map[api.Team]api.Resources {
 	out := map[api.PartID]map[api.Team]api.Resources{}
 	left := n.leftOf(t.part)
 	for _, pn := range n.newsBesides(t) {
-		if n.now < t.gaveAt[pn.Part] {
-			continue // it has not told since
-		}
 		for _, team := range slices.Sorted(maps.Keys(pn.Due)) {
 			if _, ours := t.wantDue[team]; ours && t.part < pn.Part {
 				continue
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -344,8 +344,8 @@
 		}
 	}
 	jobs := slices.SortedFunc(slices.Values(open), func(a, b *Job) int {
-		return cmp.Or(first(n.stageOf(b) == sched.First)-first(n.stageOf(a) == sched.First), b.Spec.Priority.Rank()-a.Spec.Priority.Rank(),
-			cmp.Compare(n.stageOf(b), n.stageOf(a)), cmp.Compare(a.Ref, b.Ref))
+		return cmp.Or(first(n.stageOf(b, anyPart) == sched.First)-first(n.stageOf(a, anyPart) == sched.First), b.Spec.Priority.Rank()-a.Spec.Priority.Rank(),
+			cmp.Compare(n.stageOf(b, anyPart), n.stageOf(a, anyPart)), cmp.Compare(a.Ref, b.Ref))
 	})
 	need := map[offer]int{}
 	var first []offer // in the order of the work that needs them
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		p.sending = true
-		n.peer(l, PeerMessage{Gossip: g}, func(PeerAnswer) { p.sending = false })
+		n.peer(l, peerTimeout, PeerMessage{Gossip: g}, func(PeerAnswer) { p.sending = false })
 	}
 }
 
@@ -244,6 +244,9 @@
 	}
 	var out []book.Gift
 	for _, to := range slices.Sorted(maps.Keys(t.reserved)) {
+		if n.now < t.gaveAt[to] {
+			continue // it has not told since; what is reserved waits here
+		}
 		// No start of this round uses it, whatever else waits here.
 		for _, team := range slices.Sorted(maps.Keys(t.reserved[to])) {
 			amount := t.reserved[to][team]
@@ -309,7 +312,7 @@
 		if n.keepsFor(t, ref) {
 			continue // room is gathered for it here
 		}
-		stuck := j.Note.stuck && n.stageOf(j) != sched.Patient && n.now.Sub(j.Note.moved) > wanderEvery
+		stuck := j.Note.stuck && n.stageOf(j, t.part) != sched.Patient && n.now.Sub(j.Note.moved) > wanderEvery
 		room := n.roomByPart(j.Spec)
 		if room[t.part] > 0 && j.Spec.Kind == api.Array {
 			continue // it will be placed here
@@ -369,7 +372,7 @@
 		v := j.JobValue
 		v.Split = split
 		data, err := json.Marshal(v)
-		if err != nil || n.tooLarge(data) {
+		if err != nil || n.jobTooLarge(data) {
 			continue
 		}
 		j.Note.moved = n.now
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -288,7 +288,7 @@
 	}
 	v := book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall, Tenant: string(e.Name), Own: shown}
 	data, err := json.Marshal(v)
-	if err != nil || n.tooLarge(data) {
+	if err != nil || n.jobTooLarge(data) {
 		n.refuse(c.Req, 400, "banchi: too long")
 		return
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -62,7 +62,9 @@
 	keptOf   int
 	keptTill api.Time
 	gathered bool // it is kept because room is gathered
-	lentAt   api.Revision
+
+	gatheredAt api.Time
+	lentAt     api.Revision
 }
 
 // hashPart says which part a machine belongs to unless it was lent. Names are
@@ -252,7 +254,7 @@
 	last := n.sentTo[c.Report.Machine]
 	if (last.to == owner && n.now.Sub(last.at) < n.returnTime || n.unheard(owner, c.Report.Machine)) && n.peers[owner] != nil {
 		n.sentTo[c.Report.Machine] = redirected{owner, n.now}
-		n.peer(owner, PeerMessage{Forward: &Forward{Kind: "checkin", Body: c.Body}}, func(a PeerAnswer) {
+		n.peer(owner, peerTimeout, PeerMessage{Forward: &Forward{Kind: "checkin", Body: c.Body}}, func(a PeerAnswer) {
 			if !a.OK || a.Reply.Status == 0 {
 				n.refuse(c.Req, 503, "the machine's owner does not answer")
 				return
--- a/control/node.go
+++ b/control/node.go
@@ -15,6 +15,7 @@
 	"basaltwall/api"
 	"basaltwall/book"
 	"basaltwall/config"
+	"basaltwall/member"
 	"basaltwall/zone"
 )
 
@@ -39,12 +40,14 @@
 	loaded    bool
 	loading   bool
 	loadAt    api.Time
+	reading   func() // goes on with it; nil: from the beginning
 	watching  bool
 	watchNext api.Time
 	syncing   bool
 	syncNext  api.Time
 	wantedAt  api.Time // when a current read was last wanted
 	waiters   []syncWaiter
+	finals    lookups
 	currentAt api.Time            // the changes were last read, 0 if not yet
 	stateOK   bool                // its last answer was one
 	asked     map[CallID]api.Time // calls to it that should be answered at once
@@ -55,6 +58,8 @@
 	member     bool
 	memberAt   api.Time
 	liveSince  map[api.Label]api.Time
+	lives      member.Lives
+	helped     int // requests passed on, so that helpers take turns
 	claiming   map[api.PartID]bool
 	claimAfter map[api.PartID]api.Time
 
@@ -149,6 +154,7 @@
 		n.peers[p.Label] = &peerNews{}
 	}
 	n.timetable = timetableOf(cfg)
+	n.finals.waiters = map[api.JobRef][]finalWaiter{}
 	n.initHosted()
 	n.initZones()
 	n.book = n.newBook()
@@ -326,8 +332,8 @@
 	n.emit(c)
 }
 
-func (n *Node) peer(to api.Label, m PeerMessage, f func(PeerAnswer)) {
-	n.emit(PeerCall{n.callID(func(a any) { f(a.(PeerAnswer)) }), to, m, peerTimeout})
+func (n *Node) peer(to api.Label, timeout time.Duration, m PeerMessage, f func(PeerAnswer)) {
+	n.emit(PeerCall{n.callID(func(a any) { f(a.(PeerAnswer)) }), to, m, timeout})
 }
 
 // pause does something again a little later.
@@ -349,6 +355,7 @@
 		return
 	}
 	n.follow()
+	n.lookUp()
 	n.takeParts()
 	n.begin(WorkFleet)
 	n.runFleet()
@@ -384,8 +391,10 @@
 
 // membership keeps our leased key alive.
 func (n *Node) membership() {
-	if n.member && n.loaded && !n.live(n.cfg.Label) && n.now.Sub(n.memberAt) > time.Second {
-		n.member = false // our former life's lease may have taken the key along
+	if m, there := n.book.Members[n.cfg.Label]; n.member && n.loaded && (!there || m.Born != n.born) && n.now.Sub(n.memberAt) > time.Second {
+		// Our former life's lease may have taken the key along, or a write of that life came
+		// late and tied the key to it.
+		n.member = false
 	}
 	if n.leaseBusy || n.now < n.leaseNext {
 		return
@@ -440,20 +449,28 @@
 	if n.loading || n.now < n.loadAt {
 		return
 	}
+	if n.reading != nil { // a page that did not come is asked for again, not all of them
+		n.loading = true
+		n.reading()
+		return
+	}
 	n.loading = true
 	n.book = n.newBook()
 	n.book.Load()
 	n.loadPage("", 0)
 }
 
-func (n *Node) loadFailed() {
-	n.loading, n.loadAt = false, n.now.Add(retryPause)
+// loadLater goes on with reading the state after a pause. Pages come as seldom as current
+// reads do: a process that ends and starts again and again must leave the others their
+// requests.
+func (n *Node) loadLater(pause time.Duration, next func()) {
+	n.loading, n.reading, n.loadAt = false, next, n.now.Add(pause)
 }
 
 func (n *Node) loadPage(after string, from api.Revision) {
 	n.state(StateCall{Page: &PageAsk{After: after}}, func(a StateAnswer) {
 		if a.Status != 200 {
-			n.loadFailed()
+			n.loadLater(retryPause, func() { n.loadPage(after, from) })
 			return
 		}
 		if from == 0 {
@@ -465,24 +482,35 @@
 			}
 		}
 		if a.Page.More && len(a.Page.Pairs) > 0 {
-			n.loadPage(a.Page.Pairs[len(a.Page.Pairs)-1].Key, from)
+			last := a.Page.Pairs[len(a.Page.Pairs)-1].Key
+			n.loadLater(n.syncGap, func() { n.loadPage(last, from) })
 			return
 		}
-		n.state(StateCall{Changes: &ChangesAsk{Since: from}}, func(a StateAnswer) {
-			if a.Status != 200 {
-				n.loadFailed()
-				return
-			}
-			n.takeChanges(a.Changes)
-			if err := n.book.FinishLoad(); err != nil {
-				slog.Error("state could not be read", "err", err)
-				n.loadFailed()
-				return
-			}
-			n.loading, n.loaded = false, true
-			n.learnTypes(n.known.Types)
-			slog.Info("state read", "revision", n.book.Rev, "jobs", len(n.book.Jobs))
-		})
+		n.loadChanges(from)
+	})
+}
+
+// loadChanges reads what has changed since the first page and ends the reading.
+func (n *Node) loadChanges(from api.Revision) {
+	n.state(StateCall{Changes: &ChangesAsk{Since: from}}, func(a StateAnswer) {
+		switch a.Status {
+		case 200:
+		case 410: // it took too long
+			n.loadLater(retryPause, nil)
+			return
+		default:
+			n.loadLater(retryPause, func() { n.loadChanges(from) })
+			return
+		}
+		n.takeChanges(a.Changes)
+		if err := n.book.FinishLoad(); err != nil {
+			slog.Error("state could not be read", "err", err)
+			n.loadLater(retryPause, nil)
+			return
+		}
+		n.loading, n.reading, n.loaded = false, nil, true
+		n.learnTypes(n.known.Types)
+		slog.Info("state read", "revision", n.book.Rev, "jobs", len(n.book.Jobs))
 	})
 }
 
@@ -629,8 +657,9 @@
 			delete(n.liveSince, l)
 		}
 	}
-	for l := range n.book.Members {
-		if _, ok := n.liveSince[l]; !ok {
+	for l, m := range n.book.Members {
+		// A process that is back at once may write its key before the former life's is gone.
+		if _, ok := n.liveSince[l]; n.lives.Saw(l, m.Born, n.now) || !ok {
 			n.liveSince[l] = n.now
 		}
 	}
@@ -644,7 +673,7 @@
 		switch {
 		case t != nil:
 			home := n.home(p)
-			t.leaving = home != n.cfg.Label && n.live(home) && n.now.Sub(n.liveSince[home]) > n.settleTime
+			t.leaving = home != n.cfg.Label && n.live(home) && n.now.Sub(n.liveSince[home]) > n.lives.Settle(home, n.now, n.settleTime)
 			if t.leaving {
 				n.handOver(t, home)
 			}
--- a/control/notes.go
+++ b/control/notes.go
@@ -41,7 +41,7 @@
 	wayAt    api.Time // others are not made to give way before
 	quick    bool     // others were made to give way so that it starts soon
 	begun    bool     // a start was planned here
-	endedAt  api.Time // when an attempt last came to nothing
+	endedAt  api.Time // when a task of it last ended
 	stuck    bool     // must begin, and has no room to hope for in its part
 	lostWith int      // tasks that our parts lost with their machines
 	lostAt   api.Time // when the last of them was known to be lost
--- a/control/part.go
+++ b/control/part.go
@@ -95,6 +95,7 @@
 		return
 	}
 	n.book.SetOver(p, true)
+	p.Job.Note.endedAt = n.now
 	t.ends[p] = done
 	t.dirty = true
 	if !done {
@@ -102,7 +103,6 @@
 			p.Job.Note.lostWith++
 			p.Job.Note.lostAt, p.Job.Note.quick = n.now, false
 		}
-		p.Job.Note.endedAt = n.now
 		slog.Info("task over", tenantOf(p.Job), "task", p.Task, "machine", p.Machine, "why", why)
 	}
 }
@@ -266,6 +266,15 @@
 	return float64(len(data)) > n.cfg.Deployment.State.ValueKB*1024
 }
 
+// cancelRoom is what a cancellation adds to a job's record, and some more.
+const cancelRoom = 64
+
+// jobTooLarge is the same for a job's record, with the room that its cancellation needs: a job
+// that could not be cancelled would be answered 503 for ever.
+func (n *Node) jobTooLarge(data []byte) bool {
+	return float64(len(data)+cancelRoom) > n.cfg.Deployment.State.ValueKB*1024
+}
+
 // recordRoom is how many bytes of a round's record may be starts and ends: it must fit
 // into a value.
 func (n *Node) recordRoom() int { return int(n.cfg.Deployment.State.ValueKB*1024) - 512 }
@@ -496,7 +505,7 @@
 		if !known && (j.Spec.OneZone || j.Spec.Spread) {
 			continue // where its other tasks are is not known yet
 		}
-		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus), Stage: stage, Waited: waited,
+		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus), Stage: stage, Waited: waited, Reserve: stage == sched.First && n.limitAllows(j, len(pending)),
 			Entitled: n.entitled(j, total), Holds: j.Live() > 0, Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn, Fresh: n.freshFor(j, coming),
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.Note.failedOn)*2 > usable {
@@ -761,7 +770,7 @@
 			need := j.Demand.Times(missing)
 			need.Mem = 0
 			t.want[j.Spec.Team] = t.want[j.Spec.Team].Plus(need)
-			if in.Jobs[i].Stage == sched.First {
+			if in.Jobs[i].Reserve {
 				t.wantDue[j.Spec.Team] = t.wantDue[j.Spec.Team].Plus(need)
 			}
 			if can == 0 || j.Spec.Kind == api.Gang {
--- a/control/pools.go
+++ b/control/pools.go
@@ -12,6 +12,7 @@
 	"basaltwall/api"
 	"basaltwall/book"
 	"basaltwall/pool"
+	"basaltwall/sched"
 	"basaltwall/tenant"
 )
 
@@ -99,12 +100,13 @@
 			if entitled {
 				a.Starts = min(a.Starts, (e.Guaranteed[j.Spec.Team]-teams[j.Spec.Team])/a.Units)
 			}
-			a.Reserve = entitled || j.Spec.Priority.Rank() >= urgentRank || a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
+			a.Reserve = entitled || n.stageOf(j, api.PartID(p)) != sched.Patient || j.Spec.Priority.Rank() >= urgentRank || a.Units > 1 && pool.Reserves(time.Duration(n.wall-j.Accepted)*time.Millisecond)
 			out = append(out, asker{j, api.PartID(p), entitled, a})
 		}
 	}
 	slices.SortFunc(out, func(a, b asker) int {
-		return cmp.Or(b.job.Spec.Priority.Rank()-a.job.Spec.Priority.Rank(), first(b.entitled)-first(a.entitled),
+		return cmp.Or(first(n.stageOf(b.job, b.part) == sched.First)-first(n.stageOf(a.job, a.part) == sched.First),
+			b.job.Spec.Priority.Rank()-a.job.Spec.Priority.Rank(), first(b.entitled)-first(a.entitled),
 			cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.job.Ref, b.job.Ref), int(a.part-b.part))
 	})
 	return out
--- a/control/timetable.go
+++ b/control/timetable.go
@@ -27,6 +27,7 @@
 	settleTime time.Duration // a returned node's parts go home after this
 	roundGap   time.Duration // between a part's rounds
 	syncGap    time.Duration // between current reads
+	lookGap    time.Duration // between requests for final states, and for pages when the state is read
 	rentGap    time.Duration // between rentals, and between deletions
 
 	silentAfter  time.Duration // how long no report may come before a machine is asked
@@ -46,6 +47,9 @@
 		// members; a third of the requests for current reads and watches.
 		roundGap: max(50*time.Millisecond, api.Seconds(float64(d.Size)/(d.State.WriteRPS*0.5))),
 		syncGap:  max(40*time.Millisecond, api.Seconds(nodes*3/d.State.RPS)),
+		// A sixth of the requests: who starts again and again, or is asked for thousands of
+		// jobs that are over, leaves the others theirs.
+		lookGap: max(10*time.Millisecond, api.Seconds(nodes*6/d.State.RPS)),
 		// A third of the cloud's calls may be rentals: offers are refused one by
 		// one, and a burst should not wait for that.
 		rentGap: max(100*time.Millisecond, api.Seconds(3/d.Cloud.RPS)),
--- a/control/user.go
+++ b/control/user.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"time"
 
 	"basaltwall/api"
 	"basaltwall/book"
@@ -57,50 +58,60 @@
 		found(s)
 		return
 	}
-	n.state(StateCall{Get: book.KeyFinal + string(ref)}, func(a StateAnswer) {
-		var s api.JobState
-		switch {
-		case a.Status == 200 && json.Unmarshal(a.Pair.Value, &s) == nil:
-			n.book.SetFinal(ref, s)
-			found(api.JobStatus{Ref: ref, State: s})
-		case a.Status == 404:
-			absent()
-		default:
-			fail()
-		}
-	})
+	n.finals.queue.Add(ref)
+	n.finals.waiters[ref] = append(n.finals.waiters[ref], finalWaiter{n.now, found, absent, fail})
 }
 
-// helper is a peer that reaches the state service, or none.
-func (n *Node) helper() api.Label {
+// helpers are the peers that reach the state service, by turns another one first: one that
+// lags must not get the same user's question each time.
+func (n *Node) helpers() []api.Label {
+	var out []api.Label
 	for _, l := range slices.Sorted(maps.Keys(n.peers)) {
 		if p := n.peers[l]; p.gossip.StateOK && p.heard != 0 && n.now.Sub(p.heard) < 3*gossipEvery {
-			return l
+			out = append(out, l)
 		}
 	}
-	return ""
+	if k := len(out); k > 0 {
+		out = slices.Concat(out[n.helped%k:], out[:n.helped%k])
+	}
+	return out
 }
 
-// forward passes a request to a peer that reaches the state service, or
-// refuses it at once.
+// helpTimeout is how long one of several helpers may take: two of them within a user's patience.
+const helpTimeout = 800 * time.Millisecond
+
+// forward passes a request to a peer that reaches the state service, and to another if that
+// does not answer, or refuses it at once.
 func (n *Node) forward(req ReqID, f Forward, already bool) {
-	l := n.helper()
-	if already || l == "" {
+	to := n.helpers()
+	if already || len(to) == 0 {
 		n.refuse(req, 503, "state service not reachable")
 		return
 	}
-	n.peer(l, PeerMessage{Forward: &f}, func(a PeerAnswer) {
-		if !a.OK || a.Reply.Status == 0 {
+	n.helped++
+	n.forwardTo(req, f, to[:min(len(to), 2)])
+}
+
+func (n *Node) forwardTo(req ReqID, f Forward, to []api.Label) {
+	timeout := peerTimeout
+	if len(to) > 1 {
+		timeout = helpTimeout
+	}
+	n.peer(to[0], timeout, PeerMessage{Forward: &f}, func(a PeerAnswer) {
+		switch {
+		case a.OK && a.Reply.Status != 0:
+			n.emit(Reply{req, a.Reply.Status, a.Reply.Body, a.Reply.RetryAfter})
+		case len(to) > 1:
+			n.forwardTo(req, f, to[1:])
+		default:
 			n.refuse(req, 503, "no peer answers")
-			return
 		}
-		n.emit(Reply{req, a.Reply.Status, a.Reply.Body, a.Reply.RetryAfter})
 	})
 }
 
 // pass reports whether a request is better passed on to a peer at once.
 func (n *Node) pass(already bool) bool {
-	return !n.loaded || n.unreachable() && !already && n.helper() != ""
+	return !n.loaded || n.unreachable() && !already && len(n.helpers()) > 0
 }
 
 func (n *Node) poll(c Poll) {
@@ -216,7 +227,7 @@
 		return
 	}
 	v, err := json.Marshal(book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
-	if err != nil || n.tooLarge(v) {
+	if err != nil || n.jobTooLarge(v) {
 		n.refuse(c.Req, 400, "banchi: too long")
 		return
 	}
@@ -224,7 +235,7 @@
 	// With a peer that can help, an answer that does not come soon is not
 	// waited for: the peer may write the same job, and one of the two counts.
 	timeout := stateTimeout
-	if !c.Forwarded && n.helper() != "" {
+	if !c.Forwarded && len(n.helpers()) > 0 {
 		timeout = slowState
 	}
 	tx := api.Txn{If: []api.Condition{{Key: job}, {Key: final}}, Writes: []api.Write{{Put: job, Value: v}}}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -40,6 +40,7 @@
 	// PageBytes what was read page by page.
 	Requests, Writes, Largest, Pages, PageBytes int
 	refused                                     map[string]bool // these nodes are not served
+	Claims                                      int             // changes of a part's owner or term
 
 	// Limited makes it keep its limits on requests and writes; Over counts what it refused
 	// for them.
@@ -283,6 +284,9 @@
 			continue
 		}
 		s.w.Tenants.watch(w.Put, w.Value)
+		if strings.HasPrefix(w.Put, "b/part/") {
+			s.Claims++
+		}
 		s.change(api.Change{Put: w.Put, Value: w.Value, Version: s.rev}, w.Lease)
 	}
 	reply(answer, 200, api.TxnAnswer{Revision: s.rev})
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -97,6 +97,7 @@
 	Urgency   float64          // orders jobs of equal rank, between 0 and 1
 	Stage     Stage            // of a job that has not begun
 	Waited    float64          // for so many seconds, if it is not patient any more
+	Reserve   bool             // what it lacks of its team's limit is left to it as it comes free
 	Entitled  bool             // within its team's guarantee
 	Holds     bool             // what the job takes of pools for itself is held already
 	Within    float64          // seconds in which a start is hoped for, 0: no such aim
@@ -289,6 +290,9 @@
 		return nil
 	}
 	if !j.Demand.Times(len(j.Pending)).Fits(left[j.Spec.Team]) {
+		if j.Reserve {
+			left[j.Spec.Team] = api.Resources{}
+		}
 		return nil
 	}
 	// Machines with the image first, and those with least to spare: whole
@@ -347,6 +351,9 @@
 			return got
 		}
 	}
+	if j.Reserve { // it lacks machines now, and must not lack the limit when they are there
+		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(len(j.Pending)))
+	}
 	return nil
 }
 
@@ -386,6 +393,9 @@
 			continue
 		}
 		supply := min(len(j.Pending), j.Demand.Slots(left[j.Spec.Team]), most)
+		if supply == 0 && j.Reserve {
+			left[j.Spec.Team] = api.Resources{}
+		}
 		if j.Spec.OneZone && !occupied(j.Zones) {
 			supply = min(supply, 1) // the first start decides where the others may go
 		}
