Floors for classes and teams of which work has waited for two minutes, also while no zone is out

Floors were kept during the loss of a zone only.

Change: the floor of a class or team is kept while its oldest waiting work has waited for two minutes, three quarters of the time; what a class wants counts up to what it fits. Polls have their turns by the clock while a controller is behind.

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -12,12 +12,12 @@
 // metrics are what an operator may want to see of the past: counts since the
 // process began and how long things took, in microseconds.
 type metrics struct {
-	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent, Gathered, Shed uint64
-	StateRequests, StateWrites, StateFailures                                            uint64
-	CloudRequests, WorkerCalls, Reports                                                  uint64
-	FlowTasks, FlowMachines                                                              int // of the last round
-	spent                                                                                Spent
-	times                                                                                map[string]*hdrhistogram.Histogram
+	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent, Gathered, Turned, Shed uint64
+	StateRequests, StateWrites, StateFailures                                                    uint64
+	CloudRequests, WorkerCalls, Reports                                                          uint64
+	FlowTasks, FlowMachines                                                                      int // of the last round
+	spent                                                                                        Spent
+	times                                                                                        map[string]*hdrhistogram.Histogram
 }
 
 // Spent tells the owner, which has no clock, how long its last step took and, since
@@ -28,6 +28,7 @@
 	Work    [Works]time.Duration
 	Process time.Duration
 	Queue   int
+	Asked   int // of these, all but workers' reports
 }
 
 // Work is a kind of work, for accounts of the time that it takes.
@@ -112,6 +113,7 @@
 	Takeovers     uint64            `json:"takeovers"`
 	Preempted     uint64            `json:"preempted"`
 	Gathered      uint64            `json:"machines_kept"` // for jobs that must begin
+	Turned        uint64            `json:"polls_not_in_turn"`
 	Moves         uint64            `json:"moves"`
 	Lent          uint64            `json:"machines_lent"`
 	StateRequests uint64            `json:"state_requests"`
@@ -171,7 +173,7 @@
 func (n *Node) viewMetrics() MetricsView {
 	m := &n.metrics
 	v := MetricsView{UpSeconds: n.now.Sub(n.startedAt).Seconds(), Rounds: m.Rounds, Starts: m.Starts, Ends: m.Ends,
-		Completions: m.Completions, Takeovers: m.Takeovers, Preempted: m.Preempted, Gathered: m.Gathered, Moves: m.Moves, Lent: m.Lent,
+		Completions: m.Completions, Takeovers: m.Takeovers, Preempted: m.Preempted, Gathered: m.Gathered, Turned: m.Turned, Moves: m.Moves, Lent: m.Lent,
 		StateRequests: m.StateRequests, StateWrites: m.StateWrites, StateFailures: m.StateFailures,
 		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
 		CloudRequests: m.CloudRequests, CloudRPS: n.cfg.Deployment.Cloud.RPS, WorkerCalls: m.WorkerCalls, Reports: m.Reports,
--- a/control/user.go
+++ b/control/user.go
@@ -12,6 +12,7 @@
 	"basaltwall/book"
 	"basaltwall/config"
 	"basaltwall/sched"
+	"basaltwall/turns"
 )
 
 func (n *Node) ready(c Ready) {
@@ -128,6 +129,11 @@
 		n.reply(c.Req, 200, s, 0)
 		return
 	}
+	if now, until := turns.Whose(ref, n.wall, turns.Ways(n.metrics.spent.Asked, behindAt)); !now {
+		n.metrics.Turned++
+		n.reply(c.Req, 503, api.ErrorBody{Error: "overloaded: other jobs have their turn"}, int(until.Seconds())+1)
+		return
+	}
 	elsewhere := func() { n.forward(c.Req, Forward{Kind: "poll", Ref: c.Ref}, c.Forwarded) }
 	if n.pass(c.Forwarded) {
 		elsewhere()
--- a/control/zones.go
+++ b/control/zones.go
@@ -29,6 +29,7 @@
 	okAt    api.Time // when the state service answered us last
 	outAt   api.Time // when it had not answered us for a while
 	planAt  api.Time
+	floorAt api.Time
 	lost    map[api.JobRef]int // tasks on lost machines for which machines are rented
 	away    map[api.JobRef]int // all tasks on lost machines
 	waiting map[api.Zone]int   // tasks on lost machines past their leases
@@ -334,12 +335,19 @@
 		short = short || r.State == zone.Lost || r.State == zone.Returning
 	}
 	n.zones.lost, n.zones.away, n.zones.waiting = nil, nil, map[api.Zone]int{}
-	n.zones.dueOfClass, n.zones.dueOfTeam = nil, nil
-	if !short || n.deaf() {
+	if !short && n.now.Sub(n.zones.floorAt) < floorEvery {
+		return
+	}
+	n.zones.dueOfClass, n.zones.dueOfTeam, n.zones.floorAt = nil, nil, n.now
+	if !short {
+		n.countFloors(false)
+		return
+	}
+	if n.deaf() {
 		return
 	}
 	n.zones.lost, n.zones.away = n.countLost()
-	n.countFloors()
+	n.countFloors(true)
 	if !out {
 		return
 	}
@@ -349,25 +357,29 @@
 }
 
 // countFloors reckons by how much the work of each class and team may still give way to more
-// urgent work. Each owner lets its parts' share of that go.
-func (n *Node) countFloors() {
+// urgent work. Each owner lets its parts' share of that go. Where no zone is out a floor is kept
+// for those alone that have lacked it for as long as a job waits before its turn comes.
+func (n *Node) countFloors(short bool) {
 	room := 0.0
-	kinds := map[Kind]bool{}
+	kinds := map[Kind]int{}
 	n.eachRoom(func(_ api.PartID, k Kind, r Room) {
 		if typ := n.types[k.Type]; typ != nil && k.Usable {
 			room += typ.CPUs * float64(r.Count)
-			kinds[k] = true
+			kinds[k] += r.Count
 		}
 	})
-	// Work that fits nothing that is left, or is beyond its team's limit, has no claim on it.
-	fits := func(s *api.JobSpec) bool {
-		for k := range kinds {
-			if sched.Allowed(s, k.Type, k.Zone, k.Spot) && s.Demand().Fits(n.types[k.Type].Capacity()) {
-				return true
+	// Work that fits nothing that is left, or is beyond its team's limit, has no claim on it;
+	// nor has any to more than all that it fits.
+	fits := func(s *api.JobSpec) float64 {
+		slots := 0
+		for k, count := range kinds {
+			if sched.Allowed(s, k.Type, k.Zone, k.Spot) {
+				slots += count * s.Demand().Slots(n.types[k.Type].Capacity())
 			}
 		}
-		return false
+		return float64(slots) * s.CPUs
 	}
+	most := map[api.Class]float64{}
 	left, use := map[api.Team]api.Resources{}, n.totalUsage()
 	for name, team := range n.teams {
 		left[name] = limitOf(team).Minus(use[name])
@@ -381,7 +393,9 @@
 		lost := n.zones.away[ref]
 		running := max(0, len(j.Places)-j.OverN-lost)
 		waits := 0
-		if !n.held(j) && fits(j.Spec) {
+		all := fits(j.Spec)
+		most[j.Spec.Class] = max(most[j.Spec.Class], all)
+		if !n.held(j) && all > 0 && (short || j.Note.hold <= n.now && len(j.Spec.Needs) == 0) {
 			// What is on lost machines is in the team's use already.
 			fresh := min(max(0, j.Spec.Tasks-j.DoneN-running-lost), j.Demand.Slots(left[j.Spec.Team]))
 			left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(fresh))
@@ -390,8 +404,13 @@
 		cpus := j.Demand.CPU.Float()
 		has, wants := cpus*float64(running), cpus*float64(running+waits)
 		c, t := classes[j.Spec.Class], teams[j.Spec.Team]
-		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants}
-		teams[j.Spec.Team] = zone.Held{Has: t.Has + has, Wants: t.Wants + wants}
+		patient := !short && !(waits > 0 && zone.Starved(time.Duration(n.wall-j.Accepted)*time.Millisecond))
+		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants, Patient: patient && (c.Patient || c.Wants == 0)}
+		teams[j.Spec.Team] = zone.Held{Has: t.Has + has, Wants: t.Wants + wants, Patient: patient && (t.Patient || t.Wants == 0)}
+	}
+	for class, h := range classes {
+		h.Wants = min(h.Wants, max(h.Has, most[class]))
+		classes[class] = h
 	}
 	n.zones.dueOfClass, n.zones.dueOfTeam = zone.Floors(classes, room, n.ourShare()), zone.Floors(teams, room, n.ourShare())
 }
@@ -406,7 +425,9 @@
 		return true
 	}
 	cpus := p.Job.Demand.CPU.Float()
-	return n.zones.dueOfClass[p.Job.Spec.Class].Spare >= cpus && n.zones.dueOfTeam[p.Job.Spec.Team].Spare >= cpus
+	class, known := n.zones.dueOfClass[p.Job.Spec.Class]
+	team, ofTeam := n.zones.dueOfTeam[p.Job.Spec.Team]
+	return (!known || class.Spare >= cpus) && (!ofTeam || team.Spare >= cpus) // or it is new since the last count
 }
 
 // mayTake is how many more of a job's tasks may start: while a zone is lost, no class and no
@@ -436,8 +457,11 @@
 	}
 }
 
-// planEvery is how often the plan is made anew.
-const planEvery = 500 * time.Millisecond
+// planEvery is how often the plan is made anew, floorEvery how often floors are while no zone is out.
+const (
+	planEvery  = 500 * time.Millisecond
+	floorEvery = 2 * time.Second
+)
 
 // silence is for how long a lost zone has been silent, in seconds.
 func (n *Node) silence(name api.Zone) float64 {
--- a/node/node.go
+++ b/node/node.go
@@ -107,7 +107,8 @@
 		batch = drain(batch, n.queue, cap(batch)*3/4)
 		batch = drain(batch, n.reports, cap(batch)-1)
 		batch = drain(batch, n.queue, cap(batch)-1)
-		spent.Queue = len(n.queue) + len(n.reports)
+		spent.Asked = len(n.queue)
+		spent.Queue = spent.Asked + len(n.reports)
 		batch = append(batch, spent)
 		now := time.Now()
 		m.at = now
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -1,6 +1,7 @@
 package zone
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -324,6 +325,9 @@
 		}
 		for k, d := range Floors(held, room, 1) {
 			h := held[k]
+			if math.Abs(d.Lacks-max(0, Floor*min(room, wanted)*max(h.Has, h.Wants)/max(wanted, 1e-12)-h.Has)) > 1e-6 {
+				t.Fatalf("%+v lacks %v", h, d.Lacks)
+			}
 			floor := Floor * min(room, wanted) * h.Wants / max(wanted, 1e-12)
 			if d.Spare < 0 || d.Spare > h.Has || h.Has-d.Spare < min(h.Has, floor)-1e-6 {
 				t.Fatalf("%+v may give %v, its floor is %v", h, d.Spare, floor)
@@ -347,3 +351,17 @@
 		}
 	})
 }
+
+// Outside a zone's loss a floor is kept for who has waited for long; others take what they find
+// until then, and some of the time after it.
+func TestFloorsForWhoStarves(t *testing.T) {
+	see := func(waited time.Duration) Due {
+		held := map[string]Held{"low": {Has: 5, Wants: 100, Patient: !Starved(waited)}, "high": {Has: 95, Wants: 100}}
+		return Floors(held, 100, 1)["high"]
+	}
+	for waited, kept := range map[time.Duration]bool{0: false, Patience - 1: false, Patience: true, 3*Patience/2 + 1: true, 15 * Patience / 8: false, 2 * Patience: true} {
+		if d := see(waited); math.IsInf(d.May, 1) == kept {
+			t.Errorf("after %v the others may take %v", waited, d.May)
+		}
+	}
+}
