--- a/admin/admin.go
+++ b/admin/admin.go
@@ -57,6 +57,8 @@
 		ask.What, ask.ID = "job", parts[1]
 	case len(parts) == 3 && parts[0] == "machines" && parts[1] != "" && (parts[2] == "drain" || parts[2] == "undrain"):
 		ask.What, ask.ID, want = parts[2], parts[1], "POST"
+	case parts[0] == "skips":
+		return skipsCommand(ask, parts, r)
 	case OfHosted(r.Path):
 		if parts[0] == "audit" {
 			var ok bool
@@ -119,6 +121,7 @@
 
 	Operators operatorsCmd `cmd:"" help:"Show and change who operates a hosted service, and from where."`
 	Pool      poolCmd      `cmd:"" help:"Show, make, resize, freeze and remove pools of counted resources."`
+	Skips     skipsCmd     `cmd:"" help:"Show, offer, promise, release, deliver and return skips."`
 	Team      teamCmd      `cmd:"" help:"Make, change and remove teams of a hosted service, beside the platform's."`
 }
 
@@ -176,6 +179,8 @@
 		return c.pool(rest)
 	case "team":
 		return c.team(rest)
+	case "skips":
+		return c.skips(rest)
 	}
 	switch chosen {
 	case "audit":
@@ -198,6 +203,16 @@
 	return show(answer)
 }
 
+// quietly asks for a change and shows no answer.
+func (c *Cmd) quietly(method, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	_, err = ask(c.Addr, c.KeyFile, method, Prefix+path, data)
+	return err
+}
+
 // send asks for a change with a body in JSON.
 func (c *Cmd) send(method, path string, body any) error {
 	data, err := json.Marshal(body)
--- a/control/ask.go
+++ b/control/ask.go
@@ -107,7 +107,7 @@
 		n.refuse(c.Req, 503, "starting")
 		return
 	}
-	if n.hosted != nil {
+	if n.hosted != nil && !c.Forwarded {
 		n.asOperator(c, n.askHosted)
 		return
 	}
@@ -162,6 +162,8 @@
 			return
 		}
 		n.reply(c.Req, 200, n.viewJob(j, n.rooms()), 0)
+	case "skips", "skips-do":
+		n.askSkips(c)
 	case "settings":
 		n.reply(c.Req, 200, n.settingsNow(), 0)
 	case "set":
--- a/control/messages.go
+++ b/control/messages.go
@@ -65,6 +65,8 @@
 		Caller Caller
 		Random *[tenant.RandomBytes]byte // for a new key
 
+		Forwarded bool // by a peer, which has looked at the key
+
 		by tenant.KeyID // the operators' key that came with it
 	}
 	// Hear is another controller's news.
@@ -137,6 +139,7 @@
 	ChangesAsk struct {
 		Since api.Revision
 		Wait  time.Duration
+		Under string // or under another prefix
 	}
 	// PageAsk asks for keys under root, or under another prefix where one is named.
 	PageAsk struct {
--- a/control/node.go
+++ b/control/node.go
@@ -48,6 +48,7 @@
 	wantedAt  api.Time // when a current read was last wanted
 	waiters   []syncWaiter
 	finals    lookups
+	ledger    ledger
 	currentAt api.Time            // the changes were last read, 0 if not yet
 	stateOK   bool                // its last answer was one
 	asked     map[CallID]api.Time // calls to it that should be answered at once
@@ -356,6 +357,7 @@
 	}
 	n.follow()
 	n.lookUp()
+	n.tendLedger()
 	n.takeParts()
 	n.begin(WorkFleet)
 	n.runFleet()
--- a/control/operators.go
+++ b/control/operators.go
@@ -117,7 +117,7 @@
 // What operators may ask without changing anything: of the record, and of what the
 // controller that answers knows.
 var (
-	ofTheRecord  = []string{"tenants", "tenant", "usage", "operators", "pools", "pool", "audit"}
+	ofTheRecord  = []string{"tenants", "tenant", "usage", "operators", "pools", "pool", "audit", "skips"}
 	ofController = []string{"metrics", "members", "parts", "machines", "teams", "jobs", "job", "settings"}
 )
 
--- a/control/user.go
+++ b/control/user.go
@@ -268,7 +268,11 @@
 // maySubmit takes one of the writes that submissions may use, of which every living
 // controller has as many.
 func (n *Node) maySubmit() bool {
-	rate := submitShare * n.cfg.Deployment.State.WriteRPS / float64(max(1, len(n.book.Members)))
+	share := submitShare
+	if n.ledger.writeAt != 0 && n.now.Sub(n.ledger.writeAt) < ledgerActive {
+		share -= ledgerShare
+	}
+	rate := share * n.cfg.Deployment.State.WriteRPS / float64(max(1, len(n.book.Members)))
 	n.allowance = min(max(1, rate), n.allowance+rate*n.now.Sub(n.allowedAt).Seconds())
 	n.allowedAt = n.now
 	if n.allowance < 1 {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -49,6 +49,10 @@
 //	use FROM TO NAME SHARE              so much of it is held on average then, at least
 //	suspend AT NAME DRAIN, resume AT NAME, remove AT NAME [cancel]
 //	gone AT NAME                        no task of a tenant is on a machine then
+//	skips AT DEPOT KIND N               a depot gets so many skips
+//	office FROM TO DEPOT KIND EVERY DAYS  enquiries, so many seconds apart, for some of so many days
+//	granted MIN MAX                     offers and promises that were told in all
+//	skip AT DEPOT out|in SKIP           a skip goes out of service, or into it again
 //	rate NAME RATE BURST                over no time more of its jobs are accepted
 //	finally NAME STATE                  a tenant's state at the end
 //	floor SHARE                         every class, every team and each class's largest jobs are
@@ -143,6 +147,8 @@
 	rates   []rated
 	held    map[api.PoolName]int // the most that should have been held of pools
 	uses    []used
+	depots  map[string]bool // that offices ask of
+	granted [2]int
 
 	problems []string
 }
@@ -202,7 +208,7 @@
 			}
 		}
 	}
-	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, floor: usualFloor, begin: usualBegin, most: map[string]float64{}, held: map[api.PoolName]int{}}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, depots: map[string]bool{}, granted: [2]int{0, 1 << 30}, floor: usualFloor, begin: usualBegin, most: map[string]float64{}, held: map[api.PoolName]int{}}
 	for _, l := range lines {
 		if l[0] == "tenant" {
 			r.w.Host()
@@ -241,8 +247,15 @@
 	if ready != nil {
 		ready(r.w)
 	}
+	for _, depot := range slices.Sorted(maps.Keys(r.depots)) {
+		r.w.After(r.end-10*time.Second, func() { r.w.Offices.Look(depot) })
+	}
 	r.w.StartAll()
 	r.w.Run(r.end)
+	r.w.Offices.Log()
+	if n := r.w.Offices.Granted; n < r.granted[0] || n > r.granted[1] {
+		r.problems = append(r.problems, fmt.Sprintf("%d offers and promises were told, expected %d to %d", n, r.granted[0], r.granted[1]))
+	}
 	res := Result{Problems: append(r.problems, r.w.Check.Broken...), World: r.w}
 	seconds := r.end.Seconds()
 	counts := map[string]float64{"state-rps": float64(r.w.State.Requests) / seconds, "state-writes": float64(r.w.State.Writes) / seconds,
@@ -398,7 +411,7 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "limits": "", "polls": "ddn", "begin": "d",
+	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "skips": "dssn", "office": "ddssdn", "granted": "nn", "skip": "dsss", "limits": "", "polls": "ddn", "begin": "d",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
@@ -456,6 +469,17 @@
 		for i, c := range r.cfgs {
 			w.After(ds[0]+time.Duration(i)*ds[1], func() { w.Crash(string(c.Label), ds[2]) })
 		}
+	case "skips":
+		w.After(ds[0], func() { w.Offices.Import(ss[0], ss[1], int(ns[0])) })
+	case "office":
+		for at := ds[0]; at < ds[1]; at += ds[2] {
+			w.After(at, func() { w.Offices.Enquire(ss[0], ss[1], int(ns[0])) })
+		}
+		r.depots[ss[0]] = true
+	case "skip":
+		w.After(ds[0], func() { w.Offices.Service(ss[0], ss[1], ss[2]) })
+	case "granted":
+		r.granted = [2]int{int(ns[0]), int(ns[1])}
 	case "limits":
 		w.State.Limited = true
 	case "polls":
--- a/internal/scenario/zones_test.go
+++ b/internal/scenario/zones_test.go
@@ -73,11 +73,14 @@
 	return b.String()
 }
 
-// TestDrawnZoneLosses plays some drawn losses; BASALTWALL_RUNS=N plays so many by hand, from
+// TestDrawnZoneLosses plays some drawn losses; see runs.
+func TestDrawnZoneLosses(t *testing.T) { runs(t, zoneScript) }
+
+// runs plays twelve scripts that are drawn; BASALTWALL_RUNS=N plays so many by hand, from
 // BASALTWALL_FROM on.
-func TestDrawnZoneLosses(t *testing.T) {
-	runs, from := 12, 0
-	for name, to := range map[string]*int{"BASALTWALL_RUNS": &runs, "BASALTWALL_FROM": &from} {
+func runs(t *testing.T, draw func(seed uint64) string) {
+	count, from := 12, 0
+	for name, to := range map[string]*int{"BASALTWALL_RUNS": &count, "BASALTWALL_FROM": &from} {
 		if v := os.Getenv(name); v != "" {
 			n, err := strconv.Atoi(v)
 			if err != nil {
@@ -86,10 +89,10 @@
 			*to = n
 		}
 	}
-	for seed := from; seed < from+runs; seed++ {
+	for seed := from; seed < from+count; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			script := zoneScript(uint64(seed))
+			script := draw(uint64(seed))
 			play(t, []byte(script))
 			if t.Failed() {
 				t.Log(script)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -82,6 +82,7 @@
 	workers map[api.MachineID]*Worker
 	byAddr  map[string]*Worker
 	Users   *Users
+	Offices *Offices
 	Tenants *Tenants // nil unless the service is hosted
 
 	// LoseAnswers makes that share of the state service's answers get lost
@@ -132,6 +133,7 @@
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
 	w.Users = newUsers(w)
+	w.Offices = newOffices(w)
 	for _, c := range cfgs {
 		w.cfgs[string(c.Label)] = c
 		w.names = append(w.names, string(c.Label))
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"encoding/json"
 	"fmt"
 
 	"basaltwall/control"
@@ -66,6 +67,13 @@
 			return control.Cancel{Req: req, Ref: f.Ref, Forwarded: true}
 		case "checkin":
 			return report(f.Body)
+		case control.ForwardSkips:
+			var c control.Ask
+			if json.Unmarshal(f.Body, &c) != nil {
+				return nil
+			}
+			c.Req, c.Forwarded = req, true
+			return c
 		case control.ForwardHosted:
 			return control.Unwrap(f.Body, req)
 		}
--- a/state/state.go
+++ b/state/state.go
@@ -32,6 +32,9 @@
 	case c.Changes != nil:
 		q := url.Values{"under": {root}, "since": {strconv.FormatUint(uint64(c.Changes.Since), 10)},
 			"wait_ms": {strconv.FormatInt(c.Changes.Wait.Milliseconds(), 10)}}
+		if c.Changes.Under != "" {
+			q.Set("under", c.Changes.Under)
+		}
 		return "GET", api.PathChanges + "?" + query(q), nil, nil
 	case c.Page != nil:
 		q := url.Values{"under": {root}, "limit": {"500"}}
