--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -87,3 +88,82 @@
 		}
 	}
 }
+
+// A job of which no question is answered for long after the last trouble is forgotten; one whose
+// user has cancelled it, or that nobody asks about, is not.
+func TestCheckerFindsUnknownJobs(t *testing.T) {
+	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
+	see := func(quiet, asked bool) int {
+		c := NewChecker(&config.Config{})
+		c.Submitted(0, &api.JobSpec{Ref: "run-1", Tasks: 1}, 0)
+		c.Told(at(1), "run-1", 201, api.JobPending, "")
+		c.Trouble(at(50))
+		for s := 2; s < 200; s++ {
+			if asked && s%5 == 0 {
+				c.Asked(at(s), "run-1")
+				if !quiet && s%60 == 0 {
+					c.Told(at(s), "run-1", 200, api.JobPending, api.JobPending)
+				}
+			}
+			c.Look(at(s))
+		}
+		return len(c.Broken)
+	}
+	if see(true, true) != 1 || see(false, true) != 0 || see(true, false) != 0 {
+		t.Errorf("%d for one that is not answered, %d for one that is, %d for one that nobody asks about", see(true, true), see(false, true), see(true, false))
+	}
+}
+
+// The rule promised is broken on purpose: two told of one skip, a name told two numbers, a
+// promise that is in no record and one that the log holds beside another.
+func TestCheckerFindsPromisesMadeTwice(t *testing.T) {
+	tell := func(o *Offices, name, state string, number uint64, until int64) *grant {
+		return o.told(name, 200, skipAnswer{Depot: "d", Skip: "s", Number: number, State: state, Site: name, From: date(5), To: date(8), Until: until})
+	}
+	cases := map[string]struct {
+		do   func(*World)
+		want int
+	}{
+		"two promises": {func(w *World) { tell(w.Offices, "a", "promised", 1, 0); tell(w.Offices, "b", "promised", 2, 0) }, 1},
+		"one that was released": {func(w *World) {
+			tell(w.Offices, "a", "promised", 1, 0).ended = true
+			tell(w.Offices, "b", "promised", 2, 0)
+		}, 0},
+		"an offer beside a promise": {func(w *World) {
+			tell(w.Offices, "a", "promised", 1, 0)
+			tell(w.Offices, "b", "offered", 2, int64(w.Wall())+9000)
+		}, 1},
+		"after an offer's time": {func(w *World) {
+			tell(w.Offices, "a", "offered", 1, int64(w.Wall())-1)
+			tell(w.Offices, "b", "promised", 2, 0)
+		}, 0},
+		"a name told two numbers": {func(w *World) { tell(w.Offices, "a", "promised", 1, 0); tell(w.Offices, "a", "promised", 2, 0) }, 1},
+		"in no record":            {func(w *World) { tell(w.Offices, "a", "promised", 1, 0); w.Offices.Log() }, 1},
+		"two in the log": {func(w *World) {
+			for i, name := range []string{"a", "b"} {
+				w.State.change(api.Change{Put: fmt.Sprintf("s/r/0/%d", i+1), Version: api.Revision(i + 1),
+					Value: fmt.Appendf(nil, `{"q":%d,"ops":[{"o":"promise","d":"d","i":"s","w":%q,"s":"x","f":5,"t":8}]}`, i+1, name)}, 0)
+			}
+			w.Offices.Log()
+		}, 1},
+		"released in the log": {func(w *World) {
+			for i, op := range []string{`{"o":"promise","d":"d","i":"s","f":5,"t":8}`, `{"o":"release","d":"d","i":"s","n":257}`, `{"o":"promise","d":"d","i":"s","f":5,"t":8}`} {
+				w.State.change(api.Change{Put: fmt.Sprintf("s/r/0/%d", i+1), Version: api.Revision(i + 1), Value: fmt.Appendf(nil, `{"q":%d,"ops":[%s]}`, i+1, op)}, 0)
+			}
+			w.Offices.Log()
+		}, 0},
+	}
+	cfg, err := config.Parse([]byte(`{"label":"n","api_addr":"10.0.0.1:1","peer_listen":"10.0.0.1:2",
+"external":{"cloud":"10.0.0.2:1","state":"10.0.0.3:1"},"deployment":{"initial_size":1,"zones":["a"],
+"teams":[{"name":"red"}],"workers":{"report_s":3,"lease_s":30,"cancel_s":60},
+"state":{"rps":100,"write_rps":50,"value_kb":8,"txn_ops":12},"cloud":{"rps":10}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for what, tc := range cases {
+		w := NewWorld(1, []*config.Config{cfg})
+		if tc.do(w); len(w.Check.Broken) != tc.want {
+			t.Errorf("%s: found %q", what, w.Check.Broken)
+		}
+	}
+}
--- a/node/openapi_test.go
+++ b/node/openapi_test.go
@@ -66,7 +66,7 @@
 	d := readDocument(t)
 	n := &Node{cfg: &config.Config{Hosted: &config.Hosted{}}}
 	for template, item := range d.doc.Paths.Map() {
-		path := strings.NewReplacer("{ref}", "run-1", "{name}", "kipper", "{key}", "first", "{team}", "dispo").Replace(template)
+		path := strings.NewReplacer("{ref}", "run-1", "{name}", "kipper", "{key}", "first", "{team}", "dispo", "{depot}", "hof-nord").Replace(template)
 		for _, method := range []string{"GET", "PUT", "POST", "DELETE", "PATCH"} {
 			c, status := n.route(1, httpx.Request{Method: method, Path: path, Body: []byte("{}")})
 			if named := item.GetOperation(method) != nil; named != (c != nil) {
