--- a/control/history.go
+++ b/control/history.go
@@ -152,6 +152,12 @@
 	} else {
 		h.sweep = 0
 	}
+	n.sweepUnder(t, under, keep, func() { h.sweeping = false })
+}
+
+// sweepUnder deletes some of the keys under a prefix that have been kept for long enough; a time
+// follows the prefix.
+func (n *Node) sweepUnder(t *turf, under string, keep time.Duration, done func()) {
 	limit := stamp(n.wall - api.Wall(keep.Milliseconds()))
 	n.state(StateCall{Page: &PageAsk{Under: under, Limit: n.cfg.Deployment.State.TxnOps}}, func(a StateAnswer) {
 		tx := api.Txn{If: []api.Condition{t.mine()}}
@@ -163,9 +169,9 @@
 			}
 		}
 		if len(tx.Writes) == 0 {
-			h.sweeping = false
+			done()
 			return
 		}
-		n.txn(tx, func(StateAnswer) { h.sweeping = false })
+		n.txn(tx, func(StateAnswer) { done() })
 	})
 }
--- a/control/ledger.go
+++ b/control/ledger.go
@@ -28,24 +28,28 @@
 	// ledgerReadEvery keeps a ledger that nobody asks for within what the log reaches back.
 	ledgerReadEvery = 20 * time.Second
 	ledgerTidyEvery = 5 * time.Second
+
+	ledgerSweepEvery = 10 * time.Minute
 )
 
 // ledger is what a controller has of the skips; nothing before somebody asks for one.
 type ledger struct {
-	book    *skips.Ledger // nil: not read
-	wanted  bool
-	pairs   []api.Pair // while it is being read
-	reading func()     // goes on with that; nil: from the beginning
-	busy    bool       // a read is under way
-	next    api.Time   // no read before
-	readAt  api.Time
-	tidyAt  api.Time
-	writeAt api.Time
-	left    float64 // writes
-	leftAt  api.Time
-	asking  []*skips.Ask // until it is read
-	lists   []syncWaiter // that wait for a current read
-	behind  []bool       // by shard: its record's condition failed, and the log has to be read
+	book     *skips.Ledger // nil: not read
+	wanted   bool
+	pairs    []api.Pair // while it is being read
+	reading  func()     // goes on with that; nil: from the beginning
+	busy     bool       // a read is under way
+	next     api.Time   // no read before
+	readAt   api.Time
+	tidyAt   api.Time
+	writeAt  api.Time
+	left     float64 // writes
+	leftAt   api.Time
+	asking   []*skips.Ask // until it is read
+	lists    []syncWaiter // that wait for a current read
+	behind   []bool       // by shard: its record's condition failed, and the log has to be read
+	sweptAt  api.Time
+	sweeping bool
 }
 
 // Skips asks, as the administration API has them.
@@ -265,6 +269,9 @@
 func (n *Node) answerSkips(req ReqID, r *skips.Request, res skips.Result) {
 	switch res.Why {
 	case "":
+		if r.Do != skips.Offer && r.Do != skips.Add {
+			slog.Info("skip", "what", r.Do, "depot", r.Depot, "skip", res.Skip, "number", res.Item.Num, "state", res.Item.Stage, "site", res.Item.Site)
+		}
 		a := SkipAnswer{Depot: r.Depot, Skip: res.Skip}
 		if res.Item.Num != 0 {
 			v := viewItem(&res.Item)
@@ -289,6 +296,38 @@
 // today is the day by our clock; only counts that say that they are about rest on it.
 func (n *Node) today() skips.Day { return skips.Day(n.wall / 86_400_000) }
 
+// SkipMetrics is what a controller knows of the skips that it has read.
+type SkipMetrics struct {
+	Kinds     []skips.Counts       `json:"kinds"` // of all depots together, today
+	Refused   map[skips.Why]uint64 `json:"refused"`
+	Records   uint64               `json:"records_written"`
+	Conflicts uint64               `json:"conflicts"`
+	Oldest    float64              `json:"oldest_offer_s"`
+}
+
+func (n *Node) viewSkips() *SkipMetrics {
+	book := n.ledger.book
+	if book == nil {
+		return nil
+	}
+	v := &SkipMetrics{Refused: book.Refused, Records: book.Records, Conflicts: book.Conflicts, Kinds: []skips.Counts{}}
+	of := map[skips.Kind]skips.Counts{}
+	for i := range n.book.Parts {
+		s := book.Shard(i)
+		for _, c := range s.Count(n.today(), n.today()+1) {
+			o := of[c.Kind]
+			of[c.Kind] = skips.Counts{Kind: c.Kind, Skips: o.Skips + c.Skips, Free: o.Free + c.Free, Offered: o.Offered + c.Offered, Promised: o.Promised + c.Promised, Out: o.Out + c.Out}
+		}
+		if since := s.OldestOffer(); since != 0 {
+			v.Oldest = max(v.Oldest, tenths(float64(n.wall-since)/1000))
+		}
+	}
+	for _, k := range slices.Sorted(maps.Keys(of)) {
+		v.Kinds = append(v.Kinds, of[k])
+	}
+	return v
+}
+
 // countSkips counts skips by what was last read.
 func (n *Node) countSkips(c Ask) {
 	if n.ledger.book == nil {
@@ -329,6 +368,7 @@
 		return
 	}
 	l.giveUp(n)
+	n.sweepSkips()
 	if l.busy || n.now < l.next {
 		return
 	}
@@ -498,6 +538,17 @@
 	n.sendLedger(l.book, shard, *tx)
 }
 
+// sweepSkips deletes what has been kept in the archive for long enough, the oldest first. The
+// owner of part 0 does.
+func (n *Node) sweepSkips() {
+	l, t := &n.ledger, n.turfs[0]
+	if t == nil || l.sweeping || n.now.Sub(l.sweptAt) < ledgerSweepEvery || n.behind() {
+		return
+	}
+	l.sweptAt, l.sweeping = n.now, true
+	n.sweepUnder(t, skips.Archive, skips.KeepOld, func() { l.sweeping = false })
+}
+
 // sendLedger sends a record until its outcome is known.
 func (n *Node) sendLedger(book *skips.Ledger, shard int, tx api.Txn) {
 	n.txn(tx, func(a StateAnswer) {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -143,6 +143,9 @@
 	// Zones that are not whole.
 	Zones map[api.Zone]ZoneView `json:"zones,omitempty"`
 
+	// Skips, once somebody asked this controller for one.
+	Skips *SkipMetrics `json:"skips,omitempty"`
+
 	// Of a hosted service: pools, the first 200 by name, and how often this controller
 	// moved shares of any.
 	Pools     map[api.PoolName]PoolMetrics `json:"pools,omitempty"`
@@ -206,6 +209,7 @@
 		v.Zones[name] = ZoneView{State: string(s), Silent: n.silence(name), Machines: sight.All, Mute: sight.Silent,
 			Inside: n.zones.records[name].Inside, Tasks: n.zones.waiting[name]}
 	}
+	v.Skips = n.viewSkips()
 	if h := n.hosted; h != nil && h.pools.table.Len() > 0 {
 		v.Pools, v.PoolMoves = map[api.PoolName]PoolMetrics{}, h.pools.moves
 		names := h.pools.table.Names()
--- a/internal/standin/skips.go
+++ b/internal/standin/skips.go
@@ -20,9 +20,15 @@
 	count   int
 	Granted int
 	Refused int
-	Unknown int // requests that were not answered at once
+	Unknown int           // requests that were not answered at once
+	Slowest time.Duration // of answers
+	took    time.Duration
+	Answers int
 }
 
+// Mean is how long an answer took.
+func (o *Offices) Mean() time.Duration { return o.took / time.Duration(max(1, o.Answers)) }
+
 // grant is an offer or promise as its asker was told.
 type grant struct {
 	depot, skip, name, site string
@@ -61,6 +67,7 @@
 func (o *Offices) askAt(node, depot, do string, body map[string]any, how func(status int, a skipAnswer)) {
 	data, err := json.Marshal(body)
 	o.w.must(err)
+	asked := o.w.Now
 	o.w.request(node, 5*time.Second, func(answer func(int, []byte)) {
 		h := o.w.nodes[node]
 		if h == nil || h.node == nil {
@@ -79,6 +86,8 @@
 			o.w.After(time.Second, func() { o.ask(depot, do, body, how) })
 			return
 		}
+		took := o.w.Now - asked
+		o.took, o.Answers, o.Slowest = o.took+took, o.Answers+1, max(o.Slowest, took)
 		how(status, a)
 	})
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -314,3 +314,14 @@
 	}
 	reply(answer, 200, out)
 }
+
+// Bytes is how much lies under a prefix.
+func (s *State) Bytes(under string) int {
+	sum := 0
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, under) {
+			sum += len(k) + len(e.value)
+		}
+	}
+	return sum
+}
--- a/skips/ledger.go
+++ b/skips/ledger.go
@@ -20,6 +20,13 @@
 	keyBlock = Root + "b/" // SHARD/BLOCK
 )
 
+// Archive is where what is forgotten is kept, by the time of that in milliseconds: nobody follows
+// it. KeepOld is for how long.
+const (
+	Archive = "skipold/" // TIME/SHARD-RECORD
+	KeepOld = 5 * 366 * 24 * time.Hour
+)
+
 func roundKey(shard int, seq uint64) string { return fmt.Sprintf("%s%d/%d", keyRound, shard, seq%Ring) }
 
 func blockKey(shard int, no No) string { return fmt.Sprintf("%s%d/%d", keyBlock, shard, no) }
@@ -235,6 +242,12 @@
 	for _, b := range d.Blocks {
 		w.txn.Writes = append(w.txn.Writes, api.Write{Put: blockKey(shard, b.No), Value: b.Data})
 	}
+	if len(d.Old) > 0 {
+		data, err := json.Marshal(d.Old)
+		if err == nil {
+			w.txn.Writes = append(w.txn.Writes, api.Write{Put: fmt.Sprintf("%s%013d/%d-%d", Archive, now, shard, d.Record.Seq), Value: data})
+		}
+	}
 	lane.writing = w
 	return &w.txn
 }
--- a/skips/shard.go
+++ b/skips/shard.go
@@ -281,11 +281,19 @@
 type Draft struct {
 	Record Record
 	Blocks []Write
+	Old    []Old    // what it forgets, to be kept elsewhere
 	From   []int    // by request: its first change in the record, -1: none
 	Done   []Result // by request: what it is answered where it needs no change
 	Taken  int      // so many requests are in it; the others wait for the next
 }
 
+// Old is an offer or promise that is over for long, as the archive has it.
+type Old struct {
+	Depot Depot  `json:"d"`
+	Skip  SkipID `json:"i"`
+	Item
+}
+
 // Limits bound a record.
 type Limits struct {
 	Bytes int // of a value
@@ -338,10 +346,18 @@
 	if room := (l.Bytes - bytes) / 120; room > 0 && len(d.Record.Ops) < maxOps/2 {
 		ops := f.tidy(now, errs, min(room, 16))
 		d.Record.Ops = append(d.Record.Ops, ops...)
+		for _, op := range ops {
+			if op.Do == Forget {
+				d.Old = append(d.Old, Old{op.Depot, op.Skip, *f.Get(op.Depot, op.Skip).item(op.Num)})
+			}
+		}
 	}
 	if len(d.Record.Ops) == 0 {
 		return d
 	}
+	if len(d.Old) > 0 {
+		l.Puts--
+	}
 	// Once more as it will be folded, to see which blocks it moves skips between.
 	f = s.fork()
 	f.Fold(&d.Record)
@@ -350,7 +366,7 @@
 			used[no] = true
 		}
 	}
-	if len(used) > l.Puts-2 { // fewer requests, then
+	if len(used) > l.Puts-1 { // fewer requests, then
 		k := 0
 		for i, from := range d.From {
 			if from >= 0 {
--- a/skips/skips.go
+++ b/skips/skips.go
@@ -58,7 +58,8 @@
 	Site  Site     `json:"s,omitempty"`
 	From  Day      `json:"f"`
 	To    Day      `json:"t"`
-	Until api.Wall `json:"u,omitempty"` // of an offer: when it may be ended
+	Made  api.Wall `json:"m,omitempty"` // of an offer: when it was made
+	Until api.Wall `json:"u,omitempty"` // and when it may be ended
 	Stage Stage    `json:"g"`
 	Over  api.Wall `json:"e,omitempty"` // when it was over, by the clock of who wrote that
 }
@@ -206,7 +207,7 @@
 			case x.Stage != Offered:
 				return refuse(OverAlready)
 			}
-			x.Stage, x.Site, x.Taken, x.Until = Promised, op.Site, op.Name, 0
+			x.Stage, x.Site, x.Taken, x.Until, x.Made = Promised, op.Site, op.Name, 0, 0
 			s.name(sk, op.Name, x.Num)
 			return Result{Skip: sk.ID, Item: *x}
 		}
@@ -215,7 +216,7 @@
 		}
 		item := Item{Num: num, Name: op.Name, Site: op.Site, From: op.From, To: op.To, Until: op.Until, Stage: Promised}
 		if op.Do == Offer {
-			item.Stage = Offered
+			item.Stage, item.Made = Offered, op.At
 		}
 		sk.Items = append(sk.Items, item)
 		s.name(sk, op.Name, num)
@@ -250,7 +251,7 @@
 		return refuse(OutOfService)
 	}
 	if x.Stage = to; !x.Holds() {
-		x.Over, x.Until = op.At, 0
+		x.Over, x.Until, x.Made = op.At, 0, 0
 	}
 	return Result{Skip: sk.ID, Item: *x}
 }
@@ -400,6 +401,21 @@
 	return out
 }
 
+// OldestOffer is when the oldest offer was made that still holds its skip, 0 if none does.
+func (s *Shard) OldestOffer() api.Wall {
+	oldest := api.Wall(0)
+	for _, b := range s.blocks {
+		for _, sk := range b.Skips {
+			for i := range sk.Items {
+				if x := &sk.Items[i]; x.Stage == Offered && (oldest == 0 || x.Made < oldest) {
+					oldest = x.Made
+				}
+			}
+		}
+	}
+	return oldest
+}
+
 // Counts are what is there of a kind at a depot, for the days from one up to another.
 type Counts struct {
 	Depot    Depot `json:"depot"`
