Precedence: rules of what goes first when there is too little, one order used by all

Need: listing updates before photo work and sorting whenever capacity shrinks or a controller drops out, though photo work calls itself high.

Change: package precedence makes of the operators' table, the conditions that hold and the work there is one level for each kind of work. Rounds, gangs' first fit, edge costs, rentals, pools, a lost zone's plan, what makes way and what moves between parts order by it. Whether room is short is one durable record with hysteresis, written under part 0's term. What a rule puts before other work does not make way for it; a rule never lets work stop what the protocol forbids.

Found on the way: urgent work kept machines on which nothing made way, so raised work never got them; waiting work stood in one part while what comes after it started in another.

--- a/control/ask.go
+++ b/control/ask.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/precedence"
 )
 
 // Settings are what operators decide, beyond the platform's file. They live in
@@ -18,6 +19,8 @@
 	Drained  []api.MachineID `json:"drained"`     // no new tasks on these
 	IdleHold float64         `json:"idle_hold_s"` // how long idle machines are kept; 0: as long as a boot
 	NoRent   bool            `json:"no_rent"`     // rent nothing
+	// Which work goes before which when there is too little.
+	Precedence precedence.Table `json:"precedence,omitempty"`
 }
 
 // SettingsAt are settings with the revision that a change must name.
@@ -44,6 +47,9 @@
 	if len(s.Drained) > 200 {
 		return s, errors.New("drained: more than 200 machines")
 	}
+	if err := s.Precedence.Check(); err != nil {
+		return s, err
+	}
 	for _, id := range s.Drained {
 		if id == "" || len(id) > 30 {
 			return s, errors.New("drained: not a machine's name")
@@ -195,7 +201,7 @@
 	req := c.Req
 	v, err := json.Marshal(s.Settings)
 	if err != nil || n.tooLarge(v) {
-		n.refuse(req, 400, "drained: too many")
+		n.refuse(req, 400, "drained, precedence: more than a record holds")
 		return
 	}
 	tx := api.Txn{If: []api.Condition{{Key: keySettings, Version: s.Revision}}, Writes: []api.Write{{Put: keySettings, Value: v}}}
--- a/control/due.go
+++ b/control/due.go
@@ -48,8 +48,8 @@
 }
 
 // turnOf is a job's stage in a round, and for how many seconds it has waited. What must begin
-// goes before others with no more than half of the work that a part starts: where more of it
-// waits than that no order keeps the bound, and what has begun must end too.
+// goes before others with no more than a quarter of the work that a part starts: where more of
+// it waits than that no order keeps the bound, and what has begun must end too.
 func (n *Node) turnOf(t *turf, j *Job) (sched.Stage, float64) {
 	d, _ := n.waited(j, t.part)
 	stage := n.stageOf(j, t.part)
@@ -62,6 +62,8 @@
 	return stage, d.Seconds()
 }
 
+const dueShare = 0.25
+
 // lasting is for how long a task of a service is reckoned to run, in seconds.
 const lasting = 600
 
@@ -74,7 +76,7 @@
 	}
 	work := due.Share(j.Demand, n.largest) * max(1, seconds)
 	if stage != sched.Patient {
-		work = -work
+		work *= -(1/dueShare - 1)
 	}
 	most := 4 * due.Within.Seconds()
 	t.credit = max(-most, min(most, t.credit+work))
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -344,7 +344,7 @@
 		}
 	}
 	jobs := slices.SortedFunc(slices.Values(open), func(a, b *Job) int {
-		return cmp.Or(first(n.stageOf(b, anyPart) == sched.First)-first(n.stageOf(a, anyPart) == sched.First), b.Spec.Priority.Rank()-a.Spec.Priority.Rank(),
+		return cmp.Or(first(n.stageOf(b, anyPart) == sched.First)-first(n.stageOf(a, anyPart) == sched.First), sched.Descending(n.level(a.Spec), n.level(b.Spec)),
 			cmp.Compare(n.stageOf(b, anyPart), n.stageOf(a, anyPart)), cmp.Compare(a.Ref, b.Ref))
 	})
 	need := map[offer]int{}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -16,7 +16,7 @@
 // news describes one of our parts to the others: machines that are alike are
 // counted, since there may be very many.
 func (n *Node) news(t *turf) PartNews {
-	pn := PartNews{Part: t.part, Want: t.want, Due: t.wantDue, Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
+	pn := PartNews{Part: t.part, Want: t.want, Due: t.wantDue, Short: slices.Sorted(maps.Keys(t.short)), Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
 		Accelerated: n.countAccelerated(t.part), Zones: n.silentOf(t)}
 	kinds := map[Kind]int{}
 	rooms := map[Room]int{}
@@ -296,7 +296,7 @@
 	}
 	t.moveAt = n.now.Add(gossipEvery)
 	looks := maxMoveLooks
-	for _, ref := range t.turn(slices.Sorted(maps.Keys(n.book.Open))) {
+	for _, ref := range n.byLevel(t.turn(slices.Sorted(maps.Keys(n.book.Open)))) {
 		j := n.book.Open[ref]
 		if j.Note.hold > n.now || n.held(j) || n.now.Sub(j.Note.moved) < 3*gossipEvery && j.Note.moved != 0 {
 			continue
@@ -322,7 +322,7 @@
 			if api.PartID(q) == t.part {
 				continue
 			}
-			if r := room[q] - n.waitingIn(api.PartID(q), j.Demand); r > most {
+			if r := room[q] - n.waitingIn(api.PartID(q), j.Spec); r > most {
 				best, most = api.PartID(q), r
 			}
 		}
@@ -351,6 +351,9 @@
 				most = j.Spec.Tasks
 			}
 		}
+		if most == 0 && !j.Spec.Whole() {
+			best, most = n.evenOut(t, j, waiting)
+		}
 		if most == 0 && stuck {
 			// It must begin, and nothing that it may use comes free here by itself: the next
 			// part that has such machines may be better off.
@@ -391,6 +394,30 @@
 	}
 }
 
+// evenOut finds a part in which less waits that goes before a job's tasks, by what the parts'
+// machines hold, and how many to move there: where rules say what goes first, work that comes
+// after it would start there while it waits here.
+func (n *Node) evenOut(t *turf, j *Job, waiting int) (to api.PartID, most int) {
+	if len(n.settings.Precedence) == 0 {
+		return 0, 0
+	}
+	capacity := n.capacityByPart(j.Spec)
+	own, of := n.waitingIn(t.part, j.Spec), float64(capacity[t.part])
+	for q, c := range capacity {
+		if api.PartID(q) == t.part || c == 0 {
+			continue
+		}
+		there := n.waitingIn(api.PartID(q), j.Spec)
+		if move := (float64(own)*float64(c) - float64(there)*of) / (of + float64(c)); int(move) > most && move > evenEnough*float64(own) {
+			to, most = api.PartID(q), min(waiting, int(move))
+		}
+	}
+	return to, most
+}
+
+// evenEnough is the share of what waits that is worth a write to move.
+const evenEnough = 0.25
+
 // wanderEvery is how long a job that must begin stays in a part that has no room to hope for.
 const wanderEvery = 15 * time.Second
 
--- a/control/hosted_test.go
+++ b/control/hosted_test.go
@@ -114,7 +114,7 @@
 		if got := len(n.plan(turf).starts) > 0; got != starts || n.held(j) == starts {
 			t.Errorf("%q: starts %v, held %v", state, got, n.held(j))
 		}
-		if waiting := n.waitingIn(0, j.Demand); (waiting > 0) != starts {
+		if waiting := n.waitingIn(0, j.Spec); (waiting > 0) != starts {
 			t.Errorf("%q: %d tasks count as waiting", state, waiting)
 		}
 	}
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -129,6 +129,9 @@
 		return v
 	}
 	v.LateBy = tenths(n.lateness(j))
+	if rule := n.whyAfter(j.Spec); rule != "" && j.Waits() {
+		v.Why = append(v.Why, fmt.Sprintf("rule %q puts other work before it", rule))
+	}
 	for _, p := range v.Parts {
 		if w := j.Waiting(p); w > 0 {
 			v.Why = append(v.Why, fmt.Sprintf("part %d: %d tasks wait: %s", p, w, n.whyWaiting(j, p, rooms)))
--- a/control/node.go
+++ b/control/node.go
@@ -16,6 +16,7 @@
 	"basaltwall/book"
 	"basaltwall/config"
 	"basaltwall/member"
+	"basaltwall/precedence"
 	"basaltwall/zone"
 )
 
@@ -49,6 +50,7 @@
 	waiters   []syncWaiter
 	finals    lookups
 	ledger    ledger
+	ordering  ordering
 	currentAt api.Time            // the changes were last read, 0 if not yet
 	stateOK   bool                // its last answer was one
 	asked     map[CallID]api.Time // calls to it that should be answered at once
@@ -133,9 +135,9 @@
 // newBook is an empty book; the kinds of records that stand for themselves are
 // registered here.
 func (n *Node) newBook() *theBook {
-	n.settings, n.known = Settings{}, api.MachineTypes{}
+	n.settings, n.known, n.ordering.short = Settings{}, api.MachineTypes{}, precedence.Shortage{}
 	n.zones.records = map[api.Zone]zone.Record{}
-	kinds := append([]book.Kind{book.One(keySettings, &n.settings), book.One(keyTypes, &n.known), n.zoneKind()}, n.hostedKinds()...)
+	kinds := append([]book.Kind{book.One(keySettings, &n.settings), book.One(keyTypes, &n.known), book.One(keyShort, &n.ordering.short), n.zoneKind()}, n.hostedKinds()...)
 	return book.New[jobNote, placeNote](n.cfg.Deployment.Size, kinds...)
 }
 
@@ -370,6 +372,7 @@
 	}
 	n.begin(WorkMachines)
 	n.watchZones()
+	n.watchShort()
 	n.tendMachines()
 	n.giveUp()
 	n.deleteDoomed()
--- a/control/part.go
+++ b/control/part.go
@@ -47,6 +47,7 @@
 	coming   map[api.MachineID]api.Resources // what the round in flight starts, by machine
 	dueAt    api.Time                        // jobs that must begin were looked at
 	credit   float64                         // what they may still take before others, see turnOf
+	short    map[api.TypeName]bool           // types on which the last round found no room for what waits
 	wantDue  map[api.Team]api.Resources      // of want, what those lack
 	reserved map[api.PartID]map[api.Team]api.Resources
 }
@@ -85,6 +86,7 @@
 	for _, m := range n.machinesOf(p) {
 		m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 	}
+	n.kickFirst(t)
 	n.metrics.Takeovers++
 	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.OnPart[p]))
 }
@@ -440,6 +442,7 @@
 
 // schedule runs a round over the part's pending tasks.
 func (n *Node) schedule(t *turf, w *writing, most int) []*Place {
+	t.short = nil
 	t.want, t.wantDue, t.lack, t.waiting = map[api.Team]api.Resources{}, map[api.Team]api.Resources{}, nil, 0
 	var jobs []*Job
 	var least api.Resources
@@ -505,7 +508,7 @@
 		if !known && (j.Spec.OneZone || j.Spec.Spread) {
 			continue // where its other tasks are is not known yet
 		}
-		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus), Stage: stage, Waited: waited, Reserve: stage == sched.First && n.limitAllows(j, len(pending)),
+		sj := sched.Job{Spec: j.Spec, Demand: j.Demand, Pending: pending, Zones: zones, Urgency: n.urgency(j, cpus), Raised: n.raised(j.Spec), Stage: stage, Waited: waited, Reserve: stage == sched.First && n.limitAllows(j, len(pending)),
 			Entitled: n.entitled(j, total), Holds: j.Live() > 0, Within: n.startAim(j.Spec.Class), AvoidedBy: j.Note.failedOn, Fresh: n.freshFor(j, coming),
 			Prompt: n.prompt(j.Spec), Plain: n.plain(j.Spec), SpotRisk: n.spotRisk(j)}
 		if len(j.Note.failedOn)*2 > usable {
@@ -780,6 +783,7 @@
 		if in.Jobs[i].InUnits(in.Units, missing) == 0 {
 			continue // a machine would not help
 		}
+		t.noteShort(n, j.Spec)
 		if placed[i] == 0 && j.Spec.Whole() && len(t.lack) < maxLack {
 			t.lack = append(t.lack, Lack{Spec: j.Spec, Zones: in.Jobs[i].Zones, Zone: n.zoneFor(j.Spec), Stage: in.Jobs[i].Stage})
 		}
--- a/control/pools.go
+++ b/control/pools.go
@@ -106,7 +106,7 @@
 	}
 	slices.SortFunc(out, func(a, b asker) int {
 		return cmp.Or(first(n.stageOf(b.job, b.part) == sched.First)-first(n.stageOf(a.job, a.part) == sched.First),
-			b.job.Spec.Priority.Rank()-a.job.Spec.Priority.Rank(), first(b.entitled)-first(a.entitled),
+			sched.Descending(n.level(a.job.Spec), n.level(b.job.Spec)), first(b.entitled)-first(a.entitled),
 			cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.job.Ref, b.job.Ref), int(a.part-b.part))
 	})
 	return out
@@ -313,7 +313,7 @@
 	}
 	gang := func(h holding) int { return first(h.job.Spec.Kind == api.Gang) }
 	slices.SortFunc(all, func(a, b holding) int {
-		return cmp.Or(a.job.Spec.Priority.Rank()-b.job.Spec.Priority.Rank(), gang(a)-gang(b), cmp.Compare(b.job.Accepted, a.job.Accepted),
+		return cmp.Or(sched.Descending(n.level(b.job.Spec), n.level(a.job.Spec)), gang(a)-gang(b), cmp.Compare(b.job.Accepted, a.job.Accepted),
 			cmp.Compare(b.job.Ref, a.job.Ref), b.places[0].Task.Index-a.places[0].Task.Index)
 	})
 	return all
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -56,7 +56,7 @@
 // wayOn finds how up to most of a job's tasks could come to fit on a machine. With
 // sparing nothing makes way whose job would be late for it.
 func (n *Node) wayOn(m *Machine, t *turf, s *api.JobSpec, most int, sparing bool) way {
-	rank, demand := s.Priority.Rank(), s.Demand()
+	rank, level, demand := s.Priority.Rank(), n.level(s), s.Demand() // what a rule puts before it does not make way
 	coming := n.freeOn(m, t)
 	var lower []*Place
 	for _, p := range n.book.On(m.ID) {
@@ -65,13 +65,15 @@
 		}
 		if p.Note.stop || p.Job.Final() {
 			coming = coming.Plus(p.Job.Demand)
-		} else if p.Job.Spec.Priority.Rank() < rank && p.Part == t.part && p.Job.Spec.Kind != api.Gang &&
+		} else if p.Job.Spec.Priority.Rank() < rank && p.Part == t.part && p.Job.Spec.Kind != api.Gang && n.level(p.Job.Spec) < level &&
 			n.mayYield(p) && !(sparing && n.lateBy(p) > 0) {
 			lower = append(lower, p)
 		}
 	}
 	w := way{m: m, tasks: min(most, demand.Slots(coming))}
-	slices.SortStableFunc(lower, func(a, b *Place) int { return cmp.Compare(n.harm(a), n.harm(b)) })
+	slices.SortStableFunc(lower, func(a, b *Place) int {
+		return cmp.Or(cmp.Compare(n.raised(a.Job.Spec), n.raised(b.Job.Spec)), cmp.Compare(n.harm(a), n.harm(b)))
+	})
 	loss := 0.0
 	for k, p := range lower {
 		if w.tasks == most {
@@ -131,8 +133,8 @@
 			continue
 		}
 		w := n.wayOn(m, t, j.Spec, each, quick > 0)
-		if w.tasks == 0 {
-			continue
+		if w.tasks == 0 || !gang && len(w.victims) == 0 && len(n.settings.Precedence) > 0 {
+			continue // what comes free by itself is for who goes first by the rules
 		}
 		if within > 0 {
 			// A fetch that takes the time in which the task should start weighs
--- a/control/user.go
+++ b/control/user.go
@@ -286,10 +286,9 @@
 func (n *Node) split(s *api.JobSpec) []book.Range {
 	parts := len(n.book.Parts)
 	weight := make([]float64, parts)
-	demand := s.Demand()
 	room := n.roomByPart(s)
 	for i := range weight {
-		weight[i] = float64(room[i]) - float64(n.waitingIn(api.PartID(i), demand))
+		weight[i] = float64(room[i]) - float64(n.waitingIn(api.PartID(i), s))
 	}
 	best := 0
 	holds := map[api.PartID]bool{}
@@ -368,11 +367,13 @@
 	return typ != nil && typ.GPUs > 0
 }
 
-// waitingIn counts tasks of a part that wait, in units of a demand.
-func (n *Node) waitingIn(p api.PartID, demand api.Resources) int {
-	count := 0
+// waitingIn counts tasks of a part that wait, in units of a job's demand, and that rules do not
+// put after it.
+func (n *Node) waitingIn(p api.PartID, s *api.JobSpec) int {
+	count, demand := 0, s.Demand()
+	rules, level := len(n.settings.Precedence) > 0, n.level(s)
 	for _, j := range n.book.Open {
-		if demand.GPU > 0 && j.Demand.GPU == 0 || n.held(j) {
+		if demand.GPU > 0 && j.Demand.GPU == 0 || n.held(j) || rules && n.level(j.Spec) < level {
 			continue
 		}
 		if w := j.Waiting(p); w > 0 {
--- a/control/zones.go
+++ b/control/zones.go
@@ -404,8 +404,9 @@
 		cpus := j.Demand.CPU.Float()
 		has, wants := cpus*float64(running), cpus*float64(running+waits)
 		c, t := classes[j.Spec.Class], teams[j.Spec.Team]
-		patient := !short && !(waits > 0 && zone.Starved(time.Duration(n.wall-j.Accepted)*time.Millisecond))
-		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants, Patient: patient && (c.Patient || c.Wants == 0)}
+		share := n.floorOf(j.Spec)
+		patient := !short && share == 0 && !(waits > 0 && zone.Starved(time.Duration(n.wall-j.Accepted)*time.Millisecond))
+		classes[j.Spec.Class] = zone.Held{Has: c.Has + has, Wants: c.Wants + wants, Patient: patient && (c.Patient || c.Wants == 0), Share: max(c.Share, share)}
 		teams[j.Spec.Team] = zone.Held{Has: t.Has + has, Wants: t.Wants + wants, Patient: patient && (t.Patient || t.Wants == 0)}
 	}
 	for class, h := range classes {
@@ -500,7 +501,7 @@
 	total := n.totalUsage()
 	task := func(j *Job, i int, running api.Time) zone.Task {
 		out := zone.Task{ID: api.TaskID{Job: j.Ref, Index: i}, Spec: j.Spec, Demand: j.Demand, Entitled: n.entitled(j, total),
-			Alive: len(j.Places) - j.OverN - away[j.Ref], Slack: n.slack(j)}
+			Alive: len(j.Places) - j.OverN - away[j.Ref], Slack: n.slack(j), Raised: n.raised(j.Spec)}
 		if running != 0 && j.Spec.Kind != api.Service {
 			out.Ran = n.now.Sub(running).Seconds()
 			if j.Spec.Checkpoint > 0 {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -49,6 +49,9 @@
 //	use FROM TO NAME SHARE              so much of it is held on average then, at least
 //	suspend AT NAME DRAIN, resume AT NAME, remove AT NAME [cancel]
 //	gone AT NAME                        no task of a tenant is on a machine then
+//	rules AT FILE                       an operator replaces the rules by a file of the archive
+//	served CLASS SHARE                  a class is served to that share, whatever floor says
+//	quick CLASS SECONDS SHARE           so many of its arrays and gangs are done within so long
 //	skips AT DEPOT KIND N               a depot gets so many skips
 //	office FROM TO DEPOT KIND EVERY DAYS  enquiries, so many seconds apart, for some of so many days
 //	granted MIN MAX                     offers and promises that were told in all
@@ -149,10 +152,19 @@
 	uses    []used
 	depots  map[string]bool // that offices ask of
 	granted [2]int
+	files   map[string][]byte
+	served  map[api.Class]float64
+	quick   []quick
 
 	problems []string
 }
 
+type quick struct {
+	class  api.Class
+	within time.Duration
+	share  float64
+}
+
 type used struct {
 	name string
 	min  float64
@@ -176,7 +188,9 @@
 // run plays a scenario; before it begins, ready is told of its world, if set.
 func run(data []byte, ready func(*standin.World)) (Result, error) {
 	var lines [][]string
+	files := map[string][]byte{}
 	for _, f := range txtar.Parse(data).Files {
+		files[f.Name] = f.Data
 		if f.Name != "script" {
 			continue
 		}
@@ -208,7 +222,7 @@
 			}
 		}
 	}
-	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, depots: map[string]bool{}, granted: [2]int{0, 1 << 30}, floor: usualFloor, begin: usualBegin, most: map[string]float64{}, held: map[api.PoolName]int{}}
+	r := &runner{w: standin.NewWorld(1, cfgs), cfgs: cfgs, max: 1 << 30, delMax: 1 << 30, files: files, served: map[api.Class]float64{}, depots: map[string]bool{}, granted: [2]int{0, 1 << 30}, floor: usualFloor, begin: usualBegin, most: map[string]float64{}, held: map[api.PoolName]int{}}
 	for _, l := range lines {
 		if l[0] == "tenant" {
 			r.w.Host()
@@ -337,6 +351,14 @@
 	classes, teams := r.w.Check.Served(r.w.Now)
 	for _, c := range slices.Sorted(maps.Keys(classes)) {
 		note("class", string(c), classes[c])
+		if want, ok := r.served[c]; ok && classes[c].Share() < want {
+			out = append(out, fmt.Sprintf("class %s was served to %.3f, expected %.3f at least", c, classes[c].Share(), want))
+		}
+	}
+	for _, q := range r.quick {
+		if got := r.w.Users.Within(q.class, q.within); got < q.share {
+			out = append(out, fmt.Sprintf("of class %s %.3f was done within %v, expected %.3f at least", q.class, got, q.within, q.share))
+		}
 	}
 	for _, t := range slices.Sorted(maps.Keys(teams)) {
 		note("team", string(t), teams[t])
@@ -411,7 +433,7 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "skips": "dssn", "office": "ddssdn", "granted": "nn", "skip": "dsss", "limits": "", "polls": "ddn", "begin": "d",
+	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "skips": "dssn", "office": "ddssdn", "granted": "nn", "rules": "ds", "served": "sn", "quick": "snn", "skip": "dsss", "limits": "", "polls": "ddn", "begin": "d",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
@@ -469,6 +491,16 @@
 		for i, c := range r.cfgs {
 			w.After(ds[0]+time.Duration(i)*ds[1], func() { w.Crash(string(c.Label), ds[2]) })
 		}
+	case "rules":
+		text, ok := r.files[ss[0]]
+		if !ok {
+			return fmt.Errorf("no file %s", ss[0])
+		}
+		w.After(ds[0], func() { w.SetRules(text) })
+	case "served":
+		r.served[api.Class(ss[0])] = ns[0]
+	case "quick":
+		r.quick = append(r.quick, quick{api.Class(ss[0]), api.Seconds(ns[0]), ns[1]})
 	case "skips":
 		w.After(ds[0], func() { w.Offices.Import(ss[0], ss[1], int(ns[0])) })
 	case "office":
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"basaltwall/api"
@@ -201,3 +202,51 @@
 	w.Users.specs[id], w.Users.runs[id] = v.Spec, api.Seconds(v.Spec.Estimate)
 	return v.Spec
 }
+
+// Within is the share of a class's arrays and gangs that were done within a time of their first
+// submission, of those that came long enough ago.
+func (u *Users) Within(class api.Class, within time.Duration) float64 {
+	done, all := 0, 0
+	for ref, j := range u.w.Check.served.jobs {
+		if j.spec.Class != class || j.spec.Kind == api.Service || j.ended != 0 || j.at+within > u.w.Now {
+			continue
+		}
+		all++
+		if at, ok := u.DoneAt[ref]; ok && at <= j.at+within {
+			done++
+		}
+	}
+	return float64(done) / float64(max(1, all))
+}
+
+// SetRules replaces the operators' rules, again and again until it is answered with 200: each
+// time by what the settings are then, so that of two operators both get theirs, one by one.
+func (w *World) SetRules(rules []byte) {
+	node := w.Users.anyNode()
+	ask := func(what string, body []byte, answer func(int, []byte)) {
+		w.request(node, 5*time.Second, func(answer func(int, []byte)) {
+			if h := w.nodes[node]; h != nil && h.node != nil {
+				w.ask(h, func(req control.ReqID) control.Command { return control.Ask{Req: req, What: what, Body: body} }, answer)
+			}
+		}, answer)
+	}
+	again := func() { w.After(time.Second, func() { w.SetRules(rules) }) }
+	ask("settings", nil, func(status int, b []byte) {
+		var now map[string]json.RawMessage
+		if status != 200 || json.Unmarshal(b, &now) != nil {
+			again()
+			return
+		}
+		now["precedence"] = rules
+		body, err := json.Marshal(now)
+		w.must(err)
+		ask("set", body, func(status int, b []byte) {
+			if status == 400 {
+				w.must(fmt.Errorf("rules: %s", b))
+			}
+			if status != 200 {
+				again()
+			}
+		})
+	})
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -95,6 +95,7 @@
 	Pending   []int            // task numbers that wait
 	Zones     map[api.Zone]int // where its other tasks are
 	Urgency   float64          // orders jobs of equal rank, between 0 and 1
+	Raised    float64          // by so many priorities rules put it above its own, or below
 	Stage     Stage            // of a job that has not begun
 	Waited    float64          // for so many seconds, if it is not patient any more
 	Reserve   bool             // what it lacks of its team's limit is left to it as it comes free
@@ -173,7 +174,7 @@
 	dp := share(j.Demand.CPU, in.Largest.CPU)*share(free.CPU, in.Largest.CPU) +
 		share(j.Demand.GPU, in.Largest.GPU)*share(free.GPU, in.Largest.GPU) +
 		share(j.Demand.Mem, in.Largest.Mem)*share(free.Mem, in.Largest.Mem)
-	gain := dp + baseBonus + rankBonus*float64(j.Spec.Priority.Rank()) + urgencyBonus*j.Urgency
+	gain := dp + baseBonus + rankBonus*j.level() + urgencyBonus*j.Urgency
 	if j.Entitled {
 		gain += entitledBonus
 	}
@@ -263,9 +264,15 @@
 	return append(plan, flowRound(in, order, free, left, units, in.Most-len(plan))...)
 }
 
+// level is the job's place in the order: its priority, or what rules make of it.
+func (j *Job) level() float64 { return float64(j.Spec.Priority.Rank()) + j.Raised }
+
+// Descending compares so that the larger comes first.
+func Descending(a, b float64) int { return cmp.Compare(b, a) }
+
 // before orders jobs for gangs' first fit and for a team's share.
 func before(a, b *Job) int {
-	if first := cmp.Or(boolOrder(a.Stage == First, b.Stage == First), b.Spec.Priority.Rank()-a.Spec.Priority.Rank(),
+	if first := cmp.Or(boolOrder(a.Stage == First, b.Stage == First), Descending(a.level(), b.level()),
 		cmp.Compare(b.Stage, a.Stage), cmp.Compare(b.Waited, a.Waited)); first != 0 {
 		return first
 	}
--- a/zone/floor.go
+++ b/zone/floor.go
@@ -13,6 +13,7 @@
 type Held struct {
 	Has, Wants float64
 	Patient    bool
+	Share      float64 // of its fair part that is its floor; 0: as usual
 }
 
 // Floor is the share of its fair part of the room that is left for a class or team while a
@@ -41,7 +42,11 @@
 		if wanted <= 0 {
 			return 0
 		}
-		return Floor * min(room, wanted) * max(h.Has, h.Wants) / wanted
+		share := Floor
+		if h.Share > 0 {
+			share = h.Share
+		}
+		return share * min(room, wanted) * max(h.Has, h.Wants) / wanted
 	}
 	lack := func(h Held) float64 {
 		if h.Patient {
--- a/zone/plan.go
+++ b/zone/plan.go
@@ -16,6 +16,7 @@
 	Demand   api.Resources
 	Entitled bool    // within its team's guarantee
 	Alive    int     // of the job's tasks elsewhere
+	Raised   float64 // by so many priorities rules put it above its own, or below
 	Slack    float64 // seconds until its job can't be in time any more, see Forever
 	Ran      float64 // seconds of work that are lost if it is ended while it may still run
 }
@@ -104,7 +105,7 @@
 		return t.Alive * 1000 / t.Spec.Tasks
 	}
 	return cmp.Or(
-		cmp.Compare(b.Spec.Priority.Rank(), a.Spec.Priority.Rank()),
+		sched.Descending(float64(a.Spec.Priority.Rank())+a.Raised, float64(b.Spec.Priority.Rank())+b.Raised),
 		cmp.Compare(first(a.Entitled), first(b.Entitled)),
 		cmp.Compare(left(a), left(b)),
 		cmp.Compare(a.Slack, b.Slack),
