--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -70,7 +70,7 @@
 //	up AT SHARE                         of the replicas that are due so many are up then, at least
 //	sofar AT WHAT MIN MAX               the same by then: deleted, rented (machines), calls (to the cloud) or starts
 //	most WHAT N                         state-rps, state-writes, cloud-rps (a second, on
-//	                                    average), value (bytes), direct-calls a start, claims (parts taken or given), rentals
+//	                                    average), value (bytes), direct-calls a start, claims (parts taken or given), shorts (writes of what is short), rentals
 //	                                    (calls) or rented (machines), at most
 package scenario
 
@@ -275,6 +275,7 @@
 	counts := map[string]float64{"state-rps": float64(r.w.State.Requests) / seconds, "state-writes": float64(r.w.State.Writes) / seconds,
 		"cloud-rps": float64(r.w.Cloud.Calls) / seconds, "value": float64(r.w.State.Largest),
 		"direct-calls": float64(r.w.Direct) / float64(max(1, r.w.Check.Starts)),
+		"shorts":       float64(r.w.State.Shorts),
 		"claims":       float64(r.w.State.Claims),
 		"rentals":      float64(r.w.Cloud.Rentals), "rented": float64(r.w.Cloud.Rented)}
 	for what, most := range r.most {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -41,6 +41,7 @@
 	Requests, Writes, Largest, Pages, PageBytes int
 	refused                                     map[string]bool // these nodes are not served
 	Claims                                      int             // changes of a part's owner or term
+	Shorts                                      int             // writes of whether room is short
 
 	// Limited makes it keep its limits on requests and writes; Over counts what it refused
 	// for them.
@@ -287,6 +288,9 @@
 		if strings.HasPrefix(w.Put, "b/part/") {
 			s.Claims++
 		}
+		if w.Put == "b/short" {
+			s.Shorts++
+		}
 		s.change(api.Change{Put: w.Put, Value: w.Value, Version: s.rev}, w.Lease)
 	}
 	reply(answer, 200, api.TxnAnswer{Revision: s.rev})
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -256,12 +256,36 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return before(&in.Jobs[a], &in.Jobs[b]) })
-	for _, ji := range order {
-		if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan)+len(j.Pending) <= in.Most {
-			plan = append(plan, gang(in, ji, free, left, units)...)
+	for _, group := range in.groups(order) {
+		for _, ji := range group {
+			if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan)+len(j.Pending) <= in.Most {
+				plan = append(plan, gang(in, ji, free, left, units)...)
+			}
+		}
+		placed := flowRound(in, group, free, left, units, in.Most-len(plan))
+		for _, p := range placed {
+			free[p.Machine] = free[p.Machine].Minus(in.Jobs[p.Job].Demand)
+		}
+		plan = append(plan, placed...)
+	}
+	return plan
+}
+
+// groups are the jobs that are placed together: all, gangs before the flow, but where rules say
+// what goes first those of one level after those of another, or a gang would take the room of
+// what goes before it.
+func (in *Input) groups(order []int) [][]int {
+	if !slices.ContainsFunc(in.Jobs, func(j Job) bool { return j.Raised != 0 }) {
+		return [][]int{order}
+	}
+	var out [][]int
+	for i, ji := range order {
+		if j := &in.Jobs[ji]; i == 0 || j.level() != in.Jobs[order[i-1]].level() {
+			out = append(out, nil)
 		}
+		out[len(out)-1] = append(out[len(out)-1], ji)
 	}
-	return append(plan, flowRound(in, order, free, left, units, in.Most-len(plan))...)
+	return out
 }
 
 // level is the job's place in the order: its priority, or what rules make of it.
