--- a/control/preempt.go
+++ b/control/preempt.go
@@ -58,6 +58,7 @@
 func (n *Node) wayOn(m *Machine, t *turf, s *api.JobSpec, most int, sparing bool) way {
 	rank, level, demand := s.Priority.Rank(), n.level(s), s.Demand() // what a rule puts before it does not make way
 	coming := n.freeOn(m, t)
+	needed := n.accelerated(m.typ) && !n.plain(s) // its accelerators, which other work could leave
 	var lower []*Place
 	for _, p := range n.book.On(m.ID) {
 		if p.Over {
@@ -65,7 +66,7 @@
 		}
 		if p.Note.stop || p.Job.Final() {
 			coming = coming.Plus(p.Job.Demand)
-		} else if p.Job.Spec.Priority.Rank() < rank && p.Part == t.part && p.Job.Spec.Kind != api.Gang && n.level(p.Job.Spec) < level &&
+		} else if p.Job.Spec.Priority.Rank() < rank && p.Part == t.part && p.Job.Spec.Kind != api.Gang && (n.level(p.Job.Spec) < level || needed && n.plain(p.Job.Spec)) &&
 			n.mayYield(p) && !(sparing && n.lateBy(p) > 0) {
 			lower = append(lower, p)
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -256,7 +256,11 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return before(&in.Jobs[a], &in.Jobs[b]) })
-	for _, group := range in.groups(order) {
+	groups := in.groups(order)
+	if len(groups) > 1 {
+		in = in.closed()
+	}
+	for _, group := range groups {
 		for _, ji := range group {
 			if j := &in.Jobs[ji]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan)+len(j.Pending) <= in.Most {
 				plan = append(plan, gang(in, ji, free, left, units)...)
@@ -271,6 +275,20 @@
 	return plan
 }
 
+// closed is the input with the machines closed whose accelerators work waits for: what rules put
+// before that, and could go elsewhere, would take their room else.
+func (in *Input) closed() *Input {
+	out := *in
+	out.Machines = slices.Clone(in.Machines)
+	for i := range out.Machines {
+		m := &out.Machines[i]
+		m.Closed = m.Closed || m.GPU && slices.ContainsFunc(in.Jobs, func(j Job) bool {
+			return len(j.Pending) > 0 && !j.Plain && j.Demand.GPU > 0 && Allowed(j.Spec, m.Type, m.Zone, m.Spot)
+		})
+	}
+	return &out
+}
+
 // groups are the jobs that are placed together: all, gangs before the flow, but where rules say
 // what goes first those of one level after those of another, or a gang would take the room of
 // what goes before it.
