--- a/sched/sched.go
+++ b/sched/sched.go
@@ -275,15 +275,15 @@
 	return plan
 }
 
-// closed is the input with the machines closed whose accelerators work waits for: what rules put
-// before that, and could go elsewhere, would take their room else.
+// closed is the input with the machines closed that have accelerators free for which work waits:
+// what rules put before that, and could go elsewhere, would take their room else.
 func (in *Input) closed() *Input {
 	out := *in
 	out.Machines = slices.Clone(in.Machines)
 	for i := range out.Machines {
 		m := &out.Machines[i]
 		m.Closed = m.Closed || m.GPU && slices.ContainsFunc(in.Jobs, func(j Job) bool {
-			return len(j.Pending) > 0 && !j.Plain && j.Demand.GPU > 0 && Allowed(j.Spec, m.Type, m.Zone, m.Spot)
+			return len(j.Pending) > 0 && !j.Plain && j.Demand.GPU > 0 && j.Demand.GPU <= m.Free.GPU && Allowed(j.Spec, m.Type, m.Zone, m.Spot)
 		})
 	}
 	return &out
