Accelerators in pieces: measured, placements that make fewest, machines kept sooner, services moved

Need: large models starve where small ones take what comes free a piece at a time.

Change: package pack measures what is free and of no use to usual demands (as published for fragmentation gradient descent); the edge cost grows with what a placement makes of it, beside the dot product.

--- a/control/due.go
+++ b/control/due.go
@@ -11,6 +11,7 @@
 	"basaltwall/api"
 	"basaltwall/config"
 	"basaltwall/due"
+	"basaltwall/pack"
 	"basaltwall/sched"
 )
 
@@ -44,9 +45,59 @@
 	if !ok {
 		return sched.Patient
 	}
+	if n.inPieces(j.Spec) {
+		d = max(d, min(d*piecesFactor, due.Within*3/4-1)) // its room never comes by itself
+	}
 	return due.StageOf(d)
 }
 
+// piecesFactor is how many times sooner machines are kept for what small work leaves no whole
+// machine for.
+const piecesFactor = 4
+
+// inPieces reports whether a job's tasks fill most of a type's accelerators while smaller work
+// wants some of them too.
+func (n *Node) inPieces(s *api.JobSpec) bool {
+	typ := n.bestType(s)
+	return s.GPUs > 0 && typ != nil && 2*s.GPUs > typ.GPUs && pack.InPieces(s.Demand(), n.typical())
+}
+
+// typical is what work that needs accelerators asks for, looked at once a second.
+func (n *Node) typical() []pack.Demand {
+	p := &n.pieces
+	if p.at != 0 && n.now.Sub(p.at) < useEvery {
+		return p.typical
+	}
+	asked := map[api.Resources]int{}
+	for _, j := range n.book.Jobs {
+		if j.Demand.GPU > 0 && !j.Final() {
+			asked[j.Demand] += j.Spec.Tasks - j.DoneN
+		}
+	}
+	p.at, p.typical = n.now, pack.Typical(asked)
+	return p.typical
+}
+
+// pieces is what is known of what leaves accelerators in pieces.
+type pieces struct {
+	at      api.Time
+	typical []pack.Demand
+}
+
+// lostInPieces is how many accelerators of our parts are free and of no use to what is usual, by
+// type.
+func (n *Node) lostInPieces() map[api.TypeName]float64 {
+	out := map[api.TypeName]float64{}
+	for p, t := range n.turfs {
+		for _, m := range n.machinesOf(p) {
+			if n.accelerated(m.typ) && n.usable(m, t) {
+				out[m.typ] += pack.Lost(n.freeOn(m, t), n.typical())
+			}
+		}
+	}
+	return out
+}
+
 // turnOf is a job's stage in a round, and for how many seconds it has waited. What must begin
 // goes before others with no more than a quarter of the work that a part starts: where more of
 // it waits than that no order keeps the bound, and what has begun must end too.
@@ -99,8 +150,9 @@
 }
 
 // endsOn is the room that comes free on a machine by itself. A task's end is known by its
-// owner's estimate only; one that is overdue may last as long again as it is.
-func (n *Node) endsOn(m *Machine) []due.End {
+// owner's estimate only; one that is overdue may last as long again as it is. With moving, a
+// service that may move counts as one that ends, later than what ends by itself.
+func (n *Node) endsOn(m *Machine, moving bool) []due.End {
 	var out []due.End
 	for _, p := range n.book.On(m.ID) {
 		after := math.Inf(1)
@@ -109,7 +161,11 @@
 			continue // its room is free already
 		case p.Note.stop || p.Job.Final():
 			after = clearTime.Seconds() + p.Job.Spec.Save
-		case p.Job.Spec.Kind != api.Service:
+		case p.Job.Spec.Kind == api.Service:
+			if moving && n.mayMove(p) {
+				after = moveTime.Seconds()
+			}
+		default:
 			ran := 0.0
 			if at := cmp.Or(p.Note.running, p.Note.since); at != 0 {
 				ran = n.now.Sub(at).Seconds()
@@ -122,7 +178,7 @@
 }
 
 // hostsFor are a part's machines that a job may use and that are kept for no other.
-func (n *Node) hostsFor(t *turf, s *api.JobSpec, avoided map[api.MachineID]bool, all []*Machine, ends map[*Machine][]due.End) (ms []*Machine, hosts []due.Host) {
+func (n *Node) hostsFor(t *turf, s *api.JobSpec, avoided map[api.MachineID]bool, all []*Machine, ends map[*Machine][]due.End, moving bool) (ms []*Machine, hosts []due.Host) {
 	plain := n.plain(s)
 	for _, m := range all {
 		kept := n.keptFor(m)
@@ -132,7 +188,7 @@
 		}
 		e, ok := ends[m]
 		if !ok {
-			e = n.endsOn(m)
+			e = n.endsOn(m, moving)
 			ends[m] = e
 		}
 		ms = append(ms, m)
@@ -162,7 +218,7 @@
 			all = append(all, m)
 		}
 	}
-	ends := map[*Machine][]due.End{}
+	ends, moved := map[*Machine][]due.End{}, map[*Machine][]due.End{}
 	left := n.leftOf(t.part)
 	for _, j := range jobs {
 		stage, need := n.stageOf(j, t.part), 1
@@ -172,7 +228,11 @@
 		if j.Demand.Slots(left[j.Spec.Team]) < need || n.whyPool(j, t.part) != "" {
 			continue // it is no machine that it waits for, see dueShares and asking
 		}
-		ms, hosts := n.hostsFor(t, j.Spec, j.Note.failedOn, all, ends)
+		moving, of := n.inPieces(j.Spec), ends
+		if moving {
+			of = moved
+		}
+		ms, hosts := n.hostsFor(t, j.Spec, j.Note.failedOn, all, of, moving)
 		w := due.Want{Demand: j.Demand, Tasks: need, OneZone: j.Spec.OneZone}
 		w.Zones, _ = n.zonesOf(j)
 		if j.Spec.Spread {
@@ -189,6 +249,9 @@
 		}
 		for _, i := range chosen {
 			n.keep(t, ms[i], j.Ref, j.Spec.Priority.Rank(), stage)
+			if moving {
+				n.moveAway(t, ms[i], all)
+			}
 		}
 		if len(chosen) > 0 {
 			slog.Debug("room is gathered", "job", j.Ref, "part", t.part, "machines", len(chosen), "after", after)
@@ -196,6 +259,91 @@
 	}
 }
 
+// moveTime is what a move counts as, beside the ends of other tasks: what ends by itself sooner
+// costs nobody anything. moveAgain is how long a service is not moved again.
+const (
+	moveTime  = 2 * time.Minute
+	moveAgain = 5 * time.Minute
+)
+
+// mayMove reports whether a service's replica may move to another machine: it has run for a
+// while, none of its job was moved of late, and no zone binds it.
+func (n *Node) mayMove(p *Place) bool {
+	s := p.Job.Spec
+	return s.Kind == api.Service && !s.Spread && !s.OneZone && !p.Over && !p.Note.stop && !p.Job.Final() && p.Note.running != 0 &&
+		n.now.Sub(p.Note.running) > settled && p.Job.OverN == 0 && (p.Job.Note.movedAt == 0 || n.now.Sub(p.Job.Note.movedAt) > moveAgain)
+}
+
+// moveAway has the services of a machine that is kept start elsewhere, once nothing else is left
+// on it and all of them have room there: one replica of a job at a time, and one machine of a
+// part. A replica is stopped and is due like a lost one, so that whoever owns the part next does
+// the same; what it costs is its fetch.
+func (n *Node) moveAway(t *turf, m *Machine, all []*Machine) {
+	places := n.book.On(m.ID)
+	if len(places) == 0 || n.now.Sub(t.movedAt) < keepTime {
+		return
+	}
+	taken, jobs := map[*Machine]api.Resources{}, map[*Job]bool{}
+	elsewhere := n.roomElsewhere()
+	for _, p := range places {
+		if p.Part != t.part || !n.mayMove(p) || jobs[p.Job] {
+			return
+		}
+		jobs[p.Job] = true
+		var best *Machine
+		bestCost := 0.0
+		for _, o := range all {
+			if o == m || n.keptFor(o) != "" || !sched.Allowed(p.Job.Spec, o.typ, o.zone, o.spot) || p.Job.Note.failedOn[o.ID] || n.plain(p.Job.Spec) && n.accelerated(o.typ) {
+				continue
+			}
+			free := n.freeOn(o, t).Minus(taken[o])
+			if !p.Job.Demand.Fits(free) {
+				continue
+			}
+			cost := (&sched.Machine{Images: o.images, Fetch: n.types[o.typ].FetchRate, Coming: n.fetching(o)}).FetchTime(p.Job.Spec) +
+				pack.Made(free, p.Job.Demand, n.typical())
+			if best == nil || cost < bestCost {
+				best, bestCost = o, cost
+			}
+		}
+		if best == nil {
+			// A job that is all in one place may go to another part that has room.
+			i := slices.IndexFunc(elsewhere, func(r room) bool {
+				return p.Job.Spec.Tasks == 1 && p.Job.Demand.Fits(r.Free) && sched.Allowed(p.Job.Spec, r.kind.Type, r.kind.Zone, r.kind.Spot)
+			})
+			if i < 0 {
+				return
+			}
+			elsewhere[i].Free = elsewhere[i].Free.Minus(p.Job.Demand)
+			continue
+		}
+		taken[best] = taken[best].Plus(p.Job.Demand)
+	}
+	t.movedAt = n.now
+	slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(places), "for", m.kept)
+	for _, p := range slices.Clone(places) {
+		p.Job.Note.movedAt = n.now
+		n.metrics.Moved++
+		n.stop(p)
+	}
+}
+
+// roomElsewhere is the room of other owners' machines, one by one, the fullest first.
+func (n *Node) roomElsewhere() []room {
+	var out []room
+	for _, pn := range n.othersNews() {
+		for _, r := range pn.Rooms {
+			if k := r.Kind; k >= 0 && k < len(pn.Kinds) && pn.Kinds[k].Usable && r.Free.GPU > 0 {
+				for range r.Count {
+					out = append(out, room{pn.Part, pn.Kinds[k], Room{Free: r.Free, Count: 1}})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b room) int { return cmp.Compare(a.Free.GPU, b.Free.GPU) })
+	return out
+}
+
 // keepLent keeps the machines that were lent to a part for a job until that has begun, for some
 // time: they come one by one, and the first would be returned as idle before the last is there.
 func (n *Node) keepLent(t *turf) {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -12,12 +12,12 @@
 // metrics are what an operator may want to see of the past: counts since the
 // process began and how long things took, in microseconds.
 type metrics struct {
-	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent, Gathered, Turned, Shed uint64
-	StateRequests, StateWrites, StateFailures                                                    uint64
-	CloudRequests, WorkerCalls, Reports                                                          uint64
-	FlowTasks, FlowMachines                                                                      int // of the last round
-	spent                                                                                        Spent
-	times                                                                                        map[string]*hdrhistogram.Histogram
+	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent, Gathered, Moved, Turned, Shed uint64
+	StateRequests, StateWrites, StateFailures                                                           uint64
+	CloudRequests, WorkerCalls, Reports                                                                 uint64
+	FlowTasks, FlowMachines                                                                             int // of the last round
+	spent                                                                                               Spent
+	times                                                                                               map[string]*hdrhistogram.Histogram
 }
 
 // Spent tells the owner, which has no clock, how long its last step took and, since
@@ -113,6 +113,7 @@
 	Takeovers     uint64            `json:"takeovers"`
 	Preempted     uint64            `json:"preempted"`
 	Gathered      uint64            `json:"machines_kept"` // for jobs that must begin
+	Moved         uint64            `json:"replicas_moved"`
 	Turned        uint64            `json:"polls_not_in_turn"`
 	Moves         uint64            `json:"moves"`
 	Lent          uint64            `json:"machines_lent"`
@@ -143,6 +144,9 @@
 	// Zones that are not whole.
 	Zones map[api.Zone]ZoneView `json:"zones,omitempty"`
 
+	// Accelerators of our parts that are free and in pieces, by type.
+	Pieces map[api.TypeName]float64 `json:"accelerators_in_pieces,omitempty"`
+
 	// Skips, once somebody asked this controller for one.
 	Skips *SkipMetrics `json:"skips,omitempty"`
 
@@ -176,7 +180,7 @@
 func (n *Node) viewMetrics() MetricsView {
 	m := &n.metrics
 	v := MetricsView{UpSeconds: n.now.Sub(n.startedAt).Seconds(), Rounds: m.Rounds, Starts: m.Starts, Ends: m.Ends,
-		Completions: m.Completions, Takeovers: m.Takeovers, Preempted: m.Preempted, Gathered: m.Gathered, Turned: m.Turned, Moves: m.Moves, Lent: m.Lent,
+		Completions: m.Completions, Takeovers: m.Takeovers, Preempted: m.Preempted, Gathered: m.Gathered, Moved: m.Moved, Turned: m.Turned, Moves: m.Moves, Lent: m.Lent,
 		StateRequests: m.StateRequests, StateWrites: m.StateWrites, StateFailures: m.StateFailures,
 		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
 		CloudRequests: m.CloudRequests, CloudRPS: n.cfg.Deployment.Cloud.RPS, WorkerCalls: m.WorkerCalls, Reports: m.Reports,
@@ -209,7 +213,7 @@
 		v.Zones[name] = ZoneView{State: string(s), Silent: n.silence(name), Machines: sight.All, Mute: sight.Silent,
 			Inside: n.zones.records[name].Inside, Tasks: n.zones.waiting[name]}
 	}
-	v.Skips = n.viewSkips()
+	v.Skips, v.Pieces = n.viewSkips(), n.lostInPieces()
 	if h := n.hosted; h != nil && h.pools.table.Len() > 0 {
 		v.Pools, v.PoolMoves = map[api.PoolName]PoolMetrics{}, h.pools.moves
 		names := h.pools.table.Names()
--- a/control/node.go
+++ b/control/node.go
@@ -51,6 +51,7 @@
 	finals    lookups
 	ledger    ledger
 	ordering  ordering
+	pieces    pieces
 	currentAt api.Time            // the changes were last read, 0 if not yet
 	stateOK   bool                // its last answer was one
 	asked     map[CallID]api.Time // calls to it that should be answered at once
--- a/control/notes.go
+++ b/control/notes.go
@@ -42,6 +42,7 @@
 	quick    bool     // others were made to give way so that it starts soon
 	begun    bool     // a start was planned here
 	endedAt  api.Time // when a task of it last ended
+	movedAt  api.Time // when a replica was last moved
 	stuck    bool     // must begin, and has no room to hope for in its part
 	lostWith int      // tasks that our parts lost with their machines
 	lostAt   api.Time // when the last of them was known to be lost
--- a/control/part.go
+++ b/control/part.go
@@ -46,6 +46,7 @@
 	looked   api.JobRef                      // the job last looked at for moving
 	coming   map[api.MachineID]api.Resources // what the round in flight starts, by machine
 	dueAt    api.Time                        // jobs that must begin were looked at
+	movedAt  api.Time                        // services were last moved off a machine
 	credit   float64                         // what they may still take before others, see turnOf
 	short    map[api.TypeName]bool           // types on which the last round found no room for what waits
 	wantDue  map[api.Team]api.Resources      // of want, what those lack
@@ -470,7 +471,7 @@
 	if len(jobs) == 0 {
 		return nil
 	}
-	in := &sched.Input{Units: units, Largest: n.largest, Left: n.leftOver(t), Most: most}
+	in := &sched.Input{Units: units, Largest: n.largest, Typical: n.typical(), Left: n.leftOver(t), Most: most}
 	var machines []*Machine // with room for something
 	cpus, usable := 0.0, 0
 	for _, m := range n.machinesOf(t.part) {
--- /dev/null
+++ b/pack/pack_test.go
@@ -0,0 +1,80 @@
+package pack
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"basaltwall/api"
+	_ "basaltwall/internal/seeded"
+)
+
+func gpus(n float64) api.Resources {
+	return api.Resources{CPU: api.ToAmount(4 * n), GPU: api.ToAmount(n), Mem: api.ToAmount(40 * n)}
+}
+
+// Small models go where others are before they begin a machine that a large one could have, and
+// fill the fullest; without large work nothing is in pieces and it does not matter.
+func TestSmallOnesFillBegunMachines(t *testing.T) {
+	typical := Typical(map[api.Resources]int{gpus(1): 30, gpus(2): 10, gpus(8): 5, {CPU: 4e6}: 100})
+	if len(typical) != 3 {
+		t.Fatalf("%+v", typical)
+	}
+	whole, begun, last := Made(gpus(8), gpus(1), typical), Made(gpus(5), gpus(1), typical), Made(gpus(2), gpus(1), typical)
+	if !(begun < 0 && begun < whole && whole > 2 && last < whole) {
+		t.Errorf("whole %v, begun %v, the last of two %v", whole, begun, last)
+	}
+	if Lost(gpus(8), typical) != 0 || Lost(gpus(0), typical) != 0 || Lost(gpus(1), typical) <= Lost(gpus(1), typical[:1]) {
+		t.Error("what is lost")
+	}
+	small := Typical(map[api.Resources]int{gpus(1): 3})
+	if Made(gpus(8), gpus(1), small) != 0 || InPieces(gpus(1), small) || !InPieces(gpus(8), typical) {
+		t.Error("pieces where there is one size")
+	}
+	// Work without accelerators makes pieces where it takes what a model needs beside them.
+	if cpu := (api.Resources{CPU: api.ToAmount(2)}); Made(gpus(8), cpu, typical) <= 0 || Made(gpus(8).Plus(cpu), cpu, typical) != 0 {
+		t.Error("CPU work")
+	}
+}
+
+// Of any demands: what is lost lies between nothing and all that is free, and of the places for a
+// task the one that makes least leaves no more in pieces than any other.
+func TestLeastMadeLeavesLeastInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		asked := map[api.Resources]int{}
+		for range rapid.IntRange(1, 5).Draw(t, "kinds") {
+			asked[gpus(float64(rapid.IntRange(1, 8).Draw(t, "gpus")))] += rapid.IntRange(1, 20).Draw(t, "count")
+		}
+		typical := Typical(asked)
+		task := gpus(float64(rapid.IntRange(1, 8).Draw(t, "task")))
+		var free []api.Resources
+		for range rapid.IntRange(2, 6).Draw(t, "machines") {
+			free = append(free, gpus(float64(rapid.IntRange(0, 8).Draw(t, "free"))))
+		}
+		total := func(on int) float64 {
+			sum := 0.0
+			for i, f := range free {
+				if i == on {
+					f = f.Minus(task)
+				}
+				l := Lost(f, typical)
+				if l < 0 || l > f.GPU.Float()+1e-9 {
+					t.Fatalf("%v of %v is lost", l, f.GPU.Float())
+				}
+				sum += l
+			}
+			return sum
+		}
+		best, least := -1, 0.0
+		for i, f := range free {
+			if m := Made(f, task, typical); task.Fits(f) && (best < 0 || m < least) {
+				best, least = i, m
+			}
+		}
+		for i, f := range free {
+			if task.Fits(f) && total(i) < total(best)-1e-9 {
+				t.Fatalf("%v left in pieces, %v by another place", total(best), total(i))
+			}
+		}
+	})
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -11,6 +11,7 @@
 
 	"basaltwall/api"
 	"basaltwall/flow"
+	"basaltwall/pack"
 )
 
 // Machine is a machine that may take tasks.
@@ -115,6 +116,7 @@
 	Jobs     []Job
 	Left     map[api.Team]api.Resources // what each team may still start here
 	Largest  api.Resources              // the largest capacity of any type
+	Typical  []pack.Demand              // what work asks for that needs accelerators
 	Units    map[api.PoolName]int       // what the part may hand out of pools that jobs need
 	Most     int                        // starts at most
 }
@@ -157,6 +159,7 @@
 	spotBonus     = 0.3 // what loses little there leaves the other machines to what would lose much
 	scarcePenalty = 2.0 // accelerators are kept for work that needs them
 	promptPenalty = 0.7 // room for prompt work is left free while there is other
+	pieceWeight   = 4.0 // a whole machine that is begun outweighs any dot product, and a fetch
 	sparePenalty  = 2.0 // more than any dot product is likely to gain
 	slowPace      = 1.3 // machines of a type differ by a tenth; beyond this one is slow
 	imageWeight   = 2.0 // a fetch, as a share of what the task takes in all
@@ -193,6 +196,9 @@
 	if m.Prompt && !j.Prompt && !j.Plain {
 		gain -= promptPenalty
 	}
+	if m.GPU && len(in.Typical) > 0 {
+		gain -= pieceWeight * pack.Made(free, j.Demand, in.Typical) / max(1, in.Largest.GPU.Float())
+	}
 	if m.Spare {
 		gain -= sparePenalty
 	}
