What is kept is in the round's record; the model of a move goes wrong without each guard

Cause: an owner that ended while it emptied a machine for a large model left its successor to find that out by chance. Change: keeps and their ends are in the round's record and the checkpoint; a new owner goes on.

--- a/book/book.go
+++ b/book/book.go
@@ -101,6 +101,7 @@
 	Term  api.Revision
 	Seq   uint64 // its latest round
 	Head  HeadValue
+	Kept  map[api.MachineID]Keep
 	given map[api.PartID]map[api.Team]api.Resources
 }
 
@@ -145,6 +146,7 @@
 	}
 	for i := range b.Parts {
 		b.Parts[i].given = map[api.PartID]map[api.Team]api.Resources{}
+		b.Parts[i].Kept = map[api.MachineID]Keep{}
 		b.Parts[i].Use, b.Parts[i].Held = map[api.Team]api.Resources{}, map[api.PoolName]int{}
 		b.OnPart[i] = map[*Place[J, P]]bool{}
 	}
@@ -513,6 +515,17 @@
 	ps.Seq = r.Seq
 	b.fold(part, r.Seq, r.Jobs)
 	b.addGifts(part, r.Gifts)
+	b.addKeeps(part, r.Keeps)
+}
+
+func (b *Book[J, P]) addKeeps(part api.PartID, keeps []Keep) {
+	for _, k := range keeps {
+		if k.For == "" {
+			delete(b.Parts[part].Kept, k.Machine)
+		} else {
+			b.Parts[part].Kept[k.Machine] = k
+		}
+	}
 }
 
 // SetFinal notes a job's final state, for some time.
--- a/book/book_test.go
+++ b/book/book_test.go
@@ -81,7 +81,14 @@
 		case p != nil && r.IntN(4) == 0:
 			d.Done = []int{task}
 		}
-		b.FoldRecord(part, &Record{Seq: b.Parts[part].Seq + 1, Jobs: []JobDelta{d}})
+		keep := Keep{Machine: api.MachineID(fmt.Sprint("i-", r.IntN(5)))}
+		if r.IntN(2) == 0 {
+			keep.For, keep.Since = j.Ref, api.Wall(step)
+		}
+		b.FoldRecord(part, &Record{Seq: b.Parts[part].Seq + 1, Jobs: []JobDelta{d}, Keeps: []Keep{keep}})
+		if got, kept := b.Parts[part].Kept[keep.Machine]; kept != (keep.For != "") || kept && got != keep {
+			t.Fatalf("%+v is kept after %+v", got, keep)
+		}
 		if step%50 == 0 {
 			recount(t, b)
 		}
--- a/book/checkpoint.go
+++ b/book/checkpoint.go
@@ -36,6 +36,9 @@
 			c.Gifts = append(c.Gifts, Gift{to, t, teams[t]})
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(b.Parts[part].Kept)) {
+		c.Keeps = append(c.Keeps, b.Parts[part].Kept[id])
+	}
 	return c
 }
 
@@ -142,6 +145,7 @@
 			ps.Seq = c.Seq
 			b.fold(p, c.Seq, c.Jobs)
 			b.addGifts(p, c.Gifts)
+			b.addKeeps(p, c.Keeps)
 		}
 		slices.SortFunc(rounds[i], func(x, y Record) int { return int(int64(x.Seq) - int64(y.Seq)) })
 		for k := range rounds[i] {
--- a/book/values.go
+++ b/book/values.go
@@ -91,10 +91,19 @@
 	Amount api.Resources `json:"n"`
 }
 
+// Keep keeps a machine of the part for a job, so that room comes free on it as a whole, or, with no
+// job, does so no more. It bears on choices only.
+type Keep struct {
+	Machine api.MachineID `json:"m"`
+	For     api.JobRef    `json:"r,omitempty"`
+	Since   api.Wall      `json:"t,omitempty"`
+}
+
 // Record is a part's round. A checkpoint is a part's whole state in the same form:
 // places as starts, completions as bits, gifts as totals since the beginning.
 type Record struct {
 	Seq   uint64     `json:"q"`
 	Jobs  []JobDelta `json:"j,omitempty"`
 	Gifts []Gift     `json:"g,omitempty"`
+	Keeps []Keep     `json:"k,omitempty"`
 }
--- a/control/due.go
+++ b/control/due.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/book"
 	"basaltwall/config"
 	"basaltwall/due"
 	"basaltwall/pack"
@@ -208,6 +209,7 @@
 	t.dueAt = n.now
 	n.keepLent(t)
 	n.keepWhole(t)
+	t.dirty = t.dirty || len(n.recordKeeps(t)) > 0
 	jobs := n.dueJobs(t)
 	if len(jobs) == 0 {
 		return
@@ -371,6 +373,45 @@
 	}
 }
 
+// recordKeeps are the changes to what a part keeps that its record does not have yet: machines that
+// are kept, and those that are no more, since their job has begun or is over, or others were
+// chosen. A new owner finds by the record what was being emptied for whom.
+func (n *Node) recordKeeps(t *turf) []book.Keep {
+	var out []book.Keep
+	recorded := n.book.Parts[t.part].Kept
+	for _, m := range n.machinesOf(t.part) {
+		if ref := n.keptFor(m); m.gathered && ref != "" && recorded[m.ID].For != ref && len(out) < maxKeeps {
+			out = append(out, book.Keep{Machine: m.ID, For: ref, Since: n.wall})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(recorded)) {
+		m := n.machines[id]
+		gone := m == nil || n.partOf(id) != t.part || !m.gathered && n.keptFor(m) != "" || n.keptFor(m) == ""
+		if gone && len(out) < maxKeeps {
+			out = append(out, book.Keep{Machine: id})
+		}
+	}
+	return out
+}
+
+// maxKeeps bounds the changes of what is kept in a round's record: they lie in what its starts and
+// ends leave.
+const maxKeeps = 2
+
+// resumeKeeps goes on keeping what the part's former owner kept, for as long as it takes to look
+// at it anew.
+func (n *Node) resumeKeeps(t *turf) {
+	for id, k := range n.book.Parts[t.part].Kept {
+		j := n.book.Jobs[k.For]
+		if n.partOf(id) != t.part || j == nil {
+			continue
+		}
+		m := n.machine(id)
+		m.kept, m.keptOf, m.soft, m.gathered = k.For, j.Spec.Priority.Rank(), true, true
+		m.keptTill, m.gatheredAt = n.now.Add(keepTime), n.now
+	}
+}
+
 // keep keeps a machine for a job for which room is gathered.
 func (n *Node) keep(t *turf, m *Machine, ref api.JobRef, rank int, stage sched.Stage) {
 	if n.keptFor(m) != ref {
--- a/control/due_test.go
+++ b/control/due_test.go
@@ -10,6 +10,7 @@
 	"basaltwall/api"
 	"basaltwall/book"
 	"basaltwall/config"
+	"basaltwall/sched"
 )
 
 // While more is asked than can be answered, questions for jobs whose turn it is not are refused
@@ -153,3 +154,42 @@
 		t.Error("a service's part of the limit does not come free by itself")
 	}
 }
+
+// What a part keeps is in its record: a new owner goes on keeping it, records that it does no
+// more once the job has begun or is over, and what is kept for nobody known is left.
+func TestANewOwnerGoesOnKeeping(t *testing.T) {
+	spec := testSpec(2)
+	spec.Ref = "run-7"
+	n, turf, m, j := owner(t, spec)
+	fold := func(keeps ...book.Keep) {
+		n.book.FoldRecord(0, &book.Record{Seq: n.book.Parts[0].Seq + 1, Keeps: keeps})
+	}
+	n.keep(turf, m, j.Ref, j.Spec.Priority.Rank(), sched.Next)
+	keeps := n.recordKeeps(turf)
+	if len(keeps) != 1 || keeps[0].Machine != m.ID || keeps[0].For != j.Ref {
+		t.Fatalf("recorded: %+v", keeps)
+	}
+	fold(keeps...)
+	if again := n.recordKeeps(turf); len(again) != 0 {
+		t.Fatalf("recorded once more: %+v", again)
+	}
+	m.kept, m.keptTill, m.gathered = "", 0, false // another owner knows nothing but the record
+	n.beginPart(0, 8)
+	if n.keptFor(m) != j.Ref || !m.gathered {
+		t.Error("a new owner forgets what is kept")
+	}
+	if len(n.recordKeeps(n.turfs[0])) != 0 {
+		t.Error("a new owner records it anew")
+	}
+	for i := range spec.Tasks {
+		n.book.AddPlace(&Place{Task: api.TaskID{Job: j.Ref, Index: i}, Machine: m.ID, Session: 1, Attempt: 1, Job: j})
+	}
+	if ends := n.recordKeeps(n.turfs[0]); len(ends) != 1 || ends[0] != (book.Keep{Machine: m.ID}) {
+		t.Errorf("its end is not recorded: %+v", ends)
+	}
+	fold(book.Keep{Machine: m.ID}, book.Keep{Machine: "i-000009", For: "run-99"})
+	n.beginPart(0, 9)
+	if n.machines["i-000009"] != nil && n.keptFor(n.machines["i-000009"]) != "" {
+		t.Error("kept for a job that there is none of")
+	}
+}
--- a/control/part.go
+++ b/control/part.go
@@ -87,6 +87,7 @@
 	for _, m := range n.machinesOf(p) {
 		m.cmd, m.doubt, m.missed, m.found = n.base(t, m.ID), 0, 0, n.now
 	}
+	n.resumeKeeps(t)
 	n.kickFirst(t)
 	n.metrics.Takeovers++
 	slog.Info("part taken", "part", p, "term", term, "tasks", len(n.book.OnPart[p]))
@@ -145,7 +146,7 @@
 	}
 	t.dirty, t.planAt = false, n.now
 	w := n.plan(t)
-	if len(w.rec.Jobs) == 0 && len(w.rec.Gifts) == 0 && !t.wantRev {
+	if len(w.rec.Jobs) == 0 && len(w.rec.Gifts) == 0 && len(w.rec.Keeps) == 0 && !t.wantRev {
 		t.next = n.now.Add(n.roundGap)
 		return
 	}
@@ -366,6 +367,7 @@
 		w.txn.If = append(w.txn.If, n.book.If(keyPool+string(name)))
 	}
 	w.rec.Gifts = n.gifts(t)
+	w.rec.Keeps = n.recordKeeps(t)
 	return w
 }
 
--- /dev/null
+++ b/pack/model_test.go
@@ -0,0 +1,295 @@
+package pack
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The model: machines A and B, a small replica that runs on A, and a large task that needs all of
+// A. An owner keeps A for it, has the replica stopped, records its end by evidence, records its
+// start on B, and then the large task's start on A; it drops the keep once the large task has
+// begun or was cancelled. There are two controllers: each reads the record, composes one change
+// of it, and that lands then or later, perhaps after the other has taken the part over. Commands
+// are sent for what is recorded, also late, under the token of who sends them.
+
+// modelState is what is recorded.
+type modelState struct {
+	replica uint8 // 0: waits, 1: on A, 2: on B
+	large   uint8 // 0: waits, 1: on A, 2: cancelled
+	kept    bool
+}
+
+type modelChange uint8
+
+const (
+	changeNone modelChange = iota
+	changeKeep
+	changeEnd // of the replica on A
+	changeMove
+	changeBack // it starts on A again, where that is not kept any more
+	changeLarge
+	changeDrop
+)
+
+type modelOwner struct {
+	read          modelState
+	fresh, owns   bool // the record, and who owns the part, are as it read them
+	sent          modelChange
+	sFresh, sOwns bool // the same of what it has sent
+	knows         bool // that it kept A itself
+}
+
+type modelWorld struct {
+	rec    modelState
+	a, b   bool     // the replica is on A, on B, in truth
+	onA    bool     // the large task is
+	stop   bool     // a stop of the replica is under way
+	start  [2]uint8 // a start under way, by who sent it: 1 of the replica on B, 2 of the large task, 3 of the replica on A
+	owner  uint8
+	owners [2]modelOwner
+}
+
+type modelRules struct {
+	term     bool // records name the part's term
+	slot     bool // and follow the one that they were composed from
+	evidence bool // an end is recorded once the task is gone
+	anyone   bool // whoever owns the part ends what its record says is kept
+	empty    bool // the large task starts once nothing of the record is on A
+}
+
+func (w modelWorld) wrong() string {
+	switch {
+	case w.a && w.b:
+		return "the replica is on two machines"
+	case w.a && w.onA:
+		return "more than A holds"
+	}
+	return ""
+}
+
+func (w modelWorld) next(r modelRules, do func(modelWorld)) {
+	n := w
+	if w.rec.large == 0 { // the large job is cancelled
+		n.rec.large = 2
+		n.changed()
+		do(n)
+	}
+	if w.rec.large == 2 && w.onA {
+		n = w
+		n.onA = false
+		do(n)
+	}
+	if w.stop { // a stop arrives, late perhaps
+		n = w
+		n.a, n.stop = false, false
+		do(n)
+	}
+	for i := range w.owners {
+		// It takes the part over, and reads.
+		n = w
+		n.owner = uint8(i)
+		for k := range n.owners {
+			n.owners[k].owns, n.owners[k].sOwns = false, false
+		}
+		n.owners[i] = modelOwner{read: w.rec, fresh: true, owns: true, sent: w.owners[i].sent, sFresh: w.owners[i].sFresh}
+		do(n)
+		o := w.owners[i]
+		n = w // it reads again
+		n.owners[i].read, n.owners[i].fresh, n.owners[i].owns = w.rec, true, w.owner == uint8(i)
+		do(n)
+		// A start that was recorded is sent, and arrives or does not; one of a former owner is
+		// refused once the machine has heard the next.
+		if s := w.start[i]; s != 0 {
+			n = w
+			n.start[i] = 0
+			do(n)
+			if s == 1 && w.rec.replica == 2 {
+				n.b = true
+				do(n)
+			}
+			if s == 3 && w.rec.replica == 1 {
+				n.a = true
+				do(n)
+			}
+			if s == 2 && w.rec.large == 1 {
+				n.onA = true
+				do(n)
+			}
+		}
+		if !o.owns {
+			continue
+		}
+		kept := o.read.kept
+		if kept && o.read.replica == 1 && w.a && !w.stop {
+			n = w
+			n.stop = true
+			do(n)
+		}
+		if o.read.replica == 2 && !w.b && w.start[i] == 0 {
+			n = w
+			n.start[i] = 1
+			do(n)
+		}
+		if o.read.large == 1 && !w.onA && w.start[i] == 0 {
+			n = w
+			n.start[i] = 2
+			do(n)
+		}
+		if o.sent != changeNone {
+			continue
+		}
+		send := func(c modelChange) {
+			n := w
+			n.owners[i].sent, n.owners[i].sFresh, n.owners[i].sOwns = c, o.fresh, true
+			if c == changeKeep {
+				n.owners[i].knows = true
+			}
+			do(n)
+		}
+		if o.read.large == 0 && !kept {
+			send(changeKeep)
+		}
+		// Evidence: it is gone, and no start of it may still arrive.
+		if gone := !w.a && w.start[0] != 3 && w.start[1] != 3; o.read.replica == 1 && (gone || kept && !r.evidence) {
+			send(changeEnd)
+		}
+		if o.read.replica == 0 {
+			send(changeMove)
+			if !kept && o.read.large == 2 && !w.onA {
+				send(changeBack)
+			}
+		}
+		if o.read.replica == 1 && !w.a && !w.stop && w.start[i] == 0 && o.read.large == 2 && o.sent != changeEnd {
+			n = w
+			n.start[i] = 3
+			do(n)
+		}
+		if o.read.large == 0 && kept && (o.read.replica != 1 || !r.empty) {
+			send(changeLarge)
+		}
+		if kept && o.read.large != 0 && (r.anyone || o.knows) {
+			send(changeDrop)
+		}
+	}
+	// What was sent lands, or never does.
+	for i, o := range w.owners {
+		if o.sent == changeNone {
+			continue
+		}
+		n = w
+		n.owners[i].sent = changeNone
+		do(n)
+		if !o.sFresh && r.slot || !o.sOwns && r.term {
+			continue
+		}
+		switch o.sent {
+		case changeKeep:
+			n.rec.kept = true
+		case changeEnd:
+			if n.rec.replica == 1 {
+				n.rec.replica = 0
+			}
+		case changeMove:
+			n.rec.replica = 2
+		case changeBack:
+			n.rec.replica = 1
+		case changeLarge:
+			if n.rec.large == 0 {
+				n.rec.large = 1
+			}
+		case changeDrop:
+			n.rec.kept = false
+			n.owners[i].knows = false
+		}
+		n.changed()
+		n.owners[i].read, n.owners[i].fresh = n.rec, true
+		do(n)
+	}
+}
+
+// changed is when the record is another.
+func (w *modelWorld) changed() {
+	for i := range w.owners {
+		w.owners[i].fresh, w.owners[i].sFresh = false, false
+	}
+}
+
+// settled is the end: the replica runs, the large task does or was cancelled, and nothing is kept
+// by anybody.
+func (w modelWorld) settled() bool {
+	if w.rec.kept || w.rec.replica == 0 || w.rec.large == 0 || w.rec.large == 1 && !w.onA {
+		return false
+	}
+	return w.a || w.b
+}
+
+// exploreMoves looks at all states there are, and says what goes wrong in one, or that from some
+// no way leads to the end.
+func exploreMoves(r modelRules) (states int, wrong string) {
+	first := modelWorld{rec: modelState{replica: 1}, a: true}
+	index := map[modelWorld]int{first: 0}
+	all := []modelWorld{first}
+	var from [][]int32 // by state: those that lead to it
+	from = append(from, nil)
+	for i := 0; i < len(all); i++ {
+		if why := all[i].wrong(); why != "" {
+			return len(all), why
+		}
+		all[i].next(r, func(n modelWorld) {
+			k, known := index[n]
+			if !known {
+				k = len(all)
+				index[n] = k
+				all, from = append(all, n), append(from, nil)
+			}
+			from[k] = append(from[k], int32(i))
+		})
+	}
+	ends := make([]bool, len(all))
+	var todo []int32
+	for i := range all {
+		if all[i].settled() {
+			ends[i] = true
+			todo = append(todo, int32(i))
+		}
+	}
+	for len(todo) > 0 {
+		k := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		for _, i := range from[k] {
+			if !ends[i] {
+				ends[i] = true
+				todo = append(todo, i)
+			}
+		}
+	}
+	for i := range all {
+		if !ends[i] {
+			return len(all), fmt.Sprintf("no way leads to the end from %+v", all[i])
+		}
+	}
+	return len(all), ""
+}
+
+// However ends, takeovers, late records and late commands fall, the replica is never on two
+// machines nor lost, A never holds both, and in the end nothing is kept; and each guard is needed.
+func TestEveryInterleavingOfAMove(t *testing.T) {
+	all := modelRules{true, true, true, true, true}
+	states, wrong := exploreMoves(all)
+	t.Logf("%d states, all there are", states)
+	if wrong != "" || states < 5_000 {
+		t.Errorf("%q, %d states", wrong, states)
+	}
+	for what, drop := range map[string]func(*modelRules){
+		"the records' order": func(r *modelRules) { r.slot, r.term = false, false },
+		"evidence of an end": func(r *modelRules) { r.evidence = false },
+		"what is on A":       func(r *modelRules) { r.empty = false },
+		"whoever owns it":    func(r *modelRules) { r.anyone = false },
+	} {
+		r := all
+		drop(&r)
+		if _, wrong := exploreMoves(r); wrong == "" {
+			t.Errorf("without %s nothing goes wrong: the model does not see it", what)
+		}
+	}
+}
