--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"basaltwall/api"
+	"basaltwall/internal/explore"
 )
 
 // The model: two parts and one pool. An owner of a part reads the state, composes a round
@@ -124,31 +125,14 @@
 	}
 }
 
-// explore looks at every state that may be reached in so many steps.
-func explore(r rules, steps int) (states int, wrong bool) {
-	seen := map[world]bool{{}: true}
-	now := []world{{}}
-	for range steps {
-		var next []world
-		for _, w := range now {
-			if w.next(r, func(n world) {
-				if !seen[n] {
-					seen[n] = true
-					next = append(next, n)
-				}
-			}) {
-				return len(seen), true
-			}
-		}
-		now = next
-	}
-	return len(seen), false
+func exploreAll(r rules, steps int) (states int, wrong bool) {
+	return explore.All(world{}, steps, func(w world, do func(world)) bool { return w.next(r, do) })
 }
 
 // No sequence of reads, rounds written late, returns, takeovers, resizings and moves of
 // shares hands out a unit beyond the size in force; and each rule is needed for that.
 func TestEveryInterleaving(t *testing.T) {
-	states, wrong := explore(rules{true, true, true}, 9)
+	states, wrong := exploreAll(rules{true, true, true}, 9)
 	t.Logf("%d states", states)
 	if wrong {
 		t.Error("a unit is handed out beyond the size")
@@ -158,7 +142,7 @@
 	}
 	for what, r := range map[string]rules{"without the pool's version": {false, true, true}, "without the part's": {true, false, true},
 		"without minding what others hold": {true, true, false}} {
-		if _, wrong := explore(r, 8); !wrong {
+		if _, wrong := exploreAll(r, 8); !wrong {
 			t.Errorf("%s nothing goes wrong: the model does not see it", what)
 		}
 	}
--- a/precedence/model_test.go
+++ b/precedence/model_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/internal/explore"
 )
 
 // The model: one machine type, whose shortage two controllers write, the holder of the duty and
@@ -79,31 +80,16 @@
 }
 
 func TestOneStoryOfAShortage(t *testing.T) {
-	explore := func(r shortRules) (states int, wrong bool) {
-		seen := map[shortWorld]bool{{}: true}
-		for now := []shortWorld{{}}; len(now) > 0; {
-			var next []shortWorld
-			for _, w := range now {
-				if w.next(r, func(n shortWorld) {
-					if !seen[n] {
-						seen[n] = true
-						next = append(next, n)
-					}
-				}) {
-					return len(seen), true
-				}
-			}
-			now = next
-		}
-		return len(seen), false
+	look := func(r shortRules) (states int, wrong bool) {
+		return explore.All(shortWorld{}, 0, func(w shortWorld, do func(shortWorld)) bool { return w.next(r, do) })
 	}
-	states, wrong := explore(shortRules{true, true})
+	states, wrong := look(shortRules{true, true})
 	t.Logf("%d states, all there are", states)
 	if wrong || states < 300 {
 		t.Errorf("wrong %v, %d states", wrong, states)
 	}
 	for what, r := range map[string]shortRules{"the record's version": {false, true}, "the duty's term": {true, false}} {
-		if _, wrong := explore(r); !wrong {
+		if _, wrong := look(r); !wrong {
 			t.Errorf("without %s nothing goes wrong: the model does not see it", what)
 		}
 	}
--- a/skips/model_test.go
+++ b/skips/model_test.go
@@ -1,6 +1,10 @@
 package skips
 
-import "testing"
+import (
+	"testing"
+
+	"basaltwall/internal/explore"
+)
 
 // The model: one skip, the same days, two sites and two controllers. Site 0 is offered the skip
 // and takes the offer, site 1 is promised it at once; each may ask again and again, under its
@@ -242,23 +246,7 @@
 }
 
 func exploreLedger(r modelRules, steps int) (states int, wrong bool) {
-	seen := map[modelWorld]bool{{}: true}
-	now := []modelWorld{{}}
-	for range steps {
-		var next []modelWorld
-		for _, w := range now {
-			if w.next(r, func(n modelWorld) {
-				if !seen[n] {
-					seen[n] = true
-					next = append(next, n)
-				}
-			}) {
-				return len(seen), true
-			}
-		}
-		now = next
-	}
-	return len(seen), false
+	return explore.All(modelWorld{}, steps, func(w modelWorld, do func(modelWorld)) bool { return w.next(r, do) })
 }
 
 // No sequence of requests, repeats, reads, writes that land late or twice, and ends tells a site
