--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -25,8 +25,21 @@
 	known  map[api.JobRef]*api.JobSpec
 	submit map[api.JobRef]bool
 	served service
-	asking map[api.JobRef]*asking // accepted jobs whose users ask
-	calm   time.Duration          // when the last trouble is over
+	asking map[api.JobRef]*asking       // accepted jobs whose users ask
+	calm   time.Duration                // when the last trouble is over
+	moved  map[api.TaskID]time.Duration // replicas that were stopped, and when
+}
+
+// movedFor is how long a replica of an urgent service may be missing after it was stopped by
+// command: nothing but more urgent work and a move may stop it, and a move has room for it, so it
+// is a fetch and what starting takes.
+const movedFor = time.Minute
+
+// Stopped notes that a running task was told to stop.
+func (c *Checker) Stopped(at time.Duration, id api.TaskID, s *api.JobSpec) {
+	if s.Kind == api.Service && s.Priority == api.High && !c.asked[id.Job] {
+		c.moved[id] = at
+	}
 }
 
 // asking is how a job's questions were answered.
@@ -59,7 +72,7 @@
 func NewChecker(cfg *config.Config) *Checker {
 	return &Checker{cfg: cfg, on: map[api.TaskID]map[api.MachineID]placed{}, done: map[api.TaskID]bool{},
 		told: map[api.JobRef]api.JobState{}, ended: map[api.JobRef]time.Duration{}, asked: map[api.JobRef]bool{},
-		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}}
+		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}, moved: map[api.TaskID]time.Duration{}}
 }
 
 func (c *Checker) broke(at time.Duration, rule, format string, args ...any) {
@@ -104,6 +117,7 @@
 		c.served.on(at, id, s)
 	}
 	c.on[id][m] = placed{zone, s}
+	delete(c.moved, id)
 	var use api.Resources
 	for _, hosts := range c.on {
 		for _, p := range hosts {
@@ -212,6 +226,14 @@
 			c.broke(at, "ran_cancelled", "%s is still on a machine", id)
 		}
 	}
+	for id, from := range c.moved {
+		if c.asked[id.Job] {
+			delete(c.moved, id)
+		} else if since := max(from, c.calm); at > since+movedFor {
+			delete(c.moved, id)
+			c.broke(at, "moved", "%s was stopped at %.1f s and is missing since", id, from.Seconds())
+		}
+	}
 	for _, ref := range slices.Sorted(maps.Keys(c.asking)) {
 		a := c.asking[ref]
 		if since := max(a.good, c.calm); !a.lost && !c.asked[ref] && a.last > since && at > since+unknownAfter {
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -167,3 +167,28 @@
 		}
 	}
 }
+
+// A replica that was stopped and is not up again is missed; one that is, whose job was cancelled
+// or while there is trouble is not.
+func TestCheckerFindsReplicasLostByAMove(t *testing.T) {
+	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
+	see := func(then func(*Checker)) int {
+		c := NewChecker(&config.Config{})
+		s := &api.JobSpec{Ref: "run-1", Kind: api.Service, Priority: api.High, Tasks: 1}
+		c.Submitted(0, s, 0)
+		c.Started(at(1), api.TaskID{Job: "run-1"}, s, "i-1", "c8", "a", false)
+		c.Stopped(at(50), api.TaskID{Job: "run-1"}, s)
+		c.Ended(at(50), api.TaskID{Job: "run-1"}, "i-1", false)
+		then(c)
+		for s := 51; s < 130; s++ {
+			c.Look(at(s))
+		}
+		return len(c.Broken)
+	}
+	again := func(c *Checker) {
+		c.Started(at(60), api.TaskID{Job: "run-1"}, &api.JobSpec{Ref: "run-1", Kind: api.Service, Tasks: 1}, "i-2", "c8", "a", false)
+	}
+	if see(func(*Checker) {}) != 1 || see(again) != 0 || see(func(c *Checker) { c.AskedCancel(at(55), "run-1") }) != 0 || see(func(c *Checker) { c.Trouble(at(100)) }) != 0 {
+		t.Error("what is missing by a move is not told from what is not")
+	}
+}
