A round's cost with the packing term: benchmarked, and what it is for tested

Change: a cluster in pieces, drawn from a fixed seed; small models must begin no whole machine while pieces are left (the dot product alone begins some, so the test fails without the term), and a benchmark of the same round.

The ratio to an exhaustive best stays open.

--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -7,6 +7,7 @@
 
 	"basaltwall/api"
 	"basaltwall/flow"
+	"basaltwall/pack"
 )
 
 // crowd is a round with many machines, partly taken, and many waiting jobs.
@@ -157,6 +158,63 @@
 	}
 }
 
+// inPieces is a cluster of machines with eight accelerators, some of them in use, and models of
+// one and of eight that wait.
+func inPieces(machines, jobs int, typical bool) *Input {
+	r := rand.New(rand.NewPCG(8, 9))
+	in := &Input{Largest: api.Resources{CPU: 96e6, GPU: 8e6, Mem: 768e6}, Most: 60,
+		Left: map[api.Team]api.Resources{"red": {CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}}}
+	for i := range machines {
+		used := api.Amount(r.IntN(9))
+		in.Machines = append(in.Machines, Machine{ID: api.MachineID(fmt.Sprintf("i-%d", i)), Type: "m8", Zone: "a", GPU: true, Fetch: 1,
+			Free: api.Resources{CPU: 96e6 - 12e6*used, GPU: 8e6 - 1e6*used, Mem: 768e6 - 90e6*used}})
+	}
+	for i := range jobs {
+		s := &api.JobSpec{Ref: api.JobRef(fmt.Sprintf("run-%d", i)), Team: "red", Kind: api.Service, Priority: api.High, Tasks: 3, CPUs: 4, GPUs: 1, MemGB: 40}
+		if i%8 == 0 {
+			s.GPUs, s.CPUs, s.MemGB, s.Tasks = 8, 48, 300, 1
+		}
+		j := Job{Spec: s, Demand: s.Demand(), Pending: []int{0, 1, 2}[:s.Tasks]}
+		in.Jobs = append(in.Jobs, j)
+	}
+	if typical {
+		asked := map[api.Resources]int{}
+		for _, j := range in.Jobs {
+			asked[j.Demand] += len(j.Pending)
+		}
+		in.Typical = pack.Typical(asked)
+	}
+	return in
+}
+
+// Small models fill what is begun: none begins a whole machine while pieces are left, as the dot
+// product by itself would have it.
+func TestSmallModelsLeaveWholeMachines(t *testing.T) {
+	begun := func(typical bool) (whole int) {
+		in := inPieces(200, 40, typical)
+		for _, p := range Round(in) {
+			if in.Jobs[p.Job].Spec.GPUs == 1 && in.Machines[p.Machine].Free.GPU == 8e6 {
+				whole++
+			}
+		}
+		return whole
+	}
+	if with, without := begun(true), begun(false); with != 0 || without == 0 {
+		t.Errorf("%d whole machines are begun by small models, %d by the dot product alone", with, without)
+	}
+}
+
+func BenchmarkRoundInPieces(b *testing.B) {
+	for _, typical := range []bool{false, true} {
+		in := inPieces(2500, 300, typical)
+		b.Run(fmt.Sprintf("typical=%v", typical), func(b *testing.B) {
+			for b.Loop() {
+				Round(in)
+			}
+		})
+	}
+}
+
 // A node keeps only as many of its cheapest edges as the round may start tasks.
 // The plan must cost what a flow over all edges costs, found here on its own.
 func TestCutEdgesKeepTheOptimum(t *testing.T) {
