--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"basaltwall/api"
@@ -204,6 +205,88 @@
 	}
 }
 
+// What is left whole after small models that come a few at a time, against the best that an
+// exhaustive search finds that knows all of them at once. Where a task finds no room, none count.
+func TestPiecesNearTheBest(t *testing.T) {
+	sizes := []api.Amount{1e6, 2e6, 4e6}
+	demand := func(gpus api.Amount) api.Resources {
+		return api.Resources{CPU: 12 * gpus, GPU: gpus, Mem: 90 * gpus}
+	}
+	// best is the most machines that can be left with all eight free.
+	var best func(free []api.Amount, tasks []api.Amount) int
+	best = func(free, tasks []api.Amount) int {
+		if len(tasks) == 0 {
+			return whole(free)
+		}
+		most := -1
+		for i := range free {
+			if free[i] >= tasks[0] {
+				free[i] -= tasks[0]
+				most = max(most, best(free, tasks[1:]))
+				free[i] += tasks[0]
+			}
+		}
+		return most
+	}
+	var left, waiting [2]int // by the dot product alone, and with the term
+	ideal := 0
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		start := make([]api.Amount, 5)
+		for i := range start {
+			start[i] = 1e6 * api.Amount([]int{8, 8, 8, 5, 3}[r.IntN(5)])
+		}
+		tasks := make([]api.Amount, 6)
+		for i := range tasks {
+			tasks[i] = sizes[r.IntN(len(sizes))]
+		}
+		most := best(slices.Clone(start), tasks)
+		if most < 0 {
+			continue // they don't all fit
+		}
+		asked := map[api.Resources]int{demand(8e6): 2}
+		for _, gpus := range tasks {
+			asked[demand(gpus)]++
+		}
+		ideal += most
+		for way, typical := range [][]pack.Demand{nil, pack.Typical(asked)} {
+			free, unplaced := slices.Clone(start), 0
+			for i := 0; i < len(tasks); i += 2 {
+				in := &Input{Largest: demand(8e6), Most: 60, Typical: typical, Left: map[api.Team]api.Resources{"red": {CPU: 1 << 50, GPU: 1 << 50, Mem: 1 << 50}}}
+				for m, gpus := range free {
+					in.Machines = append(in.Machines, Machine{ID: api.MachineID(fmt.Sprint("i-", m)), Type: "m8", Zone: "a", GPU: true, Fetch: 1, Free: demand(gpus)})
+				}
+				for n, gpus := range tasks[i : i+2] {
+					s := &api.JobSpec{Ref: api.JobRef(fmt.Sprint("run-", n)), Team: "red", Kind: api.Service, Priority: api.High, Tasks: 1}
+					in.Jobs = append(in.Jobs, Job{Spec: s, Demand: demand(gpus), Pending: []int{0}})
+				}
+				placed := Round(in)
+				for _, p := range placed {
+					free[p.Machine] -= in.Jobs[p.Job].Demand.GPU
+				}
+				unplaced += len(in.Jobs) - len(placed)
+			}
+			waiting[way] += unplaced
+			if unplaced == 0 {
+				left[way] += whole(free)
+			}
+		}
+	}
+	t.Logf("whole machines left: %v of at best %d; %v tasks wait", left, ideal, waiting)
+	if 100*left[1] < 85*ideal || left[1] <= left[0] || waiting[1] > waiting[0] {
+		t.Errorf("%v machines are left whole (without the term, with it), %d at best, and %v tasks wait", left, ideal, waiting)
+	}
+}
+
+func whole(free []api.Amount) (count int) {
+	for _, f := range free {
+		if f == 8e6 {
+			count++
+		}
+	}
+	return count
+}
+
 func BenchmarkRoundInPieces(b *testing.B) {
 	for _, typical := range []bool{false, true} {
 		in := inPieces(2500, 300, typical)
