Pieces of accelerators shown by part, type and zone, with what is free

The need: the issue asks for pieces by type, zone and part; metrics had one figure a type, by which no operator sees where they lie.

Change: a list of part, type, zone, what is free and what of it is of no use to what is usual. Seen on one part with two zones in a test; computed only when metrics are asked for.

--- a/control/due.go
+++ b/control/due.go
@@ -85,16 +85,24 @@
 	typical []pack.Demand
 }
 
-// lostInPieces is how many accelerators of our parts are free and of no use to what is usual, by
-// type.
-func (n *Node) lostInPieces() map[api.TypeName]float64 {
-	out := map[api.TypeName]float64{}
-	for p, t := range n.turfs {
+// lostInPieces is what is free of our parts' accelerators, and of no use to what is usual.
+func (n *Node) lostInPieces() (out []PiecesView) {
+	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+		at := len(out)
 		for _, m := range n.machinesOf(p) {
-			if n.accelerated(m.typ) && n.usable(m, t) {
-				out[m.typ] += pack.Lost(n.freeOn(m, t), n.typical())
+			if !n.accelerated(m.typ) || !n.usable(m, n.turfs[p]) {
+				continue
+			}
+			i := slices.IndexFunc(out[at:], func(v PiecesView) bool { return v.Type == m.typ && v.Zone == m.zone })
+			if i < 0 {
+				i = len(out) - at
+				out = append(out, PiecesView{Part: p, Type: m.typ, Zone: m.zone})
 			}
+			free := n.freeOn(m, n.turfs[p])
+			out[at+i].Free += free.GPU.Float()
+			out[at+i].Lost += pack.Lost(free, n.typical())
 		}
+		slices.SortFunc(out[at:], func(a, b PiecesView) int { return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone)) })
 	}
 	return out
 }
--- a/control/due_test.go
+++ b/control/due_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -193,3 +194,22 @@
 		t.Error("kept for a job that there is none of")
 	}
 }
+
+// Metrics tell by part, type and zone what is free of accelerators and fits nothing usual.
+func TestPiecesByZone(t *testing.T) {
+	spec := testSpec(1)
+	spec.GPUs, spec.CPUs = 4, 4
+	n, _, m, _ := owner(t, spec)
+	n.learnTypes([]api.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, MemGB: 64, Zones: []api.Zone{"a", "b"}}})
+	m.typ = "g4"
+	m.extra = api.Resources{GPU: api.ToAmount(3)}
+	for i, zone := range []api.Zone{"b", "a"} {
+		o := n.machine(api.MachineID(fmt.Sprint("i-00000", i+1)))
+		o.typ, o.zone, o.heard, o.session, o.token = "g4", zone, n.now, 1, 7
+	}
+	got := n.lostInPieces()
+	want := []PiecesView{{Type: "g4", Zone: "a", Free: 5, Lost: 1}, {Type: "g4", Zone: "b", Free: 4}}
+	if !slices.Equal(got, want) {
+		t.Errorf("%+v, not %+v", got, want)
+	}
+}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -145,7 +145,7 @@
 	Zones map[api.Zone]ZoneView `json:"zones,omitempty"`
 
 	// Accelerators of our parts that are free and in pieces, by type.
-	Pieces map[api.TypeName]float64 `json:"accelerators_in_pieces,omitempty"`
+	Pieces []PiecesView `json:"accelerators_in_pieces,omitempty"`
 
 	// Skips, once somebody asked this controller for one.
 	Skips *SkipMetrics `json:"skips,omitempty"`
@@ -156,6 +156,16 @@
 	PoolMoves uint64                       `json:"pool_share_moves,omitempty"`
 }
 
+// PiecesView is what an operator is shown of free accelerators of a part that usual demands can't
+// use: by how usual each is, so what a rare one can't use counts for little.
+type PiecesView struct {
+	Part api.PartID   `json:"part"`
+	Type api.TypeName `json:"type"`
+	Zone api.Zone     `json:"zone"`
+	Free float64      `json:"free"`
+	Lost float64      `json:"lost"`
+}
+
 // ZoneView is what an operator is shown of a zone that is not whole.
 type ZoneView struct {
 	State    string       `json:"state"`    // doubtful, lost or returning
