--- a/control/due.go
+++ b/control/due.go
@@ -191,8 +191,7 @@
 	plain := n.plain(s)
 	for _, m := range all {
 		kept := n.keptFor(m)
-		if kept != "" && kept != s.Ref && (!m.soft || s.Priority.Rank() <= m.keptOf) || avoided[m.ID] || plain && n.accelerated(m.typ) ||
-			!sched.Allowed(s, m.typ, m.zone, m.spot) {
+		if kept != "" && kept != s.Ref && (!m.soft || s.Priority.Rank() <= m.keptOf) || avoided[m.ID] || !n.suits(s, plain, m.typ, m.zone, m.spot) {
 			continue
 		}
 		e, ok := ends[m]
@@ -207,9 +206,8 @@
 }
 
 // gatherDue keeps machines for the jobs of a part that must begin and found no room: nothing
-// else starts there, so that the room comes free as a whole. What is kept follows from what
-// the book and the machines' reports say, and from the jobs' ages: a new owner comes to
-// nearly the same and need not remember anything.
+// else starts there, so that the room comes free as a whole. What is kept is in the part's
+// record, see recordKeeps: a new owner goes on with it until it has looked for itself.
 func (n *Node) gatherDue(t *turf) {
 	if n.now.Sub(t.dueAt) < dueEvery {
 		return
@@ -294,16 +292,16 @@
 		return
 	}
 	taken, jobs := map[*Machine]api.Resources{}, map[*Job]bool{}
-	elsewhere := n.roomElsewhere()
+	var elsewhere []room
 	for _, p := range places {
 		if p.Part != t.part || !n.mayMove(p) || jobs[p.Job] {
 			return
 		}
 		jobs[p.Job] = true
 		var best *Machine
-		bestCost := 0.0
+		bestCost, plain := 0.0, n.plain(p.Job.Spec)
 		for _, o := range all {
-			if o == m || n.keptFor(o) != "" || !sched.Allowed(p.Job.Spec, o.typ, o.zone, o.spot) || p.Job.Note.failedOn[o.ID] || n.plain(p.Job.Spec) && n.accelerated(o.typ) {
+			if o == m || n.keptFor(o) != "" || p.Job.Note.failedOn[o.ID] || !n.suits(p.Job.Spec, plain, o.typ, o.zone, o.spot) {
 				continue
 			}
 			free := n.freeOn(o, t).Minus(taken[o])
@@ -318,6 +316,9 @@
 		}
 		if best == nil {
 			// A job that is all in one place may go to another part that has room.
+			if elsewhere == nil {
+				elsewhere = n.roomElsewhere()
+			}
 			i := slices.IndexFunc(elsewhere, func(r room) bool {
 				return p.Job.Spec.Tasks == 1 && p.Job.Demand.Fits(r.Free) && sched.Allowed(p.Job.Spec, r.kind.Type, r.kind.Zone, r.kind.Spot)
 			})
@@ -394,7 +395,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(recorded)) {
 		m := n.machines[id]
-		gone := m == nil || n.partOf(id) != t.part || !m.gathered && n.keptFor(m) != "" || n.keptFor(m) == ""
+		gone := m == nil || n.partOf(id) != t.part || !m.gathered || n.keptFor(m) == ""
 		if gone && len(out) < maxKeeps {
 			out = append(out, book.Keep{Machine: id})
 		}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -484,7 +484,7 @@
 	urgent := s.Priority.Rank() >= urgentRank
 	free, cleared := map[api.PartID][]sched.Machine{}, map[api.PartID][]sched.Machine{}
 	n.eachRoom(func(p api.PartID, k Kind, r Room) {
-		if !k.Usable || plain && n.accelerated(k.Type) || !sched.Allowed(s, k.Type, k.Zone, k.Spot) {
+		if !k.Usable || !n.suits(s, plain, k.Type, k.Zone, k.Spot) {
 			return
 		}
 		m := sched.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot}
@@ -556,7 +556,7 @@
 			var best way
 			for _, m := range n.machinesOf(t.part) {
 				if kept := n.keptFor(m); kept != "" && kept != l.Spec.Ref || !n.usable(m, t) || m.calling || l.Zone != "" && m.zone != l.Zone ||
-					n.accelerated(m.typ) && plain || !sched.Allowed(l.Spec, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) {
+					!n.suits(l.Spec, plain, m.typ, m.zone, m.spot) || !sched.ZoneOpen(l.Spec, l.Zones, m.zone) {
 					continue
 				}
 				if len(n.book.On(m.ID)) == 0 && !m.strange && m.extra == (api.Resources{}) {
--- a/control/part.go
+++ b/control/part.go
@@ -626,8 +626,7 @@
 	best := 0.0
 	for o, count := range coming() {
 		typ := n.types[o.typ]
-		if count <= 0 || typ == nil || typ.FetchRate <= 0 || !sched.Allowed(j.Spec, o.typ, o.zone, o.spot) || !j.Demand.Fits(typ.Capacity()) ||
-			n.plain(j.Spec) && typ.GPUs > 0 {
+		if count <= 0 || typ == nil || typ.FetchRate <= 0 || !n.suits(j.Spec, n.plain(j.Spec), o.typ, o.zone, o.spot) || !j.Demand.Fits(typ.Capacity()) {
 			continue
 		}
 		if s := typ.Boot + j.Spec.ImageGB/typ.FetchRate; best == 0 || s < best {
@@ -654,6 +653,12 @@
 	return false
 }
 
+// suits reports whether a job's tasks may run on such a machine; plain work runs on none with
+// accelerators.
+func (n *Node) suits(s *api.JobSpec, plain bool, typ api.TypeName, zone api.Zone, spot bool) bool {
+	return !(plain && n.accelerated(typ)) && sched.Allowed(s, typ, zone, spot)
+}
+
 // spotRisk is the chance that a job is late because a spot machine is taken with a
 // task of it, as they were seen to be taken of late: that this happens when there
 // is no time left to find out, to fetch the image again and to run the task again.
--- a/control/precedence.go
+++ b/control/precedence.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -63,22 +64,8 @@
 }
 
 func compareKinds(a, b precedence.Kind) int {
-	for _, c := range []int{stringOrder(a.Class, b.Class), stringOrder(a.Team, b.Team), stringOrder(a.Form, b.Form), stringOrder(a.Priority, b.Priority)} {
-		if c != 0 {
-			return c
-		}
-	}
-	return first(b.Short) - first(a.Short)
-}
-
-func stringOrder[S ~string](a, b S) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Form, b.Form), cmp.Compare(a.Priority, b.Priority),
+		first(b.Short)-first(a.Short))
 }
 
 // kindOfWork is what rules see of a job.
--- a/control/preempt.go
+++ b/control/preempt.go
@@ -125,8 +125,8 @@
 	within := n.startAim(j.Spec.Class)
 	byZone := map[api.Zone][]way{}
 	for _, m := range n.machinesOf(t.part) {
-		if kept := n.keptFor(m); kept != "" && kept != j.Ref || !n.usable(m, t) || !sched.Allowed(j.Spec, m.typ, m.zone, m.spot) ||
-			sj.AvoidedBy[m.ID] || sj.Plain && n.accelerated(m.typ) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
+		if kept := n.keptFor(m); kept != "" && kept != j.Ref || !n.usable(m, t) || sj.AvoidedBy[m.ID] ||
+			!n.suits(j.Spec, sj.Plain, m.typ, m.zone, m.spot) || !sched.ZoneOpen(j.Spec, sj.Zones, m.zone) {
 			continue
 		}
 		fetch := slowest * (&sched.Machine{Images: m.images, Fetch: n.types[m.typ].FetchRate, Coming: n.fetching(m)}).FetchTime(j.Spec)
--- a/internal/scenario/pack_test.go
+++ b/internal/scenario/pack_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"testing"
 )
@@ -11,10 +10,7 @@
 // machines, and gangs beside them, with three to seven controllers and two or three faults while
 // machines are kept and models move. In the end all that is wanted is up.
 func packScript(seed uint64) string {
-	r := rand.New(rand.NewPCG(seed, 31))
-	pick := func(of ...string) string { return of[r.IntN(len(of))] }
-	var b strings.Builder
-	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	r, pick, line, b := drawing(seed, 31)
 	nodes, machines := 3+2*r.IntN(3), 12+r.IntN(25)
 	line("-- script --")
 	line("controllers %s", strings.TrimSpace(strings.Repeat("region ", nodes)))
--- a/internal/scenario/skips_test.go
+++ b/internal/scenario/skips_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"testing"
 )
@@ -10,10 +9,7 @@
 // skipsScript draws enquiries for few skips of two depots under faults, with three to seven
 // controllers.
 func skipsScript(seed uint64) string {
-	r := rand.New(rand.NewPCG(seed, 27))
-	pick := func(of ...string) string { return of[r.IntN(len(of))] }
-	var b strings.Builder
-	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	r, pick, line, b := drawing(seed, 27)
 	nodes := 3 + 2*r.IntN(3)
 	line("-- script --")
 	line("controllers %s", strings.TrimSpace(strings.Repeat("region ", nodes)))
--- a/internal/scenario/zones_test.go
+++ b/internal/scenario/zones_test.go
@@ -13,10 +13,7 @@
 // and three to seven controllers inside and outside, and two further faults in some phase
 // of it. All that is lost must start again, and nobody go unserved.
 func zoneScript(seed uint64) string {
-	r := rand.New(rand.NewPCG(seed, 21))
-	pick := func(of ...string) string { return of[r.IntN(len(of))] }
-	var b strings.Builder
-	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	r, pick, line, b := drawing(seed, 21)
 	line("-- script --")
 	nodes := 3 + 2*r.IntN(3)
 	domains := make([]string, nodes)
@@ -100,3 +97,11 @@
 		})
 	}
 }
+
+// drawing is what a drawn script is made with: chance, one of some words, and a line more.
+func drawing(seed, stream uint64) (r *rand.Rand, pick func(of ...string) string, line func(format string, args ...any), b *strings.Builder) {
+	r, b = rand.New(rand.NewPCG(seed, stream)), &strings.Builder{}
+	pick = func(of ...string) string { return of[r.IntN(len(of))] }
+	line = func(format string, args ...any) { fmt.Fprintf(b, format+"\n", args...) }
+	return r, pick, line, b
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -222,15 +222,7 @@
 		doc.check(t, method, path, res.StatusCode, string(data))
 		return res.StatusCode, string(data)
 	}
-	expect := func(what string, code int, part string) func(int, string) string {
-		return func(got int, body string) string {
-			t.Helper()
-			if got != code || !strings.Contains(body, part) {
-				t.Errorf("%s: %d %s, expected %d with %q", what, got, body, code, part)
-			}
-			return body
-		}
-	}
+	expect := expecting(t)
 	revision := func(name string) string {
 		var at control.TenantAt
 		if _, body := call(0, admin.String(), "GET", "/admin/v1/tenants/"+name, ""); json.Unmarshal([]byte(body), &at) != nil {
@@ -485,15 +477,7 @@
 		data, _ := io.ReadAll(res.Body)
 		return res.StatusCode, string(data)
 	}
-	expect := func(what string, code int, part string) func(int, string) string {
-		return func(got int, body string) string {
-			t.Helper()
-			if got != code || !strings.Contains(body, part) {
-				t.Errorf("%s: %d %s, expected %d with %q", what, got, body, code, part)
-			}
-			return body
-		}
-	}
+	expect := expecting(t)
 	for node := range l.Configs {
 		eventually(t, "skips are imported", func() bool {
 			code, _ := call(node, "POST", "/hof/import", `{"skips":[{"skip":"six-1","kind":"six"},{"skip":"six-2","kind":"six"}]}`)
@@ -532,3 +516,16 @@
 	cancel()
 	wg.Wait()
 }
+
+// expecting makes the check of an answer: its status, and what its body holds.
+func expecting(t *testing.T) func(what string, code int, part string) func(int, string) string {
+	return func(what string, code int, part string) func(int, string) string {
+		return func(got int, body string) string {
+			t.Helper()
+			if got != code || !strings.Contains(body, part) {
+				t.Errorf("%s: %d %s, expected %d with %q", what, got, body, code, part)
+			}
+			return body
+		}
+	}
+}
