--- a/control/precedence.go
+++ b/control/precedence.go
@@ -205,7 +205,7 @@
 			list = append(list, m)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *Machine) int { return int(64 * (level[b] - level[a])) })
+	slices.SortStableFunc(list, func(a, b *Machine) int { return sched.Descending(level[a], level[b]) })
 	for _, m := range list[:min(len(list), n.maxDirects/2)] {
 		n.kick(m)
 	}
--- a/due/due.go
+++ b/due/due.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -72,21 +73,29 @@
 	return min(most, demand.Slots(free))
 }
 
-// soonest is when a machine could hold so many tasks, in seconds, infinite if never.
-func (h *Host) soonest(demand api.Resources, tasks int) float64 {
-	free, at := h.Free, 0.0
-	if demand.Slots(free) >= tasks {
-		return 0
+// slotsAt is when a machine could hold its first task, its second and so on, in seconds, in order;
+// at most so many, and none that would never have room.
+func (h *Host) slotsAt(demand api.Resources, most int) []float64 {
+	var out []float64
+	free := h.Free
+	add := func(at float64) {
+		for n := min(most, demand.Slots(free)); len(out) < n; {
+			out = append(out, at)
+		}
+	}
+	if add(0); len(out) == most {
+		return out
 	}
 	ends := slices.Clone(h.Ends)
 	slices.SortStableFunc(ends, func(a, b End) int { return cmp.Compare(a.After, b.After) })
 	for _, e := range ends {
-		free, at = free.Plus(e.Frees), e.After
-		if demand.Slots(free) >= tasks {
-			return at
+		if math.IsInf(e.After, 1) || len(out) == most {
+			break
 		}
+		free = free.Plus(e.Frees)
+		add(e.After)
 	}
-	return math.Inf(1)
+	return out
 }
 
 // Want is what room is gathered for.
@@ -142,11 +151,7 @@
 	var slots []slot
 	for _, i := range among {
 		h := &hosts[i]
-		for k := 1; k <= w.Tasks; k++ {
-			at := h.soonest(w.Demand, k)
-			if math.IsInf(at, 1) {
-				break
-			}
+		for _, at := range h.slotsAt(w.Demand, w.Tasks) {
 			if h.Kept {
 				at = max(0, at-sticky)
 			}
@@ -155,9 +160,7 @@
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
 	zones := map[api.Zone]int{}
-	for z, n := range w.Zones {
-		zones[z] = n
-	}
+	maps.Copy(zones, w.Zones)
 	left, last := w.Tasks, 0.0
 	for _, s := range slots {
 		if z := hosts[s.host].Zone; w.Spread > 0 {
@@ -194,9 +197,7 @@
 	})
 	var kept []int
 	clear(zones)
-	for z, n := range w.Zones {
-		zones[z] = n
-	}
+	maps.Copy(zones, w.Zones)
 	left = w.Tasks
 	for _, i := range by {
 		n := min(left, count(i))
