A cancellation is told only when all owners that hold tasks of the job have recorded it

Cause: a cancellation was told as soon as its record was written.

Change: users are told by State, which calls a job cancelled once every part that holds places of it has Knows in its record. An owner writes that in a round (takesIn) when it has read the cancellation, all machines of those tasks have shown its token and no launch is on its way.

The stand-ins learn deaf machines, copies of old reports, and that a refused node's watches wait: with an open watch that was served the gap could not be seen. TestRandomFaults and its kin draw the new faults too.

--- a/api/wire.go
+++ b/api/wire.go
@@ -283,6 +283,9 @@
 	Running *int     `json:"running,omitempty"`
 }
 
+// Final reports whether the state can't change any more.
+func (s JobStatus) Final() bool { return s.State == JobDone || s.State == JobCancelled }
+
 // NoCapacity is the cloud's word that it has no machine of the kind asked for.
 const NoCapacity = "no capacity"
 
--- a/book/book.go
+++ b/book/book.go
@@ -39,17 +39,19 @@
 	Note   J
 
 	doneBy map[api.PartID]*Set
-	live   int // places that are not over
+	live   int                 // places that are not over
+	knows  map[api.PartID]bool // parts whose owner has recorded that it stops the job's tasks
 }
 
 // State is what users are told. A job all of whose tasks are done is done even
 // when a cancellation is recorded too: no completion is recorded after a
-// cancellation, so the completion came first.
+// cancellation, so the completion came first. A cancellation is not told before all who
+// could keep its tasks alive know of it, see Told.
 func (j *Job[J, P]) State() api.JobState {
 	switch {
 	case j.DoneN >= j.Spec.Tasks:
 		return api.JobDone
-	case j.Cancelled:
+	case j.Cancelled && j.Told():
 		return api.JobCancelled
 	case len(j.Places) > 0:
 		return api.JobRunning
@@ -57,7 +59,24 @@
 	return api.JobPending
 }
 
-// Final reports whether the job is done or cancelled.
+// Told reports whether a recorded cancellation may be told: in each part that holds places of
+// the job, the owner has recorded that it knows of the cancellation and alone commands their
+// machines. Both the places, of which none is added after a cancellation, and what owners have
+// recorded are of the record, so that once this holds for one controller it does for all that
+// read later.
+func (j *Job[J, P]) Told() bool {
+	for part, places := range j.Placed {
+		if places > 0 && !j.knows[part] {
+			return false
+		}
+	}
+	return true
+}
+
+// Knows reports whether a part's owner has recorded that it knows of the job's cancellation.
+func (j *Job[J, P]) Knows(part api.PartID) bool { return j.knows[part] }
+
+// Final reports whether the job is done or cancelled, for whoever plans: users are told State.
 func (j *Job[J, P]) Final() bool { return j.DoneN >= j.Spec.Tasks || j.Cancelled }
 
 // Waits reports whether some task of the job is neither done nor placed, places that
@@ -120,6 +139,7 @@
 	OnPart  []map[*Place[J, P]]bool              // places by part
 	Open    map[api.JobRef]*Job[J, P]            // with tasks that wait
 	Ended   map[api.JobRef]*Job[J, P]            // over, no place left, not yet put away
+	Stopped map[api.JobRef]*Job[J, P]            // cancelled, with places left
 	Of      map[string]map[api.JobRef]*Job[J, P] // the jobs by tenant, of a hosted service
 	Lent    map[api.MachineID]Lent               // machines that were given to another part
 	Lends   int                                  // changes to Lent, so that what follows from it can be kept
@@ -141,7 +161,7 @@
 		vers: map[string]api.Revision{}, Members: map[api.Label]MemberValue{},
 		Parts: make([]Part, parts), Jobs: map[api.JobRef]*Job[J, P]{},
 		OnPart: make([]map[*Place[J, P]]bool, parts), onHost: map[api.MachineID]*hosted[J, P]{},
-		Open: map[api.JobRef]*Job[J, P]{}, Ended: map[api.JobRef]*Job[J, P]{},
+		Open: map[api.JobRef]*Job[J, P]{}, Ended: map[api.JobRef]*Job[J, P]{}, Stopped: map[api.JobRef]*Job[J, P]{},
 		Of: map[string]map[api.JobRef]*Job[J, P]{}, Finals: map[api.JobRef]api.JobState{}, Lent: map[api.MachineID]Lent{},
 	}
 	for i := range b.Parts {
@@ -302,7 +322,7 @@
 	ref := api.JobRef(name)
 	j := b.Jobs[ref]
 	if j == nil {
-		j = &Job[J, P]{Ref: ref, doneBy: map[api.PartID]*Set{}, Places: map[int]*Place[J, P]{}, Placed: map[api.PartID]int{}}
+		j = &Job[J, P]{Ref: ref, doneBy: map[api.PartID]*Set{}, Places: map[int]*Place[J, P]{}, Placed: map[api.PartID]int{}, knows: map[api.PartID]bool{}}
 		b.Jobs[ref] = j
 	}
 	j.JobValue, j.Demand, j.Ver = v, v.Spec.Demand(), ver
@@ -336,6 +356,7 @@
 	delete(b.Jobs, ref)
 	delete(b.Open, ref)
 	delete(b.Ended, ref)
+	delete(b.Stopped, ref)
 }
 
 // Attempt numbers the starts of a round: unique for a task wherever it moves.
@@ -431,9 +452,12 @@
 func (b *Book[J, P]) index(j *Job[J, P]) {
 	delete(b.Open, j.Ref)
 	delete(b.Ended, j.Ref)
+	delete(b.Stopped, j.Ref)
 	switch {
 	case j.Final() && len(j.Places) == 0:
 		b.Ended[j.Ref] = j
+	case j.Cancelled && len(j.Places) > 0:
+		b.Stopped[j.Ref] = j
 	case !j.Final() && j.Waits():
 		b.Open[j.Ref] = j
 	}
@@ -467,6 +491,9 @@
 				b.dropPlace(p)
 			}
 		}
+		if d.Knows {
+			j.knows[part] = true
+		}
 		j.Again += len(d.Lost)
 		for _, i := range d.Done {
 			j.complete(part, i)
--- a/book/checkpoint.go
+++ b/book/checkpoint.go
@@ -17,7 +17,7 @@
 	c := Record{Seq: b.Parts[part].Seq}
 	for _, ref := range slices.Sorted(maps.Keys(b.Jobs)) {
 		j := b.Jobs[ref]
-		d := JobDelta{Job: ref}
+		d := JobDelta{Job: ref, Knows: j.knows[part]}
 		if set := j.doneBy[part]; set != nil {
 			d.Bits = set.bytes()
 		}
--- a/book/values.go
+++ b/book/values.go
@@ -81,6 +81,7 @@
 	Starts []StartEntry `json:"+,omitempty"`
 	Done   []int        `json:"d,omitempty"` // ended and done
 	Lost   []int        `json:"l,omitempty"` // ended otherwise
+	Knows  bool         `json:"x,omitempty"` // its owner knows of the cancellation, see Job.Told
 	Bits   []byte       `json:"b,omitempty"` // in checkpoints: all that this part completed
 }
 
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -214,9 +214,9 @@
 
 func (n *Node) cancelHosted(c Cancel) {
 	n.asJob(c.Req, hostedForward{Kind: "cancel", Ref: c.Ref, Caller: c.Caller}, c.Forwarded, func(id api.JobRef, absent, elsewhere func()) {
-		n.tryCancel(id, 5, func(s api.JobStatus) {
+		n.tryCancel(id, 5, n.whenTold(c.Forwarded, func(s api.JobStatus) {
 			n.reply(c.Req, 200, api.JobStatus{Ref: api.JobRef(c.Ref), State: s.State}, 0)
-		}, absent, elsewhere)
+		}, func() { n.refuse(c.Req, 503, cancelWaits) }), absent, elsewhere)
 	})
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -337,6 +337,7 @@
 			if tr.State != api.TaskFetching {
 				n.cacheImage(m, p.Job.Spec)
 			}
+			t.dirty = t.dirty || !p.Note.reported && p.Job.Cancelled // takesIn may hold now
 			p.Note.reported, p.Note.state = true, tr.State
 		}
 	}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -131,6 +131,8 @@
 	FlowMachines  int               `json:"flow_machines_last"`
 	Jobs          int               `json:"jobs"`
 	Waiting       int               `json:"waiting_tasks"`
+	Untold        int               `json:"cancellations_waiting"`   // recorded, and not yet to be told
+	UntoldSeconds float64           `json:"cancellations_waiting_s"` // the oldest of them
 	Calls         int               `json:"calls_open"`
 	Times         map[string]timing `json:"times"`
 
@@ -204,6 +206,12 @@
 			v.Waiting += j.Waiting(api.PartID(p))
 		}
 	}
+	for _, j := range n.book.Stopped {
+		if !j.Told() {
+			v.Untold++
+			v.UntoldSeconds = max(v.UntoldSeconds, float64(n.wall-j.CancelledAt)/1000)
+		}
+	}
 	for p, t := range n.turfs {
 		for _, m := range n.machinesOf(p) {
 			if m.heard != 0 && m.token < n.base(t, m.ID) {
--- a/control/node.go
+++ b/control/node.go
@@ -49,6 +49,7 @@
 	wantedAt  api.Time // when a current read was last wanted
 	waiters   []syncWaiter
 	finals    lookups
+	untold    []untold // cancellations that are recorded and wait to be told
 	ledger    ledger
 	ordering  ordering
 	pieces    pieces
@@ -354,6 +355,7 @@
 	}
 	n.begin(WorkMembership)
 	n.membership()
+	n.tellCancelled()
 	if !n.loaded {
 		n.load()
 		return
--- a/control/part.go
+++ b/control/part.go
@@ -342,6 +342,16 @@
 		w.ends[p] = done
 		delete(t.ends, p)
 	}
+	for _, ref := range slices.Sorted(maps.Keys(n.book.Stopped)) {
+		if j := n.book.Stopped[ref]; n.takesIn(t, j) {
+			if room < 64 {
+				t.dirty = true
+				break
+			}
+			delta(j).Knows = true
+			room -= 64
+		}
+	}
 	t.planned = map[api.Team]bool{}
 	t.reserved = n.dueShares(t)
 	most := room / 64
--- a/control/timetable.go
+++ b/control/timetable.go
@@ -33,6 +33,7 @@
 	silentAfter  time.Duration // how long no report may come before a machine is asked
 	givenUpAfter time.Duration // how long a machine may be silent, see checkSilence
 	cancelLimit  time.Duration // how long after a cancellation a machine that is silent is deleted for it
+	leaseCovers  bool          // a machine that nobody renews is empty within the time of a cancellation
 	returnTime   time.Duration // how soon a worker is back that was sent to a node which does not answer
 }
 
@@ -64,9 +65,15 @@
 	t.memberTTL = max(t.renewEvery*10/3, t.renewEvery+renewTimeout+2*retryPause)
 	// Time enough for a deletion that goes unanswered once, with the read before it.
 	t.cancelLimit = max(cancel/2, cancel-2*cloudTimeout-2*sweepEvery)
+	lease := cfg.WorkerLease()
+	t.leaseCovers = lease+lease/1000+leaseSlack <= cancel
 	t.settleTime = max(5*time.Second, t.memberTTL)
 	return t
 }
 
+// leaseSlack is what a worker may take to notice that its lease is over. Its clock may be off
+// by a two-thousandth, so a thousandth of the lease is allowed for beside it.
+const leaseSlack = time.Second
+
 // maxRenew keeps a lease's life within the ten minutes that the state service allows.
 const maxRenew = 2 * time.Minute
--- a/control/user.go
+++ b/control/user.go
@@ -30,7 +30,7 @@
 	if j := n.book.Jobs[ref]; j != nil {
 		s := api.JobStatus{Ref: ref, State: j.State()}
 		done, running := j.DoneN, len(j.Places)
-		if j.Final() {
+		if s.Final() {
 			running = 0
 		}
 		s.Done, s.Running = &done, &running
@@ -45,7 +45,7 @@
 // finalKnown reports a state that no later read can change.
 func (n *Node) finalKnown(ref api.JobRef) (api.JobStatus, bool) {
 	s, ok := n.status(ref)
-	return s, ok && (s.State == api.JobDone || s.State == api.JobCancelled)
+	return s, ok && s.Final()
 }
 
 // lookup finds a job by a read that is current as of the call.
@@ -397,6 +397,7 @@
 		return
 	}
 	answer := func(s api.JobStatus) { n.reply(c.Req, 200, api.JobStatus{Ref: ref, State: s.State}, 0) }
+	later := func() { n.refuse(c.Req, 503, cancelWaits) }
 	if s, ok := n.finalKnown(ref); ok {
 		answer(s)
 		return
@@ -406,11 +407,12 @@
 		elsewhere()
 		return
 	}
-	n.tryCancel(ref, 5, answer, func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
+	n.tryCancel(ref, 5, n.whenTold(c.Forwarded, answer, later), func() { n.refuse(c.Req, 404, "no such job") }, elsewhere)
 }
 
 // tryCancel records the cancellation in the job's key and then reads back what
-// became of the job: a completion recorded before counts.
+// became of the job: a completion recorded before counts. The state that it answers may
+// be that of before the cancellation, see whenTold.
 func (n *Node) tryCancel(ref api.JobRef, tries int, answer func(api.JobStatus), absent, fail func()) {
 	if tries == 0 {
 		fail()
@@ -441,12 +443,11 @@
 			return
 		}
 		n.lookup(ref, func(s api.JobStatus) {
-			if s.State == api.JobDone || s.State == api.JobCancelled {
-				slog.Info("job cancelled", "job", ref, "state", s.State)
-				answer(s)
+			if j := n.book.Jobs[ref]; j != nil && !j.Final() {
+				n.tryCancel(ref, tries-1, answer, absent, fail)
 				return
 			}
-			n.tryCancel(ref, tries-1, answer, absent, fail)
+			answer(s)
 		}, absent, fail)
 	})
 }
--- /dev/null
+++ b/internal/scenario/meetings_test.go
@@ -0,0 +1,106 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// meetings draws two to four troubles that share a window, again and again, while long arrays,
+// services and gangs run on three to seven controllers' machines and many of them are
+// cancelled, by any controller. Who is served is not asked, as all of it may be out for most
+// of the time: only that no rule breaks, and that in the end every cancellation is told.
+func meetings(seed uint64) string {
+	r, pick, line, b := drawing(seed, 30)
+	line("-- script --")
+	nodes := 3 + 2*r.IntN(3)
+	domains := make([]string, nodes)
+	for i := range domains {
+		domains[i] = pick("a", "b", "c", "region")
+	}
+	line("controllers %s", strings.Join(domains, " "))
+	machines := 9 + r.IntN(16)
+	line("machines %d", machines)
+	line("machines %d spot", 1+r.IntN(4))
+	line("machines 2 g8")
+	line("capacity %d", machines+12)
+	line("limit red %d", 4*machines)
+	last := 250.0
+	job := 1
+	for at := 1.0; at < last-30; at += 1 + 8*r.Float64() {
+		kind := pick("array", "array", "service", "gang")
+		run := 3 + r.IntN(40)
+		if r.IntN(3) == 0 {
+			run = 100 + r.IntN(120)
+		}
+		more := pick("", " scatter", " together")
+		if kind == "gang" {
+			more = pick("", " together") + " checkpoint=5 save=1"
+		}
+		line("submit %.2f run-%d %s tasks=%d cpus=%d run=%d team=%s priority=%s%s%s", at, job, kind, 2+r.IntN(6), 1+r.IntN(3), run,
+			pick("red", "blue"), pick("normal", "high", "critical", "idle"), pick("", " spot"), more)
+		if r.IntN(2) == 0 {
+			line("cancel %.2f run-%d", at+0.1+90*r.Float64()*r.Float64(), job)
+		}
+		job++
+	}
+	for at := 8 + 10*r.Float64(); at < last-90; at += 30 + 60*r.Float64() {
+		node := fmt.Sprintf("stone-%d", r.IntN(nodes)) // more than one of them may be its
+		for range 2 + r.IntN(3) {
+			when, length := at+8*r.Float64()*r.Float64(), 3+float64(r.IntN(30))
+			if r.IntN(3) == 0 {
+				node = fmt.Sprintf("stone-%d", r.IntN(nodes))
+			}
+			machine := fmt.Sprintf("i-%06d", r.IntN(machines))
+			mode := pick("hold", "drop")
+			switch r.IntN(17) {
+			case 0, 1:
+				line("refuse %.2f %.2f %s", when, length, node)
+				line("outage %.2f %.2f", when+length*r.Float64(), pickTime(r.IntN(3), length))
+			case 2:
+				line("outage %.2f %.2f", when, pickTime(r.IntN(3), length))
+			case 3:
+				line("cut %.2f %.2f %s state %s", when, length, node, mode)
+				line("cut %.2f %.2f %s peers %s", when, length, node, mode)
+			case 4:
+				line("cut %.2f %.2f %s %s %s", when, length, node, pick("workers", "peers", "state", "users", "cloud", "all"), mode)
+			case 5:
+				line("crash %.2f %s %s", when, node, pick("0.2", "0.2", "3", "15"))
+			case 6:
+				line("crash %.2f all %s", when, pick("0.2", "3"))
+			case 7:
+				line("crashes %.2f %s 0.2 %.1f 6", when, pick(node, "all"), 0.5+3*r.Float64())
+			case 8:
+				line("freeze %.2f %.2f %s", when, length, node)
+			case 9:
+				line("delay %.2f %.2f %.2f", when, length, 0.1+0.5*r.Float64())
+			case 10:
+				line("lose %.2f %.2f %.2f", when, length, 0.1+0.5*r.Float64())
+			case 11:
+				line("stale %.2f %.2f %.2f", when, length, 0.1+0.5*r.Float64())
+			case 12:
+				line("deaf %.2f %.2f %s", when, 2*length, pick(machine, machine, machine, "all"))
+			case 13:
+				line("late %.2f %.2f %s", when, 3*length, machine)
+			case 14:
+				line("hang %.2f %.2f %s", when, 2*length, machine)
+			case 15:
+				line("cutzone %.2f %.2f %s %s", when, 2*length, pick("a", "b", "c"), mode)
+			case 16:
+				line("kill %.2f %s", when, machine)
+			}
+		}
+	}
+	line("floor 0")
+	line("begin 0")
+	line("end 420")
+	return b.String()
+}
+
+// pickTime is how long an outage lasts: as the trouble beside it, or longer than a lease, or
+// than a cancellation may take.
+func pickTime(which int, length float64) float64 {
+	return []float64{length, 30 + length, 60 + length}[which]
+}
+
+func TestDrawnMeetings(t *testing.T) { runs(t, meetings) }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -36,6 +36,8 @@
 //	kill AT MACHINE                     a machine fails silently
 //	take AT SHARE                       so much of the spot machines is taken in silence
 //	hang AT FOR MACHINE
+//	deaf AT FOR MACHINE|all             its reports arrive, answers and direct commands to it are lost
+//	stale AT FOR SHARE                  of so many reports copies arrive again, up to two leases later
 //	late AT FOR MACHINE                 direct commands to it are held on their way
 //	sick AT FOR MACHINE                 every task fails that it starts
 //	random SEED FROM TO                 faults drawn by chance
@@ -69,7 +71,7 @@
 //	deleted MIN MAX                     machines deleted by the controllers
 //	up AT SHARE                         of the replicas that are due so many are up then, at least
 //	sofar AT WHAT MIN MAX               the same by then: deleted, rented (machines), calls (to the cloud) or starts
-//	most WHAT N                         state-rps, state-writes, cloud-rps (a second, on
+//	most WHAT N                         cancel (seconds until a cancellation was told), state-rps, state-writes, cloud-rps (a second, on
 //	                                    average), value (bytes), direct-calls a start, claims (parts taken or given), shorts (writes of what is short), rentals
 //	                                    (calls) or rented (machines), at most
 package scenario
@@ -276,6 +278,7 @@
 		"cloud-rps": float64(r.w.Cloud.Calls) / seconds, "value": float64(r.w.State.Largest),
 		"direct-calls": float64(r.w.Direct) / float64(max(1, r.w.Check.Starts)),
 		"shorts":       float64(r.w.State.Shorts),
+		"cancel":       r.w.Check.Longest.Seconds(),
 		"claims":       float64(r.w.State.Claims),
 		"rentals":      float64(r.w.Cloud.Rentals), "rented": float64(r.w.Cloud.Rented)}
 	for what, most := range r.most {
@@ -436,7 +439,7 @@
 	rest := l[1:]
 	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "skips": "dssn", "office": "ddssdn", "granted": "nn", "rules": "ds", "served": "sn", "quick": "snn", "skip": "dsss", "limits": "", "polls": "ddn", "begin": "d",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
-		"hang": "dds", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
+		"hang": "dds", "deaf": "dds", "stale": "ddn", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
 	var ns []float64
 	var ss []string
@@ -545,6 +548,12 @@
 		w.After(ds[0], func() { r.take(ns[0]) })
 	case "hang":
 		w.After(ds[0], func() { w.Hang(machine(0), ds[1]) })
+	case "deaf":
+		w.After(ds[0], func() { r.eachMachine(ss[0], func(id api.MachineID) { w.Deafen(id, ds[1]) }) })
+	case "stale":
+		w.Check.Trouble(ds[0] + ds[1] + 2*r.cfgs[0].WorkerLease())
+		w.After(ds[0], func() { w.StaleReports = ns[0] })
+		w.After(ds[0]+ds[1], func() { w.StaleReports = 0 })
 	case "late":
 		w.After(ds[0], func() { w.HoldDirect(machine(0), ds[1]) })
 	case "sick":
@@ -650,6 +659,16 @@
 	}
 }
 
+func (r *runner) eachMachine(name string, do func(api.MachineID)) {
+	if name != "all" {
+		do(api.MachineID(name))
+		return
+	}
+	for _, id := range r.w.Machines() {
+		do(id)
+	}
+}
+
 func (r *runner) cut(node, side string, length time.Duration, hold bool) {
 	r.eachNode(node, func(n string) {
 		for _, s := range []standin.Side{standin.SideState, standin.SideWorkers, standin.SidePeers, standin.SideCloud, standin.SideUsers} {
@@ -850,6 +869,17 @@
 			func() { r.w.Sicken(machine, length) },
 			func() { r.w.HoldDirect(machine, 2*length) },
 			func() { r.w.CutZone(zone, 2*length, hold) },
+			func() { r.w.Deafen(machine, 2*length) },
+			func() { r.cut(node, "state", 2*length, hold); r.cut(node, "peers", 2*length, hold) },
+			func() {
+				r.w.Check.Trouble(r.w.Now + length + 2*r.cfgs[0].WorkerLease())
+				r.w.StaleReports = share
+				r.w.After(length, func() { r.w.StaleReports = 0 })
+			},
+			func() {
+				r.w.State.Refuse(node, length)
+				r.w.After(length/2, func() { r.w.State.Outage(3 * length) })
+			},
 		}
 		r.w.After(at, faults[rnd.IntN(len(faults))])
 		at += time.Duration(1+rnd.IntN(12)) * time.Second
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -28,6 +28,10 @@
 	asking map[api.JobRef]*asking       // accepted jobs whose users ask
 	calm   time.Duration                // when the last trouble is over
 	moved  map[api.TaskID]time.Duration // replicas that were stopped, and when
+	wanted map[api.JobRef]time.Duration // cancellations that users wait for, and since when
+
+	// Longest is the longest that a user has waited for a cancellation.
+	Longest time.Duration
 }
 
 // movedFor is how long a replica of an urgent service may be missing after it was stopped by
@@ -72,7 +76,8 @@
 func NewChecker(cfg *config.Config) *Checker {
 	return &Checker{cfg: cfg, on: map[api.TaskID]map[api.MachineID]placed{}, done: map[api.TaskID]bool{},
 		told: map[api.JobRef]api.JobState{}, ended: map[api.JobRef]time.Duration{}, asked: map[api.JobRef]bool{},
-		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}, moved: map[api.TaskID]time.Duration{}}
+		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}, moved: map[api.TaskID]time.Duration{},
+		wanted: map[api.JobRef]time.Duration{}}
 }
 
 func (c *Checker) broke(at time.Duration, rule, format string, args ...any) {
@@ -159,6 +164,13 @@
 	c.served.cancelled(at, ref)
 }
 
+// WantsCancel notes that a user asks for a cancellation, and goes on until it is told.
+func (c *Checker) WantsCancel(at time.Duration, ref api.JobRef) {
+	if _, since := c.wanted[ref]; !since && strength(c.told[ref]) < 2 {
+		c.wanted[ref] = at
+	}
+}
+
 func strength(s api.JobState) int {
 	switch s {
 	case api.JobDone, api.JobCancelled:
@@ -206,6 +218,10 @@
 			c.ended[ref] = at
 		}
 	}
+	if since, ok := c.wanted[ref]; ok && strength(s) == 2 {
+		c.Longest = max(c.Longest, at-since)
+		delete(c.wanted, ref)
+	}
 	if c.asking[ref] == nil {
 		c.asking[ref] = &asking{}
 	}
@@ -234,6 +250,12 @@
 			c.broke(at, "moved", "%s was stopped at %.1f s and is missing since", id, from.Seconds())
 		}
 	}
+	for _, ref := range slices.Sorted(maps.Keys(c.wanted)) {
+		if since := max(c.wanted[ref], c.calm); at > since+unknownAfter {
+			delete(c.wanted, ref)
+			c.broke(at, "untold", "the cancellation of %s is not told since %.1f s", ref, since.Seconds())
+		}
+	}
 	for _, ref := range slices.Sorted(maps.Keys(c.asking)) {
 		a := c.asking[ref]
 		if since := max(a.good, c.calm); !a.lost && !c.asked[ref] && a.last > since && at > since+unknownAfter {
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -71,6 +71,13 @@
 			c.Told(2*time.Second, "run-1", 200, api.JobCancelled, "")
 			c.Started(90*time.Second, task(0), s, "i-1", "c8", "a", true)
 		}},
+		{"untold", func(c *Checker) {
+			c.Submitted(0, job(nil), 0)
+			c.WantsCancel(0, "run-1")
+			c.Trouble(20 * time.Second)
+			c.Told(time.Second, "run-1", 200, api.JobRunning, "")
+			c.Look(96 * time.Second)
+		}},
 		{"forgotten", func(c *Checker) { c.Submitted(0, job(nil), 0); c.Told(time.Second, "run-1", 404, "", api.JobPending) }},
 		{"invented", func(c *Checker) { c.Told(time.Second, "run-9", 200, api.JobPending, "") }},
 		{"not_done", func(c *Checker) { c.Submitted(0, job(nil), 0); c.Told(time.Second, "run-1", 200, api.JobDone, "") }},
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -18,6 +18,7 @@
 }
 
 type watch struct {
+	node   string
 	under  string
 	since  api.Revision
 	answer func(int, []byte)
@@ -103,7 +104,10 @@
 func (s *State) Refuse(node string, length time.Duration) {
 	s.refused[node] = true
 	s.w.Check.Trouble(s.w.Now + length)
-	s.w.After(length, func() { delete(s.refused, node) })
+	s.w.After(length, func() {
+		delete(s.refused, node)
+		s.wake()
+	})
 }
 
 func (s *State) change(c api.Change, lease api.LeaseID) {
@@ -140,6 +144,10 @@
 		if w.over {
 			continue
 		}
+		if s.refused[w.node] { // its open watches wait
+			open = append(open, w)
+			continue
+		}
 		if log := s.since(w.under, w.since); len(log) > 0 {
 			w.over = true
 			reply(w.answer, 200, api.Changes{Revision: s.rev, Log: log})
@@ -227,7 +235,7 @@
 	case method == "GET" && u.Path == api.PathChanges:
 		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
-		w := &watch{under: q.Get("under"), since: api.Revision(since), answer: answer}
+		w := &watch{node: node, under: q.Get("under"), since: api.Revision(since), answer: answer}
 		log := s.since(w.under, w.since)
 		if len(log) > 0 || wait == 0 {
 			reply(answer, 200, api.Changes{Revision: s.rev, Log: log})
@@ -235,7 +243,7 @@
 		}
 		s.watches = append(s.watches, w)
 		s.w.After(time.Duration(wait)*time.Millisecond, func() {
-			if !w.over && !s.out {
+			if !w.over && !s.out && !s.refused[node] {
 				w.over = true
 				reply(answer, 200, api.Changes{Revision: s.rev})
 			}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -154,6 +154,7 @@
 // Cancel asks for a job's cancellation until it is answered.
 func (u *Users) Cancel(ref api.JobRef) {
 	u.w.Check.AskedCancel(u.w.Now, ref)
+	u.w.Check.WantsCancel(u.w.Now, ref)
 	before := u.w.Check.Known(ref)
 	caller, shown := u.w.caller(ref)
 	u.Request(u.anyNode(), "POST", api.PathJobs+"/"+string(shown)+"/"+api.EndCancel, caller, nil, 5*time.Second, func(status int, b []byte) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -65,6 +65,7 @@
 	held    []func()
 	late    []func() // direct commands on their way, see HoldDirect
 	lateTo  time.Duration
+	deafTo  time.Duration // answers and direct commands are lost until then
 	sick    time.Duration
 }
 
@@ -144,6 +145,17 @@
 	})
 }
 
+// Machines lists the machines that are up, in order.
+func (w *World) Machines() []api.MachineID { return slices.Sorted(maps.Keys(w.workers)) }
+
+// Deafen has a machine's reports arrive while answers and direct commands to it are lost.
+func (w *World) Deafen(id api.MachineID, length time.Duration) {
+	if wk := w.workers[id]; wk != nil {
+		wk.deafTo = w.Now + length
+		w.Check.Trouble(wk.deafTo)
+	}
+}
+
 // Sicken makes every task fail that a machine starts in the given time.
 func (w *World) Sicken(id api.MachineID, length time.Duration) {
 	if wk := w.workers[id]; wk != nil {
@@ -222,9 +234,18 @@
 		}
 	})
 	across := func(do func()) { w.into(name, wk.zone, func() { w.across(name, SideWorkers, do) }) }
+	if w.StaleReports > 0 && w.rand.Float64() < w.StaleReports {
+		// A copy comes again, from 2 s to well over a lease later, to whichever controller.
+		late := 2*time.Second + time.Duration(w.rand.Int64N(int64(2*w.cfgs[name].WorkerLease())))
+		to := w.names[w.rand.IntN(len(w.names))]
+		w.After(late, func() { w.Deliver(to, "POST", api.PathCheckin, control.Caller{}, body, func(int, []byte) {}) })
+	}
 	across(func() {
 		w.Deliver(name, "POST", api.PathCheckin, control.Caller{}, body, func(status int, answer []byte) {
 			across(func() {
+				if wk.deafTo > w.Now {
+					return
+				}
 				if settled || wk.dead || wk.hung > w.Now {
 					return
 				}
@@ -271,7 +292,7 @@
 
 // commands is the worker's direct interface.
 func (wk *Worker) commands(body []byte, answer func(int, []byte)) {
-	if wk.dead {
+	if wk.dead || wk.deafTo > wk.w.Now {
 		return
 	}
 	if wk.lateTo > wk.w.Now {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -90,6 +90,9 @@
 	// arrive seconds late, after their sender has given up.
 	LoseAnswers, DelayState float64
 
+	// StaleReports is the share of workers' reports of which a copy arrives again.
+	StaleReports float64
+
 	// Skew is by how much a controller's wall clock is ahead.
 	Skew map[string]time.Duration
 
