--- a/control/cancel.go
+++ b/control/cancel.go
@@ -37,7 +37,6 @@
 // untold is a request for a cancellation that is recorded and not yet to be told.
 type untold struct {
 	ref    api.JobRef
-	since  api.Time
 	until  api.Time
 	answer func(api.JobStatus)
 	later  func()
@@ -59,8 +58,14 @@
 	if forwarded {
 		wait = toldWaitPeer
 	}
+	asked := n.now
 	tell := func(s api.JobStatus) {
-		slog.Info("job cancelled", "job", s.Ref, "state", s.State)
+		n.metrics.took("cancelled", n.now.Sub(asked))
+		after := n.now.Sub(asked)
+		if j := n.book.Jobs[s.Ref]; j != nil && j.Cancelled {
+			after = max(after, time.Duration(n.wall-j.CancelledAt)*time.Millisecond)
+		}
+		slog.Info("job cancelled", "job", s.Ref, "state", s.State, "after", after.Seconds())
 		answer(s)
 	}
 	return func(s api.JobStatus) {
@@ -68,7 +73,7 @@
 			tell(s)
 			return
 		}
-		n.untold = append(n.untold, untold{s.Ref, n.now, n.now.Add(wait), tell, later})
+		n.untold = append(n.untold, untold{s.Ref, n.now.Add(wait), tell, later})
 	}
 }
 
