--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 )
 
@@ -13,12 +12,7 @@
 func meetings(seed uint64) string {
 	r, pick, line, b := drawing(seed, 30)
 	line("-- script --")
-	nodes := 3 + 2*r.IntN(3)
-	domains := make([]string, nodes)
-	for i := range domains {
-		domains[i] = pick("a", "b", "c", "region")
-	}
-	line("controllers %s", strings.Join(domains, " "))
+	nodes := controllers(r, pick, line)
 	machines := 9 + r.IntN(16)
 	line("machines %d", machines)
 	line("machines %d spot", 1+r.IntN(4))
--- a/internal/scenario/zones_test.go
+++ b/internal/scenario/zones_test.go
@@ -15,12 +15,7 @@
 func zoneScript(seed uint64) string {
 	r, pick, line, b := drawing(seed, 21)
 	line("-- script --")
-	nodes := 3 + 2*r.IntN(3)
-	domains := make([]string, nodes)
-	for i := range domains {
-		domains[i] = pick("a", "b", "c", "region")
-	}
-	line("controllers %s", strings.Join(domains, " "))
+	nodes := controllers(r, pick, line)
 	machines := 60 + r.IntN(141)
 	line("machines %d", machines)
 	line("machines 8 g8")
@@ -70,6 +65,16 @@
 	return b.String()
 }
 
+// controllers draws three, five or seven of them and where they are.
+func controllers(r *rand.Rand, pick func(...string) string, line func(string, ...any)) int {
+	domains := make([]string, 3+2*r.IntN(3))
+	for i := range domains {
+		domains[i] = pick("a", "b", "c", "region")
+	}
+	line("controllers %s", strings.Join(domains, " "))
+	return len(domains)
+}
+
 // TestDrawnZoneLosses plays some drawn losses; see runs.
 func TestDrawnZoneLosses(t *testing.T) { runs(t, zoneScript) }
 
