Checker: a replica that made way for more urgent work on its machine was not moved

It now looks at what starts on that machine: only work of a higher priority excuses a stop; work of the same, for which machines are emptied, does not. Each case is in the checker's test.

--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -27,7 +27,7 @@
 	served service
 	asking map[api.JobRef]*asking       // accepted jobs whose users ask
 	calm   time.Duration                // when the last trouble is over
-	moved  map[api.TaskID]time.Duration // replicas that were stopped, and when
+	moved  map[api.TaskID]stopped       // replicas that were stopped
 	wanted map[api.JobRef]time.Duration // cancellations that users wait for, and since when
 
 	// Longest is the longest that a user has waited for a cancellation.
@@ -35,14 +35,31 @@
 }
 
 // movedFor is how long a replica of an urgent service may be missing after it was stopped by
-// command: nothing but more urgent work and a move may stop it, and a move has room for it, so it
+// command: nothing but more urgent work (see madeWay) and a move may stop it, and a move has room for it, so it
 // is a fetch and what starting takes.
 const movedFor = time.Minute
 
+// stopped is a replica that was stopped by command, when and where.
+type stopped struct {
+	at       time.Duration
+	on       api.MachineID
+	priority api.Priority
+}
+
 // Stopped notes that a running task was told to stop.
-func (c *Checker) Stopped(at time.Duration, id api.TaskID, s *api.JobSpec) {
+func (c *Checker) Stopped(at time.Duration, id api.TaskID, s *api.JobSpec, m api.MachineID) {
 	if s.Kind == api.Service && s.Priority == api.High && !c.asked[id.Job] {
-		c.moved[id] = at
+		c.moved[id] = stopped{at, m, s.Priority}
+	}
+}
+
+// madeWay forgets the replicas that were stopped on a machine where more urgent work starts:
+// they were not moved, and their room is taken. What was emptied for its equals is a move.
+func (c *Checker) madeWay(m api.MachineID, s *api.JobSpec) {
+	for id, x := range c.moved {
+		if x.on == m && s.Priority.Rank() > x.priority.Rank() {
+			delete(c.moved, id)
+		}
 	}
 }
 
@@ -76,7 +93,7 @@
 func NewChecker(cfg *config.Config) *Checker {
 	return &Checker{cfg: cfg, on: map[api.TaskID]map[api.MachineID]placed{}, done: map[api.TaskID]bool{},
 		told: map[api.JobRef]api.JobState{}, ended: map[api.JobRef]time.Duration{}, asked: map[api.JobRef]bool{},
-		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}, moved: map[api.TaskID]time.Duration{},
+		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}, moved: map[api.TaskID]stopped{},
 		wanted: map[api.JobRef]time.Duration{}}
 }
 
@@ -123,6 +140,7 @@
 	}
 	c.on[id][m] = placed{zone, s}
 	delete(c.moved, id)
+	c.madeWay(m, s)
 	var use api.Resources
 	for _, hosts := range c.on {
 		for _, p := range hosts {
@@ -242,12 +260,12 @@
 			c.broke(at, "ran_cancelled", "%s is still on a machine", id)
 		}
 	}
-	for id, from := range c.moved {
+	for id, x := range c.moved {
 		if c.asked[id.Job] {
 			delete(c.moved, id)
-		} else if since := max(from, c.calm); at > since+movedFor {
+		} else if since := max(x.at, c.calm); at > since+movedFor {
 			delete(c.moved, id)
-			c.broke(at, "moved", "%s was stopped at %.1f s and is missing since", id, from.Seconds())
+			c.broke(at, "moved", "%s was stopped at %.1f s and is missing since", id, x.at.Seconds())
 		}
 	}
 	for _, ref := range slices.Sorted(maps.Keys(c.wanted)) {
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -184,7 +184,7 @@
 		s := &api.JobSpec{Ref: "run-1", Kind: api.Service, Priority: api.High, Tasks: 1}
 		c.Submitted(0, s, 0)
 		c.Started(at(1), api.TaskID{Job: "run-1"}, s, "i-1", "c8", "a", false)
-		c.Stopped(at(50), api.TaskID{Job: "run-1"}, s)
+		c.Stopped(at(50), api.TaskID{Job: "run-1"}, s, "i-1")
 		c.Ended(at(50), api.TaskID{Job: "run-1"}, "i-1", false)
 		then(c)
 		for s := 51; s < 130; s++ {
@@ -195,6 +195,14 @@
 	again := func(c *Checker) {
 		c.Started(at(60), api.TaskID{Job: "run-1"}, &api.JobSpec{Ref: "run-1", Kind: api.Service, Tasks: 1}, "i-2", "c8", "a", false)
 	}
+	takes := func(p api.Priority, m api.MachineID) func(*Checker) {
+		return func(c *Checker) {
+			c.Started(at(52), api.TaskID{Job: "run-2"}, &api.JobSpec{Ref: "run-2", Kind: api.Array, Priority: p, Tasks: 1}, m, "c8", "a", false)
+		}
+	}
+	if see(takes(api.Production, "i-1")) != 0 || see(takes(api.High, "i-1")) != 1 || see(takes(api.Production, "i-2")) != 1 {
+		t.Error("what made way for more urgent work is not told from what was moved")
+	}
 	if see(func(*Checker) {}) != 1 || see(again) != 0 || see(func(c *Checker) { c.AskedCancel(at(55), "run-1") }) != 0 || see(func(c *Checker) { c.Trouble(at(100)) }) != 0 {
 		t.Error("what is missing by a move is not told from what is not")
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -470,7 +470,7 @@
 	case t.state == api.TaskSaving && grace > 0:
 	default:
 		if t.state == api.TaskRunning {
-			wk.w.Check.Stopped(wk.w.Now, t.id, t.spec)
+			wk.w.Check.Stopped(wk.w.Now, t.id, t.spec, wk.id)
 		}
 		wk.exit(t, api.ReasonStopped)
 	}
