--- a/control/cancel_test.go
+++ b/control/cancel_test.go
@@ -108,3 +108,28 @@
 		}
 	}
 }
+
+// A task that completes once its job's cancellation is read is recorded as lost: a job that was
+// called cancelled must not become done.
+func TestNoCompletionAfterACancellation(t *testing.T) {
+	n, turf, _, j := cancelled(t)
+	n.end(turf, j.Places[0], true, "done")
+	n.end(turf, j.Places[1], true, "done")
+	n.runPart(turf)
+	if turf.writing == nil {
+		t.Fatal("no round is written")
+	}
+	lost := 0
+	for _, d := range turf.writing.rec.Jobs {
+		if lost += len(d.Lost); len(d.Done) > 0 {
+			t.Errorf("%v are recorded as done", d.Done)
+		}
+	}
+	if lost != 2 {
+		t.Errorf("%d are recorded as lost, expected 2", lost)
+	}
+	n.durable(turf, 10)
+	if s, _ := n.status(j.Ref); s.State != api.JobCancelled {
+		t.Errorf("the job is called %s", s.State)
+	}
+}
