Checker: which priority a stopped replica has follows from the rule; it is not kept beside it

Conduct is the same: only replicas of high priority are noted, and their test's cases pass as before.

--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -41,23 +41,22 @@
 
 // stopped is a replica that was stopped by command, when and where.
 type stopped struct {
-	at       time.Duration
-	on       api.MachineID
-	priority api.Priority
+	at time.Duration
+	on api.MachineID
 }
 
 // Stopped notes that a running task was told to stop.
 func (c *Checker) Stopped(at time.Duration, id api.TaskID, s *api.JobSpec, m api.MachineID) {
 	if s.Kind == api.Service && s.Priority == api.High && !c.asked[id.Job] {
-		c.moved[id] = stopped{at, m, s.Priority}
+		c.moved[id] = stopped{at, m}
 	}
 }
 
-// madeWay forgets the replicas that were stopped on a machine where more urgent work starts:
+// madeWay forgets the replicas, all of high priority, that were stopped on a machine where more urgent work starts:
 // they were not moved, and their room is taken. What was emptied for its equals is a move.
 func (c *Checker) madeWay(m api.MachineID, s *api.JobSpec) {
 	for id, x := range c.moved {
-		if x.on == m && s.Priority.Rank() > x.priority.Rank() {
+		if x.on == m && s.Priority.Rank() > api.High.Rank() {
 			delete(c.moved, id)
 		}
 	}
