No task begins after its cancellation was told; repeats are refused by current reads only

Cause: the owner gave its word on a cancellation when a task was reported, also while it fetched its image or waited for its gang, and halts went with the next report, seconds later: such a task began by itself after users were told. A record that is too long was refused with 400 before the job was looked up, so a repeat of an accepted job could be refused; a final state looked for by one question answered another that came while the request was under way, which after a reload may be older than its answer. A gang that may have only half of it in its only zone was accepted. Change: the word waits until each task has begun or is over; machines with cancelled tasks are called once at once, and called again where the token had to be learnt first; every refusal that rests on more than the request's bytes reads first; that a final state is absent answers only who asked before the request.

--- a/control/cancel.go
+++ b/control/cancel.go
@@ -15,9 +15,11 @@
 // docs/cancellations.md weighs this against other ways.
 
 // takesIn reports whether the part's owner is to record that it knows of a job's cancellation.
-// It may once it alone commands the machines that hold the job's tasks, and no launch of one is
-// still on its way: a machine that has not shown our token may be renewed by a former owner
-// that knows nothing, and a launch that comes later starts a task whatever we know.
+// It may once it alone commands the machines that hold the job's tasks, no launch of one is
+// still on its way, and none has still to begin: a machine that has not shown our token may be
+// renewed by a former owner that knows nothing, a launch that comes later starts a task whatever
+// we know, and one that fetches its image or waits for its gang begins by itself unless the halt
+// comes before, which may be held up.
 func (n *Node) takesIn(t *turf, j *Job) bool {
 	if j.Placed[t.part] == 0 || j.Knows(t.part) || !n.leaseCovers {
 		return false
@@ -27,13 +29,31 @@
 			continue
 		}
 		m := n.machines[p.Machine]
-		if m == nil || m.token < n.base(t, m.ID) || !p.Note.reported {
+		if m == nil || m.token < n.base(t, m.ID) || !p.Note.reported || !begun(p.Note.state) {
 			return false
 		}
 	}
 	return true
 }
 
+// begun reports whether a task in that state has started, so that it can't do so any more.
+func begun(s api.TaskState) bool { return s != api.TaskFetching && s != api.TaskWaiting }
+
+// haltCancelled has the machines called that hold a cancelled job's tasks, once, as soon as the
+// cancellation is read: their next reports may be seconds away, and what has still to begin keeps
+// the cancellation from being told.
+func (n *Node) haltCancelled(t *turf, j *Job) {
+	if j.Placed[t.part] == 0 {
+		return
+	}
+	for _, p := range j.Places {
+		if m := n.machines[p.Machine]; p.Part == t.part && !p.Over && !p.Note.halting && m != nil {
+			p.Note.halting = true
+			n.kick(m)
+		}
+	}
+}
+
 // untold is a request for a cancellation that is recorded and not yet to be told.
 type untold struct {
 	ref    api.JobRef
--- a/control/cancel_model_test.go
+++ b/control/cancel_model_test.go
@@ -18,6 +18,7 @@
 	heard    bool // the machine has shown its token
 	reported bool // no launch of the task is on its way
 	waits    bool // users are told only after it
+	begun    bool // the task has started, so that it can't do so any more
 	settled  bool // an attempt is forgotten only when no launch of it is on its way
 }
 
@@ -25,8 +26,9 @@
 
 type modelMachine struct {
 	token   int8
-	holds   bool // the attempt, running or exited
-	running bool
+	holds   bool // the attempt, live or exited
+	running bool // it is live
+	begun   bool // it has its image: a live one that has not begins by itself
 }
 
 type modelOwner struct {
@@ -37,6 +39,7 @@
 	heard    int8 // the token that the machine has shown it
 	holds    bool // the attempt is in the machine's last report
 	exited   bool
+	begun    bool
 }
 
 type cancelWorld struct {
@@ -52,7 +55,7 @@
 
 // take is what an owner makes of a report.
 func (o *modelOwner) take(m modelMachine) {
-	o.heard, o.holds, o.exited = m.token, m.holds, m.holds && !m.running
+	o.heard, o.holds, o.exited, o.begun = m.token, m.holds, m.holds && !m.running, m.begun
 	if m.holds {
 		o.sent = false
 	}
@@ -117,7 +120,7 @@
 			case n.c[i].knows || n.over:
 				n.m.running = false
 				if n.over && n.m.holds && !n.m.running && (!g.settled || !n.launch[o.term]) {
-					n.m.holds = false // forgotten
+					n.m.holds, n.m.begun = false, false // forgotten
 				}
 			case n.told && n.m.running:
 				n.wrong = true // its lease is renewed by who knows nothing
@@ -134,7 +137,7 @@
 		// It records that it knows. Whether the part is still its own does not matter: whoever took
 		// it over since has read the record up to there, and with it the cancellation.
 		if w.cancelled && w.placed && !w.in && (o.knows || !g.informed) &&
-			(o.heard >= o.term || !g.heard) && (o.holds || !g.reported) {
+			(o.heard >= o.term || !g.heard) && (o.holds || !g.reported) && (o.begun || o.exited || !o.holds || !g.begun) {
 			step(func(n *cancelWorld) { n.in = true })
 		}
 	}
@@ -149,17 +152,20 @@
 					n.m.token = max(n.m.token, int8(token))
 					return
 				}
-				n.m = modelMachine{int8(token), true, true}
+				n.m = modelMachine{int8(token), true, true, false}
 				if n.told {
 					n.wrong = true // a task of a job that was called cancelled starts
 				}
 			})
 		}
 	}
+	if w.m.running && !w.m.begun { // its image is there, or its gang complete
+		step(func(n *cancelWorld) { n.m.begun, n.wrong = true, n.told })
+	}
 	step(func(n *cancelWorld) { n.old = n.m })
 	// The lease ends: everything on it is gone, and what is on its way names another session.
 	step(func(n *cancelWorld) {
-		n.m.holds, n.m.running, n.old.holds, n.old.running = false, false, false, false
+		n.m, n.old = modelMachine{token: n.m.token}, modelMachine{token: n.old.token}
 		n.launch = [modelTerms + 1]bool{}
 		if n.placed {
 			n.placed, n.over = false, true
@@ -170,10 +176,10 @@
 
 // However reads, writes, takeovers, restarts, reports and late launches follow one another, a
 // machine is neither renewed with the task by a controller that does not know of the
-// cancellation nor starts the task, once a user was told; and without any of the guards one of
+// cancellation nor takes the task's launch nor begins it, once a user was told; and without any of the guards one of
 // these happens.
 func TestEveryInterleavingOfACancellation(t *testing.T) {
-	all := guards{true, true, true, true, true, true}
+	all := guards{true, true, true, true, true, true, true}
 	first := cancelWorld{owner: 0, term: 1}
 	first.c[0].term = 1
 	search := func(g guards) (int, bool) {
@@ -192,6 +198,7 @@
 		"the owner's reading":                func(g *guards) { g.informed = false },
 		"the machine's token":                func(g *guards) { g.heard = false },
 		"the launch that has arrived":        func(g *guards) { g.reported = false },
+		"the task's start":                   func(g *guards) { g.begun = false },
 		"waiting for the owner's word":       func(g *guards) { g.waits = false },
 		"forgetting only what can't be sent": func(g *guards) { g.settled = false },
 	} {
--- a/control/cancel_test.go
+++ b/control/cancel_test.go
@@ -15,7 +15,7 @@
 	n, turf, m, j := owner(t, testSpec(2))
 	n.book.FoldRecord(0, &book.Record{Seq: 1, Jobs: []book.JobDelta{{Job: j.Ref, Starts: []book.StartEntry{{Task: 0, Machine: m.ID, Session: 1}, {Task: 1, Machine: m.ID, Session: 1}}}}})
 	for _, p := range j.Places {
-		p.Note.reported = true
+		p.Note.reported, p.Note.state = true, api.TaskRunning
 	}
 	v := j.JobValue
 	v.Cancelled = true
@@ -36,11 +36,14 @@
 		change func(n *Node, m *Machine, j *Job)
 		want   bool
 	}{
-		"as it should be":             {func(*Node, *Machine, *Job) {}, true},
-		"a former owner's token":      {func(_ *Node, m *Machine, _ *Job) { m.token = 6 }, false},
-		"lent, and not heard since":   {func(n *Node, m *Machine, _ *Job) { n.book.Lent[m.ID] = book.Lent{Rev: 8} }, false},
-		"a machine that is not known": {func(n *Node, m *Machine, _ *Job) { n.forget(m.ID) }, false},
-		"a launch on its way":         {func(_ *Node, _ *Machine, j *Job) { j.Places[1].Note.reported = false }, false},
+		"as it should be":                {func(*Node, *Machine, *Job) {}, true},
+		"a former owner's token":         {func(_ *Node, m *Machine, _ *Job) { m.token = 6 }, false},
+		"lent, and not heard since":      {func(n *Node, m *Machine, _ *Job) { n.book.Lent[m.ID] = book.Lent{Rev: 8} }, false},
+		"a machine that is not known":    {func(n *Node, m *Machine, _ *Job) { n.forget(m.ID) }, false},
+		"a launch on its way":            {func(_ *Node, _ *Machine, j *Job) { j.Places[1].Note.reported = false }, false},
+		"a task that fetches its image":  {func(_ *Node, _ *Machine, j *Job) { j.Places[1].Note.state = api.TaskFetching }, false},
+		"a task that waits for its gang": {func(_ *Node, _ *Machine, j *Job) { j.Places[1].Note.state = api.TaskWaiting }, false},
+		"a task that saves":              {func(_ *Node, _ *Machine, j *Job) { j.Places[1].Note.state = api.TaskSaving }, true},
 		"that one is over": {func(n *Node, _ *Machine, j *Job) {
 			j.Places[1].Note.reported = false
 			n.book.SetOver(j.Places[1], true)
--- a/control/finals.go
+++ b/control/finals.go
@@ -21,6 +21,7 @@
 
 type finalWaiter struct {
 	at     api.Time
+	number uint64 // of its question
 	found  func(api.JobStatus)
 	absent func()
 	fail   func()
@@ -74,8 +75,8 @@
 			if a.Status == 200 && json.Unmarshal(a.Pair.Value, &s) != nil {
 				return
 			}
-			if l.queue.TookOne(ask, a.Status == 200) {
-				n.tellFinal(finals.Found{Ref: ask.One, State: s})
+			if f, ok := l.queue.TookOne(ask, s); ok {
+				n.tellFinal(f)
 			}
 		case ask.One == "" && a.Status == 200:
 			var states []finals.Found
@@ -93,12 +94,15 @@
 	})
 }
 
-// tellFinal answers all who wait for a job's final state.
+// tellFinal answers who waits for a job's final state: that there is none only those who had asked
+// when it was read. The others may ask after the job's end, and were told of it by another node.
 func (n *Node) tellFinal(f finals.Found) {
 	waiters := n.finals.waiters[f.Ref]
 	delete(n.finals.waiters, f.Ref)
 	if f.State != "" {
 		n.book.SetFinal(f.Ref, f.State)
+	} else if k := slices.IndexFunc(waiters, func(w finalWaiter) bool { return w.number > f.Upto }); k >= 0 {
+		n.finals.waiters[f.Ref], waiters = waiters[k:], waiters[:k]
 	}
 	for _, w := range waiters {
 		if f.State != "" {
--- a/control/hosted.go
+++ b/control/hosted.go
@@ -289,7 +289,7 @@
 	v := book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall, Tenant: string(e.Name), Own: shown}
 	data, err := json.Marshal(v)
 	if err != nil || n.jobTooLarge(data) {
-		n.refuse(c.Req, 400, "banchi: too long")
+		refuse(400, tooLong, 0)
 		return
 	}
 	job := book.KeyJob + string(spec.Ref)
--- a/control/machine.go
+++ b/control/machine.go
@@ -342,7 +342,7 @@
 			if tr.State != api.TaskFetching {
 				n.cacheImage(m, p.Job.Spec)
 			}
-			t.dirty = t.dirty || !p.Note.reported && p.Job.Cancelled // takesIn may hold now
+			t.dirty = t.dirty || p.Job.Cancelled && !(p.Note.reported && begun(p.Note.state)) // takesIn may hold now
 			p.Note.reported, p.Note.state = true, tr.State
 		}
 	}
@@ -657,8 +657,8 @@
 			m.unsure, t.dirty = 0, true // it has just answered
 		}
 		for _, o := range n.orders(m, t) {
-			if o.Op == api.OpStart {
-				n.kick(m) // decided meanwhile
+			if o.Op == api.OpStart || o.Op == api.OpStop && o.Grace == 0 {
+				n.kick(m) // decided meanwhile, or the machine had to learn our token first
 				break
 			}
 		}
--- a/control/notes.go
+++ b/control/notes.go
@@ -27,6 +27,7 @@
 	state    api.TaskState
 	since    api.Time // placed, as far as this process knows
 	running  api.Time // first seen running
+	halting  bool     // its machine was called to halt it, as its job is cancelled
 	stop     bool
 	stopAt   api.Time
 	grace    float64
--- a/control/part.go
+++ b/control/part.go
@@ -73,7 +73,7 @@
 	n.turfs[p] = t
 	for pl := range n.book.OnPart[p] {
 		n.book.SetOver(pl, false)
-		pl.Note.stop, pl.Note.sent, pl.Note.reported = false, 0, false
+		pl.Note.stop, pl.Note.halting, pl.Note.sent, pl.Note.reported = false, false, 0, false
 		if pl.Note.since == 0 {
 			pl.Note.since = n.now
 		}
@@ -343,7 +343,9 @@
 		delete(t.ends, p)
 	}
 	for _, ref := range slices.Sorted(maps.Keys(n.book.Stopped)) {
-		if j := n.book.Stopped[ref]; n.takesIn(t, j) {
+		j := n.book.Stopped[ref]
+		n.haltCancelled(t, j)
+		if n.takesIn(t, j) {
 			if room < 64 {
 				t.dirty = true
 				break
--- /dev/null
+++ b/control/submit_test.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"basaltwall/api"
+	"basaltwall/book"
+)
+
+// submission is a job as a user writes it.
+func submission(t *testing.T, change func(map[string]any)) []byte {
+	t.Helper()
+	m := map[string]any{"ref": "run-9", "mestiere": "batch", "bottega": "red", "forma": "sweep", "urgenza": "normal", "pezzi": 1, "cores": 1.0, "gpus": 0.0,
+		"ram_gb": 1.0, "stampo": "img", "image_gb": 1.0, "together": false, "scatter": false, "avanzi": false, "stima_s": 5.0, "tappa_s": 0.0, "salvo_s": 0.0}
+	if change != nil {
+		change(m)
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// replyTo is what a request was answered, status 0 if it was not.
+func replyTo(n *Node, req ReqID) (status int, body string) {
+	for _, e := range n.effects {
+		if r, ok := e.(Reply); ok && r.Req == req {
+			return r.Status, string(r.Body)
+		}
+	}
+	return 0, ""
+}
+
+// read answers the node's current read with changes.
+func read(t *testing.T, n *Node, log ...api.Change) {
+	t.Helper()
+	n.syncNext = 0
+	n.follow()
+	for _, e := range n.effects {
+		if c, ok := e.(StateCall); ok && c.Changes != nil && c.Changes.Wait == 0 && n.calls[c.ID] != nil {
+			n.handle(StateAnswer{ID: c.ID, Status: 200, Changes: api.Changes{Revision: 99, Log: log}})
+			return
+		}
+	}
+	t.Fatal("nothing is read")
+}
+
+// What a node would refuse for anything but the request's own bytes may have been accepted by
+// another: a repeat of it gets the job's state, by a current read, and only then a refusal.
+func TestRepeatOfAnAcceptedJobIsNotRefused(t *testing.T) {
+	types := []string{"c8"}
+	for i := range 60 {
+		types = append(types, fmt.Sprintf("%s%d", strings.Repeat("x", 180), i))
+	}
+	for what, tc := range map[string]struct {
+		change func(map[string]any)
+		status int
+		field  string
+	}{
+		"a record that is too long":   {func(m map[string]any) { m["banchi"] = types }, 400, "banchi"},
+		"no machine that it fits":     {func(m map[string]any) { m["cores"] = 99.0 }, 422, "cores"},
+		"a team that is not known":    {func(m map[string]any) { m["bottega"] = "nobody" }, 422, "bottega"},
+		"a gang that can never start": {func(m map[string]any) { m["forma"], m["pezzi"], m["scatter"], m["cortile"] = "ensemble", 3, true, "a" }, 422, "scatter"},
+	} {
+		for _, accepted := range []bool{true, false} {
+			n, _, _, _ := owner(t, testSpec(1))
+			n.stateOK = true
+			body := submission(t, tc.change)
+			n.submit(Submit{Req: 1, Body: body})
+			if status, _ := replyTo(n, 1); status != 0 {
+				t.Errorf("%s: answered %d before anything was read", what, status)
+				continue
+			}
+			var log []api.Change
+			if accepted {
+				spec, err := api.ParseJob(body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				v, err := json.Marshal(book.JobValue{Spec: spec, Split: []book.Range{{From: 0, To: spec.Tasks}}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				log = append(log, api.Change{Put: book.KeyJob + "run-9", Value: v, Version: 50})
+			}
+			read(t, n, log...)
+			if !accepted { // it is in no book: its final state is looked for
+				n.lookUp()
+				for _, e := range n.effects {
+					if c, ok := e.(StateCall); ok && c.Get != "" {
+						n.handle(StateAnswer{ID: c.ID, Status: 404})
+					}
+				}
+			}
+			status, text := replyTo(n, 1)
+			if want := map[bool]int{true: 200, false: tc.status}[accepted]; status != want || !accepted && !strings.Contains(text, tc.field+":") {
+				t.Errorf("%s, accepted %v: answered %d %s", what, accepted, status, text)
+			}
+		}
+	}
+}
+
+// A question that comes while a final state is looked for is not answered by that request's not
+// finding it: the job may have been accepted, done and put away meanwhile, and the book may have
+// been read anew since.
+func TestAFinalStateIsReadAfterTheQuestion(t *testing.T) {
+	n, _, _, _ := owner(t, testSpec(1))
+	n.stateOK = true
+	ask := func(req ReqID) {
+		n.poll(Poll{Req: req, Ref: "run-9"})
+		read(t, n)
+	}
+	answer := func(status int, state string) {
+		n.finals.next = 0
+		n.lookUp()
+		for _, e := range n.effects {
+			if c, ok := e.(StateCall); ok && c.Get != "" && n.calls[c.ID] != nil {
+				n.handle(StateAnswer{ID: c.ID, Status: status, Pair: api.Pair{Value: json.RawMessage(state)}})
+				return
+			}
+		}
+		t.Fatal("no final state is looked for")
+	}
+	ask(1)
+	n.finals.next = 0
+	n.lookUp() // its request is on its way
+	ask(2)
+	answer(404, "")
+	if first, _ := replyTo(n, 1); first != 404 {
+		t.Errorf("the first is answered %d", first)
+	}
+	if second, _ := replyTo(n, 2); second != 0 {
+		t.Errorf("the second is answered %d by a request that was sent before it", second)
+	}
+	answer(200, `"done"`)
+	if second, body := replyTo(n, 2); second != 200 || !strings.Contains(body, "done") {
+		t.Errorf("the second is answered %d %s", second, body)
+	}
+}
--- a/control/user.go
+++ b/control/user.go
@@ -59,8 +59,7 @@
 		found(s)
 		return
 	}
-	n.finals.queue.Add(ref)
-	n.finals.waiters[ref] = append(n.finals.waiters[ref], finalWaiter{n.now, found, absent, fail})
+	n.finals.waiters[ref] = append(n.finals.waiters[ref], finalWaiter{n.now, n.finals.queue.Add(ref), found, absent, fail})
 }
 
 // helpers are the peers that reach the state service, by turns another one first: one that
@@ -170,7 +169,7 @@
 		return "bottega: unknown team"
 	}
 	demand := s.Demand()
-	fits := false
+	fits := map[api.Zone]bool{}
 	for _, t := range n.types {
 		if !demand.Fits(t.Capacity()) {
 			continue
@@ -180,12 +179,17 @@
 			zones = n.cfg.Deployment.Zones
 		}
 		for _, z := range zones {
-			fits = fits || sched.Allowed(s, t.Name, z, false)
+			if sched.Allowed(s, t.Name, z, false) {
+				fits[z] = true
+			}
 		}
 	}
-	if !fits {
+	if len(fits) == 0 {
 		return "cores: a task fits no allowed machine type"
 	}
+	if s.Kind == api.Gang && s.Spread && s.Tasks > 1 && (s.OneZone || len(fits) == 1) {
+		return "scatter: at most half of the gang may be in the only zone that all of it may be in"
+	}
 	all := demand
 	if s.Kind != api.Array {
 		all = demand.Times(s.Tasks)
@@ -197,6 +201,9 @@
 	return ""
 }
 
+// tooLong is why a job is refused whose record would exceed a value: its allowed types may be many.
+const tooLong = "banchi: too long"
+
 func (n *Node) submit(c Submit) {
 	if n.hosted != nil {
 		n.submitHosted(c, 2)
@@ -223,9 +230,13 @@
 		n.lookup(spec.Ref, known, elsewhere, elsewhere)
 		return
 	}
+	// A job accepted earlier must not be refused now, by anything but the request's own bytes:
+	// machine types, limits, and how its tasks would be split, which its record holds, change.
+	refuse := func(status int, why string) {
+		n.lookup(spec.Ref, known, func() { n.refuse(c.Req, status, why) }, elsewhere)
+	}
 	if why := cmp.Or(n.runnable(spec), n.mayNeed(spec, "")); why != "" {
-		// A job accepted earlier must not be refused now.
-		n.lookup(spec.Ref, known, func() { n.refuse(c.Req, 422, why) }, elsewhere)
+		refuse(422, why)
 		return
 	}
 	if !n.maySubmit() {
@@ -234,7 +245,7 @@
 	}
 	v, err := json.Marshal(book.JobValue{Spec: spec, Split: n.split(spec), Accepted: n.wall})
 	if err != nil || n.jobTooLarge(v) {
-		n.refuse(c.Req, 400, "banchi: too long")
+		refuse(400, tooLong)
 		return
 	}
 	job, final := book.KeyJob+string(spec.Ref), book.KeyFinal+string(spec.Ref)
--- a/finals/finals.go
+++ b/finals/finals.go
@@ -29,20 +29,26 @@
 
 // Queue is the open questions. The zero value has none.
 type Queue struct {
-	asked map[api.JobRef]uint64 // when each was first asked since it was last answered
+	asked map[api.JobRef]question
 	count uint64
 	at    api.JobRef // where the lift is
 }
 
-// Add notes a question.
-func (q *Queue) Add(ref api.JobRef) {
+// question is when a job's state was first and when it was last asked for since it was answered.
+type question struct{ first, last uint64 }
+
+// Add notes a question, and returns its number: each is higher than those before it.
+func (q *Queue) Add(ref api.JobRef) uint64 {
 	if q.asked == nil {
-		q.asked = map[api.JobRef]uint64{}
+		q.asked = map[api.JobRef]question{}
 	}
 	q.count++
-	if _, open := q.asked[ref]; !open {
-		q.asked[ref] = q.count
+	first := q.count
+	if x, open := q.asked[ref]; open {
+		first = x.first
 	}
+	q.asked[ref] = question{first, q.count}
+	return q.count
 }
 
 // Drop forgets a question that nobody waits for any more.
@@ -58,8 +64,8 @@
 	}
 	a.upto = q.count
 	if len(q.asked) < fewest {
-		for ref, at := range q.asked { // the oldest: others may come all the time
-			if a.One == "" || at < q.asked[a.One] {
+		for ref, x := range q.asked { // the oldest: others may come all the time
+			if a.One == "" || x.first < q.asked[a.One].first {
 				a.One = ref
 			}
 		}
@@ -84,10 +90,28 @@
 	return a, true
 }
 
-// Found is an answer to a question: the state, empty if there is none.
+// Found is an answer to a question: the state, empty if there is none. That there is none answers
+// only the questions with numbers up to Upto: what was asked after the request was sent may have
+// come to its end since.
 type Found struct {
 	Ref   api.JobRef
 	State api.JobState
+	Upto  uint64
+}
+
+// settle takes in that a job's state was found, or was not there when a request was carried out;
+// ok reports whether that answers any question.
+func (q *Queue) settle(a Ask, ref api.JobRef, s api.JobState) (f Found, ok bool) {
+	x, open := q.asked[ref]
+	switch {
+	case !open || s == "" && x.first > a.upto:
+		return f, false
+	case s == "" && x.last > a.upto:
+		q.asked[ref] = question{a.upto + 1, x.last}
+	default:
+		delete(q.asked, ref)
+	}
+	return Found{ref, s, a.upto}, true
 }
 
 // Took takes in what a page brought, in the order of keys, and whether there are more after
@@ -101,13 +125,14 @@
 		on[s.Ref] = s.State
 		last = string(s.Ref)
 	}
-	for ref, at := range q.asked {
+	for ref := range q.asked {
 		s, there := on[ref]
-		if !there && (string(ref) <= a.After || more && string(ref) > last || at > a.upto) {
+		if !there && (string(ref) <= a.After || more && string(ref) > last) {
 			continue
 		}
-		out = append(out, Found{ref, s})
-		delete(q.asked, ref)
+		if f, ok := q.settle(a, ref, s); ok {
+			out = append(out, f)
+		}
 	}
 	slices.SortFunc(out, func(a, b Found) int { return strings.Compare(string(a.Ref), string(b.Ref)) })
 	switch {
@@ -119,12 +144,6 @@
 	return out
 }
 
-// TookOne takes in the answer for one key; it reports whether that answers the question.
-func (q *Queue) TookOne(a Ask, there bool) bool {
-	at, open := q.asked[a.One]
-	if !open || !there && at > a.upto {
-		return false
-	}
-	delete(q.asked, a.One)
-	return true
-}
+// TookOne takes in the answer for one key, empty if there is no state; ok reports whether that
+// answers any question.
+func (q *Queue) TookOne(a Ask, s api.JobState) (f Found, ok bool) { return q.settle(a, a.One, s) }
--- a/finals/finals_test.go
+++ b/finals/finals_test.go
@@ -21,7 +21,7 @@
 		if len(states) == Page {
 			return states, true
 		}
-		states = append(states, Found{ref, api.JobDone})
+		states = append(states, Found{Ref: ref, State: api.JobDone})
 	}
 	return states, false
 }
@@ -41,7 +41,7 @@
 		}
 		mine := ref(rapid.IntRange(0, total).Draw(r, "mine"))
 		q.at = ref(rapid.IntRange(0, total).Draw(r, "at"))
-		q.Add(mine)
+		number := q.Add(mine)
 		for turn := 1; ; turn++ {
 			if turn > 2*(len(have)/Page+2) {
 				r.Fatalf("%s was not answered after %d requests, of %d states", mine, turn, len(have))
@@ -54,7 +54,11 @@
 				r.Fatal("nothing to ask")
 			}
 			if a.One != "" {
-				if q.TookOne(a, there[a.One]) && a.One == mine {
+				s := api.JobState("")
+				if there[a.One] {
+					s = api.JobDone
+				}
+				if _, ok := q.TookOne(a, s); ok && a.One == mine {
 					return
 				}
 				continue
@@ -70,6 +74,9 @@
 					r.Fatal("a page answered what was asked after it")
 				}
 				if f.Ref == mine {
+					if f.State == "" && f.Upto < number {
+						r.Fatalf("%s is answered for questions up to %d, its own is %d", mine, f.Upto, number)
+					}
 					return
 				}
 			}
@@ -77,3 +84,37 @@
 		}
 	})
 }
+
+// Who asks while a request is under way that finds nothing is not answered by it, though another
+// had asked before: the question stays, and the next request answers it.
+func TestWhatIsNotThereAnswersWhatWasAskedBefore(t *testing.T) {
+	for _, others := range []int{0, fewest} { // one by one, and by pages
+		var q Queue
+		first := q.Add("run-000001")
+		for i := range others {
+			q.Add(api.JobRef(fmt.Sprintf("run-00001%d", i)))
+		}
+		a, _ := q.Next()
+		second := q.Add("run-000001")
+		took := func(a Ask, states ...Found) []Found {
+			if a.One == "" {
+				return q.Took(a, states, false)
+			}
+			s := api.JobState("")
+			if len(states) > 0 {
+				s = states[0].State
+			}
+			f, _ := q.TookOne(a, s)
+			return []Found{f}
+		}
+		if got := took(a)[0]; got.Ref != "run-000001" || got.State != "" || got.Upto < first || got.Upto >= second {
+			t.Errorf("answered %+v; asked as %d before the request and as %d after", got, first, second)
+		}
+		if a, ok := q.Next(); !ok || took(a, Found{Ref: "run-000001", State: api.JobDone})[0].State != api.JobDone {
+			t.Error("who asked meanwhile is not answered")
+		}
+		if q.Len() != 0 {
+			t.Errorf("%d questions stay", q.Len())
+		}
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -17,7 +17,7 @@
 //	machines N [spot] [TYPE] [in=ZONE]  machines that are up at the start, in the zones by turns or in one
 //	capacity N [ZONE]                   machines the cloud has, in all or in a zone
 //	submit AT REF KIND key=value...     a job; see submit for the keys
-//	cancel AT REF
+//	cancel AT REF [NODE]
 //	ask AT REF                          a poll for a job nobody submitted
 //	crash AT NODE|all BACK              a controller ends and returns after BACK seconds
 //	freeze AT FOR NODE|all              a controller stands still while its clocks run on
@@ -37,6 +37,16 @@
 //	take AT SHARE                       so much of the spot machines is taken in silence
 //	hang AT FOR MACHINE
 //	deaf AT FOR MACHINE|all             its reports arrive, answers and direct commands to it are lost
+//	mute AT FOR MACHINE|all             it reaches no controller, direct commands reach it
+//	keep AT FOR SHARE                   of so many reports copies are kept until a part changes hands,
+//	                                    and reach all controllers then
+//	cancelnow AT N HANG                 users call off so many running jobs with long to go, within a
+//	                                    fifth of a second; up to eight of their machines hang, 0: none
+//	cancelends AT FOR SHARE             so many jobs are called off at the moment of their end
+//	looks AT FOR SHARE                  users ask at all nodes within milliseconds after news of a job,
+//	                                    and repeat its submission; they call so many new ones off
+//	odd AT FOR                          users repeat submissions, call off what is done, and send jobs
+//	                                    that can't run or lack a field
 //	stale AT FOR SHARE                  of so many reports copies arrive again, up to two leases later
 //	late AT FOR MACHINE                 direct commands to it are held on their way
 //	sick AT FOR MACHINE                 every task fails that it starts
@@ -437,7 +447,7 @@
 func (r *runner) line(l []string) error {
 	w := r.w
 	rest := l[1:]
-	forms := map[string]string{"cancel": "ds", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "skips": "dssn", "office": "ddssdn", "granted": "nn", "rules": "ds", "served": "sn", "quick": "snn", "skip": "dsss", "limits": "", "polls": "ddn", "begin": "d",
+	forms := map[string]string{"cancelnow": "dnd", "cancelends": "ddn", "looks": "ddn", "odd": "dd", "mute": "dds", "keep": "ddn", "ask": "ds", "crash": "dsd", "freeze": "dds", "crashes": "dsddn", "skips": "dssn", "office": "ddssdn", "granted": "nn", "rules": "ds", "served": "sn", "quick": "snn", "skip": "dsss", "limits": "", "polls": "ddn", "begin": "d",
 		"cut": "ddsss", "cutzone": "ddss", "outage": "dd", "refuse": "dds", "lose": "ddn", "delay": "ddn", "cloud": "dd", "kill": "ds", "take": "dn",
 		"hang": "dds", "deaf": "dds", "stale": "ddn", "late": "dds", "sick": "dds", "random": "ndd", "end": "d", "floor": "n", "tenant": "dssnn", "suspend": "dsn", "resume": "ds", "pool": "dsn", "reclaim": "dsn", "guarantee": "dssn", "holds": "dsn", "held": "sn", "use": "ddsn", "gone": "ds", "finally": "ss", "rate": "snn", "sofar": "dsnn", "up": "dn", "starts": "nn", "deleted": "nn", "most": "sn"}
 	var ds []time.Duration
@@ -473,7 +483,29 @@
 	case "submit":
 		return r.submit(rest)
 	case "cancel":
-		w.After(ds[0], func() { w.Users.Cancel(r.ref(ss[0])) })
+		if len(rest) == 2 {
+			rest = append(rest, "")
+		}
+		ds, _, ss, err := args(rest, "dss")
+		if err != nil {
+			return err
+		}
+		w.After(ds[0], func() { w.Users.Cancel(r.ref(ss[0]), ss[1]) })
+	case "cancelnow":
+		w.After(ds[0], func() { w.Users.CancelNow(int(ns[0]), ds[1]) })
+	case "cancelends":
+		w.After(ds[0], func() { w.Users.CancelEnds = ns[0] })
+		w.After(ds[0]+ds[1], func() { w.Users.CancelEnds = 0 })
+	case "looks":
+		w.After(ds[0], func() { w.Users.Looks, w.Users.CancelNew = true, ns[0] })
+		w.After(ds[0]+ds[1], func() { w.Users.Looks = false })
+	case "odd":
+		w.After(ds[0], func() { w.Users.Odd(ds[1]) })
+	case "mute":
+		w.After(ds[0], func() { r.eachMachine(ss[0], func(id api.MachineID) { w.Mute(id, ds[1]) }) })
+	case "keep":
+		w.After(ds[0], func() { w.KeepReports = ns[0] })
+		w.After(ds[0]+ds[1], func() { w.KeepReports = 0 })
 	case "ask":
 		w.After(ds[0], func() { w.Users.Ask(r.ref(ss[0])) })
 	case "crash":
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"basaltwall/api"
@@ -29,6 +30,8 @@
 	calm   time.Duration                // when the last trouble is over
 	moved  map[api.TaskID]stopped       // replicas that were stopped
 	wanted map[api.JobRef]time.Duration // cancellations that users wait for, and since when
+	waits  waits                        // room that there was for jobs that wait
+	leftAt map[api.JobRef]bool          // those were noted as left waiting
 
 	// Longest is the longest that a user has waited for a cancellation.
 	Longest time.Duration
@@ -93,7 +96,7 @@
 	return &Checker{cfg: cfg, on: map[api.TaskID]map[api.MachineID]placed{}, done: map[api.TaskID]bool{},
 		told: map[api.JobRef]api.JobState{}, ended: map[api.JobRef]time.Duration{}, asked: map[api.JobRef]bool{},
 		known: map[api.JobRef]*api.JobSpec{}, submit: map[api.JobRef]bool{}, served: newService(), asking: map[api.JobRef]*asking{}, moved: map[api.TaskID]stopped{},
-		wanted: map[api.JobRef]time.Duration{}}
+		wanted: map[api.JobRef]time.Duration{}, waits: waits{}, leftAt: map[api.JobRef]bool{}}
 }
 
 func (c *Checker) broke(at time.Duration, rule, format string, args ...any) {
@@ -128,9 +131,7 @@
 	if s.Spread && same > ceilHalf(s.Tasks) {
 		c.broke(at, "wrong_place", "%d of %d tasks of %s in %s", same, s.Tasks, id.Job, zone)
 	}
-	if end, ok := c.ended[id.Job]; ok && at > end+api.Seconds(c.cfg.Deployment.Workers.Cancel) {
-		c.broke(at, "ran_cancelled", "%s starts after its cancellation", id)
-	}
+	c.Begins(at, id, "starts")
 	if c.on[id] == nil {
 		c.on[id] = map[api.MachineID]placed{}
 	}
@@ -148,10 +149,21 @@
 			}
 		}
 	}
-	for _, t := range c.cfg.Deployment.Teams {
-		if t.Name == s.Team && (t.CPUsMax > 0 && use.CPU > api.ToAmount(t.CPUsMax) || t.GPUsMax > 0 && use.GPU > api.ToAmount(t.GPUsMax)) {
-			c.broke(at, "quota", "%s uses %.1f CPUs, %.1f GPUs", s.Team, use.CPU.Float(), use.GPU.Float())
-		}
+	if !c.under(s.Team, use) {
+		c.broke(at, "quota", "%s uses %.1f CPUs, %.1f GPUs", s.Team, use.CPU.Float(), use.GPU.Float())
+	}
+}
+
+// Begins notes that a machine carries out a launch of a task, or that the task has its image or
+// its gang and begins. None may after a user was told that its job is cancelled, however soon.
+func (c *Checker) Begins(at time.Duration, id api.TaskID, what string) {
+	end, ok := c.ended[id.Job]
+	switch {
+	case !ok:
+	case at > end+api.Seconds(c.cfg.Deployment.Workers.Cancel):
+		c.broke(at, "ran_cancelled", "%s %s after its cancellation", id, what)
+	default:
+		c.broke(at, "began_cancelled", "%s %s %.2f s after its cancellation was told", id, what, (at - end).Seconds())
 	}
 }
 
@@ -248,6 +260,22 @@
 	}
 }
 
+// ToldBad notes the answer to a job that can't run or lacks something, and reports whether it is
+// one: it must be refused, naming the field where one is at fault.
+func (c *Checker) ToldBad(at time.Duration, ref api.JobRef, what string, status int, field, why string) bool {
+	switch status {
+	case 200, 201:
+		c.broke(at, "accepted_bad", "%s (%s) is accepted", ref, what)
+	case 400, 422:
+		if !strings.HasPrefix(why, field) {
+			c.broke(at, "accepted_bad", "%s (%s) is refused by %q, which does not name %s", ref, what, why, field)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
 // Known is the strongest answer given so far for a job.
 func (c *Checker) Known(ref api.JobRef) api.JobState { return c.told[ref] }
 
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -71,6 +71,26 @@
 			c.Told(2*time.Second, "run-1", 200, api.JobCancelled, "")
 			c.Started(90*time.Second, task(0), s, "i-1", "c8", "a", true)
 		}},
+		{"began_cancelled", func(c *Checker) {
+			s := job(spot)
+			c.Submitted(0, s, 0)
+			c.AskedCancel(0, "run-1")
+			c.Told(2*time.Second, "run-1", 200, api.JobCancelled, "")
+			start(c, s, 0, "i-1", "a")
+		}},
+		{"accepted_bad", func(c *Checker) { c.ToldBad(0, "run-9", "no cores", 201, "cores", "") }},
+		{"accepted_bad", func(c *Checker) { c.ToldBad(0, "run-9", "no cores", 400, "cores", "gpus: missing or invalid") }},
+		{"left_waiting", func(c *Checker) {
+			for at := time.Second; at < 100*time.Second; at += waitsEvery {
+				c.left(at, map[roomFor]bool{{"run-1", "i-1"}: true})
+			}
+		}},
+		{"forgotten", func(c *Checker) { c.Submitted(0, job(nil), 0); c.Told(time.Second, "run-1", 422, "", api.JobPending) }},
+		{"went_back", func(c *Checker) {
+			c.Submitted(0, job(nil), 0)
+			c.AskedCancel(0, "run-1")
+			c.Told(time.Second, "run-1", 200, api.JobPending, api.JobCancelled)
+		}},
 		{"untold", func(c *Checker) {
 			c.Submitted(0, job(nil), 0)
 			c.WantsCancel(0, "run-1")
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -298,6 +298,7 @@
 		s.w.Tenants.watch(w.Put, w.Value)
 		if strings.HasPrefix(w.Put, "b/part/") {
 			s.Claims++
+			s.w.deliverKept()
 		}
 		if w.Put == "b/short" {
 			s.Shorts++
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"basaltwall/api"
@@ -22,12 +23,15 @@
 	// Often is how many times as often as usual each open job is asked about, beside the
 	// question whose answer counts.
 	Often int
+	Habits
 }
 
 func newUsers(w *World) *Users {
 	u := &Users{w: w, specs: map[api.JobRef]*api.JobSpec{}, runs: map[api.JobRef]time.Duration{},
 		Accepted: map[api.JobRef]time.Duration{}, DoneAt: map[api.JobRef]time.Duration{}, polling: map[api.JobRef]bool{}}
+	u.Habits = Habits{w: w, bad: map[api.JobRef]string{}}
 	w.After(time.Second, u.look)
+	w.After(time.Second, w.lookWaits)
 	return u
 }
 
@@ -89,7 +93,11 @@
 	if status == 200 || status == 201 {
 		u.w.must(json.Unmarshal(body, &s))
 	}
+	known := u.w.Check.Known(ref)
 	u.w.Check.Told(u.w.Now, ref, status, s.State, before)
+	if strength(u.w.Check.Known(ref)) > strength(known) {
+		u.news(ref)
+	}
 	return s.State
 }
 
@@ -98,18 +106,12 @@
 func (u *Users) Submit(spec *api.JobSpec, run time.Duration, node string) {
 	u.specs[spec.Ref], u.runs[spec.Ref] = spec, run
 	u.w.Check.Submitted(u.w.Now, spec, run)
-	caller, shown := u.w.caller(spec.Ref)
-	sent := *spec
-	sent.Ref = shown
-	body, err := json.Marshal(submission(&sent))
-	u.w.must(err)
+	body := u.body(spec)
 	name := node
 	if name == "" {
 		name = u.anyNode()
 	}
-	before := u.w.Check.Known(spec.Ref)
-	u.Request(name, "POST", api.PathJobs, caller, body, 5*time.Second, func(status int, b []byte) {
-		u.told(spec.Ref, status, b, before)
+	u.ask(name, "POST", "", spec.Ref, body, 5*time.Second, func(status int, _ api.JobState) {
 		if status == 200 || status == 201 {
 			if _, ok := u.Accepted[spec.Ref]; !ok {
 				u.Accepted[spec.Ref] = u.w.Now
@@ -131,14 +133,11 @@
 )
 
 func (u *Users) poll(ref api.JobRef) {
-	before := u.w.Check.Known(ref)
 	u.w.Check.Asked(u.w.Now, ref)
 	for i := range u.Often {
 		u.w.After(pollEvery*time.Duration(i)/time.Duration(u.Often), func() { u.Ask(ref) })
 	}
-	caller, shown := u.w.caller(ref)
-	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(shown), caller, nil, pollPatience, func(status int, b []byte) {
-		s := u.told(ref, status, b, before)
+	u.ask(u.anyNode(), "GET", "/", ref, nil, pollPatience, func(_ int, s api.JobState) {
 		if _, ok := u.DoneAt[ref]; !ok && s == api.JobDone {
 			u.DoneAt[ref] = u.w.Now
 		}
@@ -151,25 +150,49 @@
 	})
 }
 
-// Cancel asks for a job's cancellation until it is answered.
-func (u *Users) Cancel(ref api.JobRef) {
+// Cancel asks for a job's cancellation until it is answered, first at the given node or at any.
+func (u *Users) Cancel(ref api.JobRef, node string) {
+	if node == "" {
+		node = u.anyNode()
+	}
 	u.w.Check.AskedCancel(u.w.Now, ref)
 	u.w.Check.WantsCancel(u.w.Now, ref)
-	before := u.w.Check.Known(ref)
-	caller, shown := u.w.caller(ref)
-	u.Request(u.anyNode(), "POST", api.PathJobs+"/"+string(shown)+"/"+api.EndCancel, caller, nil, 5*time.Second, func(status int, b []byte) {
-		u.told(ref, status, b, before)
+	u.ask(node, "POST", "/"+api.EndCancel, ref, nil, 5*time.Second, func(status int, _ api.JobState) {
 		if status != 200 {
-			u.w.After(time.Second, func() { u.Cancel(ref) })
+			u.w.After(time.Second, func() { u.Cancel(ref, "") })
 		}
 	})
 }
 
-// Ask polls for a job that nobody has submitted.
-func (u *Users) Ask(ref api.JobRef) {
+// Ask polls for a job once, at any node.
+func (u *Users) Ask(ref api.JobRef) { u.askAt(u.anyNode(), ref) }
+
+func (u *Users) askAt(name string, ref api.JobRef) {
+	u.ask(name, "GET", "/", ref, nil, pollPatience, func(int, api.JobState) {})
+}
+
+// body is a job's submission.
+func (u *Users) body(spec *api.JobSpec) []byte {
+	_, shown := u.w.caller(spec.Ref)
+	sent := *spec
+	sent.Ref = shown
+	body, err := json.Marshal(submission(&sent))
+	u.w.must(err)
+	return body
+}
+
+// ask sends one request about a job to a node, and has the answer checked against what users
+// knew when it was sent: end is empty for a submission, a slash for a question, and else what
+// follows the job's id.
+func (u *Users) ask(name, method, end string, ref api.JobRef, body []byte, patience time.Duration, answer func(int, api.JobState)) {
+	before := u.w.Check.Known(ref)
 	caller, shown := u.w.caller(ref)
-	u.Request(u.anyNode(), "GET", api.PathJobs+"/"+string(shown), caller, nil, pollPatience, func(status int, b []byte) {
-		u.told(ref, status, b, u.w.Check.Known(ref))
+	path := api.PathJobs
+	if end != "" {
+		path += "/" + string(shown) + strings.TrimSuffix(end, "/")
+	}
+	u.Request(name, method, path, caller, body, patience, func(status int, b []byte) {
+		answer(status, u.told(ref, status, b, before))
 	})
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -66,6 +66,7 @@
 	late    []func() // direct commands on their way, see HoldDirect
 	lateTo  time.Duration
 	deafTo  time.Duration // answers and direct commands are lost until then
+	muteTo  time.Duration // it reaches no controller until then
 	sick    time.Duration
 }
 
@@ -113,6 +114,7 @@
 		return
 	}
 	wk.hung = w.Now + length
+	w.Check.Trouble(wk.hung)
 	for _, t := range wk.all() {
 		if g := w.gangs[gangKey{t.id.Job, t.attempt}]; g != nil && g.running && g.tasks[t] &&
 			length > api.Seconds(w.cfgs[w.names[0]].Deployment.Workers.GangPeer) {
@@ -136,6 +138,7 @@
 		return
 	}
 	wk.lateTo = w.Now + length
+	w.Check.Trouble(wk.lateTo)
 	w.After(length, func() {
 		late := wk.late
 		wk.late = nil
@@ -156,10 +159,19 @@
 	}
 }
 
+// Mute has a machine reach no controller, while direct commands reach it.
+func (w *World) Mute(id api.MachineID, length time.Duration) {
+	if wk := w.workers[id]; wk != nil {
+		wk.muteTo = w.Now + length
+		w.Check.Trouble(wk.muteTo)
+	}
+}
+
 // Sicken makes every task fail that a machine starts in the given time.
 func (w *World) Sicken(id api.MachineID, length time.Duration) {
 	if wk := w.workers[id]; wk != nil {
 		wk.sick = w.Now + length
+		w.Check.Trouble(wk.sick)
 	}
 }
 
@@ -227,12 +239,19 @@
 		wk.target = (wk.target + 1) % len(w.names)
 		w.After(time.Second, func() { wk.busy = false; wk.next = 0 })
 	}
+	if wk.muteTo > w.Now {
+		other()
+		return
+	}
 	w.After(4*time.Second, func() {
 		if !settled {
 			settled = true
 			other()
 		}
 	})
+	if w.KeepReports > 0 && w.rand.Float64() < w.KeepReports {
+		w.kept = append(w.kept, body)
+	}
 	across := func(do func()) { w.into(name, wk.zone, func() { w.across(name, SideWorkers, do) }) }
 	if w.StaleReports > 0 && w.rand.Float64() < w.StaleReports {
 		// A copy comes again, from 2 s to well over a lease later, to whichever controller.
@@ -340,6 +359,7 @@
 func (wk *Worker) launch(o api.Order) {
 	id, err := api.ParseTaskID(o.Task)
 	wk.w.must(err)
+	wk.w.Check.Begins(wk.w.Now, id, "is launched")
 	t := &workerTask{on: wk, id: id, attempt: o.Attempt, state: api.TaskFetching}
 	free := wk.cap
 	for _, x := range wk.all() {
@@ -435,6 +455,7 @@
 	if len(g.tasks) == t.spec.Tasks {
 		g.running = true
 		for _, x := range g.members() {
+			wk.w.Check.Begins(wk.w.Now, x.id, "runs with its gang")
 			x.on.run(x)
 		}
 		wk.w.After(wk.w.Users.runs[t.id.Job]-wk.w.saved[t.id.Job], func() { wk.w.finish(g, t.spec.Tasks) })
@@ -487,6 +508,9 @@
 	if t.onHost {
 		t.onHost = false
 		wk.w.Check.Ended(wk.w.Now, t.id, wk.id, done)
+		if done {
+			wk.w.Users.Habits.ended(t.id.Job)
+		}
 		wk.w.Tenants.ended(t.id, wk.id)
 	}
 	k := gangKey{t.id.Job, t.attempt}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -93,6 +93,11 @@
 	// StaleReports is the share of workers' reports of which a copy arrives again.
 	StaleReports float64
 
+	// KeepReports is the share of workers' reports of which a copy is kept for the next owner of
+	// any part: it reaches all controllers once a part has changed hands.
+	KeepReports float64
+	kept        [][]byte
+
 	// Skew is by how much a controller's wall clock is ahead.
 	Skew map[string]time.Duration
 
@@ -408,6 +413,19 @@
 	})
 }
 
+// deliverKept has the reports that were kept reach all controllers, in the moment in which a
+// part's new owner has its answer.
+func (w *World) deliverKept() {
+	for i, body := range w.kept {
+		for _, name := range w.names {
+			w.After(w.latency()+time.Duration(i%3)*time.Millisecond, func() {
+				w.Deliver(name, "POST", api.PathCheckin, control.Caller{}, body, func(int, []byte) {})
+			})
+		}
+	}
+	w.kept = nil
+}
+
 // Cut parts a controller from one side for a while; with hold, packets are
 // delivered when it ends.
 func (w *World) Cut(node string, side Side, length time.Duration, hold bool) {
