Replicas are moved only into room that nothing waits for; what can't be emptied is not kept

Cause: each part stopped replicas to empty a machine by the room it saw, also where one that was moved before still waited for that room; and a machine was kept for a large model while a service on it had nowhere to go, so that small work was left waiting beside room (left_waiting, pack-two-want-one). Change: waiting work that needs no whole machine has its room before anything moves into it; a service counts as one that may move only where there is room; a machine with a service left on it is kept by gatherDue alone.

--- a/control/due.go
+++ b/control/due.go
@@ -186,8 +186,10 @@
 	return out
 }
 
-// hostsFor are a part's machines that a job may use and that are kept for no other.
-func (n *Node) hostsFor(t *turf, s *api.JobSpec, avoided map[api.MachineID]bool, all []*Machine, ends map[*Machine][]due.End, moving bool) (ms []*Machine, hosts []due.Host) {
+// hostsFor are a part's machines that a job may use and that are kept for no other. With room to
+// spare, services that may move there count as what ends; a machine whose services have none is
+// not kept for what would never begin on it while they, or others, could use the rest of it.
+func (n *Node) hostsFor(t *turf, s *api.JobSpec, avoided map[api.MachineID]bool, all []*Machine, ends map[*Machine][]due.End, spare *spareRoom) (ms []*Machine, hosts []due.Host) {
 	plain := n.plain(s)
 	for _, m := range all {
 		kept := n.keptFor(m)
@@ -196,7 +198,7 @@
 		}
 		e, ok := ends[m]
 		if !ok {
-			e = n.endsOn(m, moving)
+			e = n.endsOn(m, spare != nil && n.roomToMove(t, m, spare))
 			ends[m] = e
 		}
 		ms = append(ms, m)
@@ -227,6 +229,7 @@
 		}
 	}
 	ends, moved := map[*Machine][]due.End{}, map[*Machine][]due.End{}
+	var spare *spareRoom
 	left := n.leftOf(t.part)
 	for _, j := range jobs {
 		stage, need := n.stageOf(j, t.part), 1
@@ -236,11 +239,15 @@
 		if j.Demand.Slots(left[j.Spec.Team]) < need || n.whyPool(j, t.part) != "" {
 			continue // it is no machine that it waits for, see dueShares and asking
 		}
-		moving, of := n.inPieces(j.Spec), ends
-		if moving {
-			of = moved
+		var room *spareRoom
+		of := ends
+		if n.inPieces(j.Spec) {
+			if spare == nil {
+				spare = n.spareRoom(t, all)
+			}
+			room, of = spare, moved
 		}
-		ms, hosts := n.hostsFor(t, j.Spec, j.Note.failedOn, all, of, moving)
+		ms, hosts := n.hostsFor(t, j.Spec, j.Note.failedOn, all, of, room)
 		w := due.Want{Demand: j.Demand, Tasks: need, OneZone: j.Spec.OneZone}
 		w.Zones, _ = n.zonesOf(j)
 		if j.Spec.Spread {
@@ -257,8 +264,8 @@
 		}
 		for _, i := range chosen {
 			n.keep(t, ms[i], j.Ref, j.Spec.Priority.Rank(), stage)
-			if moving {
-				n.moveAway(t, ms[i], all)
+			if room != nil {
+				n.moveAway(t, ms[i], room)
 			}
 		}
 		if len(chosen) > 0 {
@@ -286,49 +293,20 @@
 // on it and all of them have room there: one replica of a job at a time, and one machine of a
 // part. A replica is stopped and is due like a lost one, so that whoever owns the part next does
 // the same; what it costs is its fetch.
-func (n *Node) moveAway(t *turf, m *Machine, all []*Machine) {
+func (n *Node) moveAway(t *turf, m *Machine, spare *spareRoom) {
 	places := n.book.On(m.ID)
 	if len(places) == 0 || n.now.Sub(t.movedAt) < keepTime {
 		return
 	}
-	taken, jobs := map[*Machine]api.Resources{}, map[*Job]bool{}
-	var elsewhere []room
+	jobs := map[*Job]bool{}
 	for _, p := range places {
 		if p.Part != t.part || !n.mayMove(p) || jobs[p.Job] {
 			return
 		}
 		jobs[p.Job] = true
-		var best *Machine
-		bestCost, plain := 0.0, n.plain(p.Job.Spec)
-		for _, o := range all {
-			if o == m || n.keptFor(o) != "" || p.Job.Note.failedOn[o.ID] || !n.suits(p.Job.Spec, plain, o.typ, o.zone, o.spot) {
-				continue
-			}
-			free := n.freeOn(o, t).Minus(taken[o])
-			if !p.Job.Demand.Fits(free) {
-				continue
-			}
-			cost := (&sched.Machine{Images: o.images, Fetch: n.types[o.typ].FetchRate, Coming: n.fetching(o)}).FetchTime(p.Job.Spec) +
-				pack.Made(free, p.Job.Demand, n.typical())
-			if best == nil || cost < bestCost {
-				best, bestCost = o, cost
-			}
-		}
-		if best == nil {
-			// A job that is all in one place may go to another part that has room.
-			if elsewhere == nil {
-				elsewhere = n.roomElsewhere()
-			}
-			i := slices.IndexFunc(elsewhere, func(r room) bool {
-				return p.Job.Spec.Tasks == 1 && p.Job.Demand.Fits(r.Free) && sched.Allowed(p.Job.Spec, r.kind.Type, r.kind.Zone, r.kind.Spot)
-			})
-			if i < 0 {
-				return
-			}
-			elsewhere[i].Free = elsewhere[i].Free.Minus(p.Job.Demand)
-			continue
-		}
-		taken[best] = taken[best].Plus(p.Job.Demand)
+	}
+	if !n.roomToMove(t, m, spare) {
+		return
 	}
 	t.movedAt = n.now
 	slog.Info("services move elsewhere", "machine", m.ID, "tasks", len(places), "for", m.kept)
@@ -339,6 +317,82 @@
 	}
 }
 
+// spareRoom is the room into which replicas may move: of a part's machines, less what is taken of
+// it, and of other owners'.
+type spareRoom struct {
+	all       []*Machine
+	taken     map[*Machine]api.Resources
+	elsewhere []room
+}
+
+// maxClaims bounds the waiting tasks that have their room before anything moves into it.
+const maxClaims = 200
+
+// spareRoom is the room that what waits already leaves, work aside for which whole machines are
+// emptied: a replica that was moved, by us or another, is due like a lost one and has nothing but
+// that room, so a second must not be stopped for the same.
+func (n *Node) spareRoom(t *turf, all []*Machine) *spareRoom {
+	r := &spareRoom{all: all, taken: map[*Machine]api.Resources{}, elsewhere: n.roomElsewhere()}
+	left := maxClaims
+	for _, ref := range slices.Sorted(maps.Keys(n.book.Open)) {
+		j := n.book.Open[ref]
+		if j.Demand.GPU == 0 || n.held(j) || n.inPieces(j.Spec) {
+			continue
+		}
+		waits := min(left, j.Spec.Tasks-j.DoneN-len(j.Places)+j.OverN)
+		left -= waits
+		for waits > 0 && n.takeRoom(t, nil, r, j) {
+			waits--
+		}
+	}
+	return r
+}
+
+// takeRoom takes room for one task off what there is, on a machine of the part if it can, the
+// cheapest first, and reports whether there was any.
+func (n *Node) takeRoom(t *turf, but *Machine, r *spareRoom, j *Job) bool {
+	var best *Machine
+	bestCost, plain := 0.0, n.plain(j.Spec)
+	for _, o := range r.all {
+		if o == but || n.keptFor(o) != "" || j.Note.failedOn[o.ID] || !n.suits(j.Spec, plain, o.typ, o.zone, o.spot) {
+			continue
+		}
+		free := n.freeOn(o, t).Minus(r.taken[o])
+		if !j.Demand.Fits(free) {
+			continue
+		}
+		cost := (&sched.Machine{Images: o.images, Fetch: n.types[o.typ].FetchRate, Coming: n.fetching(o)}).FetchTime(j.Spec) +
+			pack.Made(free, j.Demand, n.typical())
+		if best == nil || cost < bestCost {
+			best, bestCost = o, cost
+		}
+	}
+	if best != nil {
+		r.taken[best] = r.taken[best].Plus(j.Demand)
+		return true
+	}
+	// A job that is all in one place may go to another part that has room.
+	i := slices.IndexFunc(r.elsewhere, func(x room) bool {
+		return j.Spec.Tasks == 1 && j.Demand.Fits(x.Free) && sched.Allowed(j.Spec, x.kind.Type, x.kind.Zone, x.kind.Spot)
+	})
+	if i < 0 {
+		return false
+	}
+	r.elsewhere[i].Free = r.elsewhere[i].Free.Minus(j.Demand)
+	return true
+}
+
+// roomToMove reports whether all services on a machine that may move have room elsewhere.
+func (n *Node) roomToMove(t *turf, m *Machine, spare *spareRoom) bool {
+	r := &spareRoom{spare.all, maps.Clone(spare.taken), slices.Clone(spare.elsewhere)}
+	for _, p := range n.book.On(m.ID) {
+		if n.mayMove(p) && !n.takeRoom(t, m, r, p.Job) {
+			return false
+		}
+	}
+	return true
+}
+
 // roomElsewhere is the room of other owners' machines, one by one, the fullest first.
 func (n *Node) roomElsewhere() []room {
 	var out []room
@@ -370,13 +424,15 @@
 }
 
 // keepWhole goes on keeping a machine that was gathered for tasks that fill most of it, for the
-// next of them: else each would be gathered for anew.
+// next of them: else each would be gathered for anew. Where a service is left on it, gatherDue
+// alone decides: it may have nowhere to go, and others wait for the rest of the machine.
 func (n *Node) keepWhole(t *turf) {
 	for _, m := range n.machinesOf(t.part) {
 		if !m.gathered || n.keptFor(m) == "" || n.now.Sub(m.gatheredAt) > due.Within {
 			continue
 		}
-		if j, typ := n.book.Jobs[m.kept], n.types[m.typ]; j.Waiting(t.part) > 0 && typ != nil && due.Share(j.Demand, typ.Capacity()) > 0.5 {
+		if j, typ := n.book.Jobs[m.kept], n.types[m.typ]; j.Waiting(t.part) > 0 && typ != nil && due.Share(j.Demand, typ.Capacity()) > 0.5 &&
+			!slices.ContainsFunc(n.book.On(m.ID), func(p *Place) bool { return p.Job.Spec.Kind == api.Service && !p.Over && !p.Note.stop }) {
 			m.keptTill = n.now.Add(keepTime)
 		}
 	}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -603,7 +603,7 @@
 			all = append(all, m)
 		}
 	}
-	ms, hosts := n.hostsFor(t, l.Spec, nil, all, map[*Machine][]due.End{}, false)
+	ms, hosts := n.hostsFor(t, l.Spec, nil, all, map[*Machine][]due.End{}, nil)
 	if i, _ := due.Empty(hosts, l.Spec.Demand()); i >= 0 {
 		n.keep(t, ms[i], l.Spec.Ref, l.Spec.Priority.Rank(), l.Stage)
 	}
