--- a/control/ask.go
+++ b/control/ask.go
@@ -287,12 +287,21 @@
 		return "it was silent, and its report may be an old one"
 	case n.zoneOut(m.zone) && n.now.Sub(m.heard) > n.cfg.ReportEvery()*5/4:
 		return "its zone is cut off"
+	case n.mute(m, t):
+		return "its reports do not reach us, so its lease will end"
 	case m.token < n.base(t, m.ID):
 		return unannounced
 	}
 	return ""
 }
 
+// mute reports whether a machine answers calls while no report of its own comes, though there was
+// time for some: nobody renews its lease, and what is started there dies with it.
+func (n *Node) mute(m *Machine, t *turf) bool {
+	since := max(m.renewed, m.upAt, m.found, t.since, n.lendings[m.ID].at)
+	return n.now.Sub(since) >= 2*n.cfg.ReportEvery()+2*time.Second
+}
+
 func (n *Node) viewTeams() []TeamView {
 	out := []TeamView{}
 	use, owners := n.totalUsage(), n.owners()
--- a/control/cancel.go
+++ b/control/cancel.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"basaltwall/api"
@@ -46,7 +48,8 @@
 	if j.Placed[t.part] == 0 {
 		return
 	}
-	for _, p := range j.Places {
+	for _, i := range slices.Sorted(maps.Keys(j.Places)) { // in order: the calls are made in it
+		p := j.Places[i]
 		if m := n.machines[p.Machine]; p.Part == t.part && !p.Over && !p.Note.halting && m != nil {
 			p.Note.halting = true
 			n.kick(m)
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -16,7 +16,7 @@
 // news describes one of our parts to the others: machines that are alike are
 // counted, since there may be very many.
 func (n *Node) news(t *turf) PartNews {
-	pn := PartNews{Part: t.part, Want: t.want, Due: t.wantDue, Short: slices.Sorted(maps.Keys(t.short)), Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
+	pn := PartNews{Part: t.part, Want: t.want, Due: t.wantDue, Starved: t.starved, Short: slices.Sorted(maps.Keys(t.short)), Spare: n.leftOf(t.part), Waiting: t.waiting, Lack: t.lack,
 		Accelerated: n.countAccelerated(t.part), Zones: n.silentOf(t)}
 	kinds := map[Kind]int{}
 	rooms := map[Room]int{}
@@ -240,7 +240,7 @@
 	out := n.othersNews()
 	for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
 		if o := n.turfs[p]; o != t {
-			out = append(out, PartNews{Part: p, Want: o.want, Due: o.wantDue, Lack: o.lack})
+			out = append(out, PartNews{Part: p, Want: o.want, Due: o.wantDue, Starved: o.starved, Lack: o.lack})
 		}
 	}
 	return out
@@ -274,12 +274,20 @@
 			// What a round has just planned to use is not in left yet; a team
 			// that wants here gives nothing, so only idle shares move.
 			want, spare := pn.Want[team], left[team]
-			if _, needed := t.want[team]; needed {
-				continue
-			}
 			if t.planned[team] {
 				continue
 			}
+			if _, needed := t.want[team]; needed {
+				// But what this round could not use, too little for any of its tasks or without
+				// room for them, is of use to a part that has room and nothing of the limit: pieces
+				// of it in several parts would leave all of them waiting. It goes to the lowest, so
+				// that it comes together.
+				var starved bool
+				want, starved = pn.Starved[team]
+				if _, ours := t.starved[team]; !starved || ours && t.part < pn.Part {
+					continue
+				}
+			}
 			g := book.Gift{To: pn.Part, Team: team, Amount: api.Resources{
 				CPU: max(0, min(want.CPU, spare.CPU)), GPU: max(0, min(want.GPU, spare.GPU))}}
 			limit := limitOf(n.teams[team])
--- a/control/machine.go
+++ b/control/machine.go
@@ -32,6 +32,7 @@
 	cmd     api.Token // the one we command it with; 0: none yet
 	doubt   api.Token // direct commands up to this token may still arrive
 	heard   api.Time  // last newer report
+	renewed api.Time  // last report of its own that reached us: an answer to one renews its lease, a direct call does not
 	upAt    api.Time  // first report
 	found   api.Time  // first known to us
 	unsure  api.Time  // heard again after a silence, by a report that may be late; 0: not so
@@ -137,6 +138,9 @@
 		return
 	}
 	fresh := n.process(m, r, t)
+	if fresh {
+		m.renewed = n.now
+	}
 	if c.Forwarded {
 		// It comes by way of a peer because it could not reach us. Once a
 		// direct call gets through again, it is sent back to us.
--- a/control/messages.go
+++ b/control/messages.go
@@ -228,6 +228,7 @@
 	Fresh       []api.MachineID            // that have come up lately
 	Want        map[api.Team]api.Resources // share it could use
 	Due         map[api.Team]api.Resources // of that, what jobs lack that must begin
+	Starved     map[api.Team]api.Resources // of that, what jobs lack that have machines and nothing of the limit
 	Short       []api.TypeName             // on which work found no room
 	Spare       map[api.Team]api.Resources // share it does not use
 	Waiting     int                        // tasks that found no room
--- a/control/part.go
+++ b/control/part.go
@@ -50,6 +50,7 @@
 	credit   float64                         // what they may still take before others, see turnOf
 	short    map[api.TypeName]bool           // types on which the last round found no room for what waits
 	wantDue  map[api.Team]api.Resources      // of want, what those lack
+	starved  map[api.Team]api.Resources      // of want, what tasks lack that have machines and no limit for even one
 	reserved map[api.PartID]map[api.Team]api.Resources
 }
 
@@ -459,6 +460,7 @@
 func (n *Node) schedule(t *turf, w *writing, most int) []*Place {
 	t.short = nil
 	t.want, t.wantDue, t.lack, t.waiting = map[api.Team]api.Resources{}, map[api.Team]api.Resources{}, nil, 0
+	t.starved = map[api.Team]api.Resources{}
 	var jobs []*Job
 	var least api.Resources
 	for _, ref := range slices.Sorted(maps.Keys(n.book.Open)) {
@@ -779,7 +781,7 @@
 // lower priority must make way.
 func (n *Node) unplaced(t *turf, in *sched.Input, jobs []*Job, placed []int) {
 	left := n.leftOver(t)
-	searches := maxPreempt
+	searches, looks := maxPreempt, maxStarved
 	for i, j := range jobs {
 		left[j.Spec.Team] = left[j.Spec.Team].Minus(j.Demand.Times(placed[i]))
 		in.Jobs[i].TakeUnits(in.Units, placed[i])
@@ -796,6 +798,12 @@
 			if in.Jobs[i].Reserve {
 				t.wantDue[j.Spec.Team] = t.wantDue[j.Spec.Team].Plus(need)
 			}
+			if can == 0 && looks > 0 {
+				looks--
+				if hasRoom(in.Machines, j) {
+					t.starved[j.Spec.Team] = t.starved[j.Spec.Team].Plus(need)
+				}
+			}
 			if can == 0 || j.Spec.Kind == api.Gang {
 				continue
 			}
@@ -815,6 +823,26 @@
 	}
 }
 
+// maxStarved bounds the jobs of a round for which it is looked whether they have room and no limit.
+const maxStarved = 16
+
+// hasRoom reports whether there is room on machines for a task of a job, or for a gang.
+func hasRoom(machines []sched.Machine, j *Job) bool {
+	need := 1
+	if j.Spec.Kind == api.Gang {
+		need = j.Spec.Tasks
+	}
+	for i := range machines {
+		m := &machines[i]
+		if sched.Allowed(j.Spec, m.Type, m.Zone, m.Spot) {
+			if need -= j.Demand.Slots(m.Free); need <= 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // stop has a task stopped with the grace its checkpoint needs.
 func (n *Node) stop(p *Place) {
 	if p.Note.stop {
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -47,7 +47,7 @@
 			}
 			machine := fmt.Sprintf("i-%06d", r.IntN(machines))
 			mode := pick("hold", "drop")
-			switch r.IntN(17) {
+			switch r.IntN(25) {
 			case 0, 1:
 				line("refuse %.2f %.2f %s", when, length, node)
 				line("outage %.2f %.2f", when+length*r.Float64(), pickTime(r.IntN(3), length))
@@ -82,9 +82,28 @@
 				line("cutzone %.2f %.2f %s %s", when, 2*length, pick("a", "b", "c"), mode)
 			case 16:
 				line("kill %.2f %s", when, machine)
+			case 17:
+				line("mute %.2f %.2f %s", when, 2*length, pick(machine, machine, machine, "all"))
+			case 18:
+				line("keep %.2f %.2f %.2f", when, length+10, 0.3+0.6*r.Float64())
+			case 19:
+				line("cancelnow %.2f %d %s", when, 1+r.IntN(6), pick("0", "20", "35"))
+			case 20:
+				line("cancelnow %.2f %d %s", when, 1+r.IntN(6), pick("0", "35"))
+				line("refuse %.2f %.2f %s", when, length, node)
+				line("outage %.2f 70", when+1)
+			case 21:
+				line("cancelends %.2f %.2f %.2f", when, length, 0.3+0.6*r.Float64())
+			case 22:
+				line("looks %.2f %.2f %s", when, length, pick("0", "0.2"))
+			case 23:
+				line("odd %.2f %.2f", when, length)
+			case 24:
+				line("slow %.2f %.2f %.2f", when, length, 0.02+0.2*r.Float64())
 			}
 		}
 	}
+	line("whole-may-wait")
 	line("floor 0")
 	line("begin 0")
 	line("end 420")
--- a/internal/standin/habits.go
+++ b/internal/standin/habits.go
@@ -147,7 +147,7 @@
 	}
 	for f, values := range map[string][]any{"forma": {"sweeps", ""}, "urgenza": {"urgent", ""}, "pezzi": {0, -1, 100_001, 1.5}, "cores": {-1.0},
 		"gpus": {-1.0}, "ram_gb": {-1.0}, "image_gb": {-0.5}, "stima_s": {-1.0}, "tappa_s": {-1.0}, "salvo_s": {-1.0}, "consegna_s": {-1.0, "soon"},
-		"banchi": {"c8", []any{}, []any{""}}, "cortile": {"", 7}, "bottega": {"", 7}, "mestiere": {"", 7}, "stampo": {"", 7}} {
+		"banchi": {"c8", []any{}, []any{"c8", ""}}, "cortile": {"", 7}, "bottega": {"", 7}, "mestiere": {"", 7}, "stampo": {"", 7}} {
 		for _, v := range values {
 			out = append(out, bad{fmt.Sprintf("%s %v", f, v), f, func(m map[string]any) { m[f] = v }})
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -98,6 +98,12 @@
 	KeepReports float64
 	kept        [][]byte
 
+	// WholeMayWait leaves jobs whose tasks all lie in one part out of the rule left_waiting.
+	WholeMayWait bool
+
+	// SlowLinks is what each passage over the network takes longer, by up to twice as much.
+	SlowLinks time.Duration
+
 	// Skew is by how much a controller's wall clock is ahead.
 	Skew map[string]time.Duration
 
@@ -176,7 +182,11 @@
 }
 
 func (w *World) latency() time.Duration {
-	return time.Duration(500+w.rand.IntN(1500)) * time.Microsecond
+	d := time.Duration(500+w.rand.IntN(1500)) * time.Microsecond
+	if w.SlowLinks > 0 {
+		d += time.Duration(w.rand.Int64N(2 * int64(w.SlowLinks)))
+	}
+	return d
 }
 
 // Start starts a controller with nothing in its memory.
