--- a/control/metrics.go
+++ b/control/metrics.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -15,6 +18,7 @@
 	Rounds, Starts, Ends, Completions, Takeovers, Preempted, Moves, Lent, Gathered, Moved, Turned, Shed, Garbled uint64
 	StateRequests, StateWrites, StateFailures                                                                    uint64
 	CloudRequests, WorkerCalls, Reports                                                                          uint64
+	Unread, Unanswered, FoundWritten, FoundUnwritten                                                             uint64
 	FlowTasks, FlowMachines                                                                                      int // of the last round
 	spent                                                                                                        Spent
 	times                                                                                                        map[string]*hdrhistogram.Histogram
@@ -134,6 +138,11 @@
 	Untold        int               `json:"cancellations_waiting"`   // recorded, and not yet to be told
 	UntoldSeconds float64           `json:"cancellations_waiting_s"` // the oldest of them
 	Calls         int               `json:"calls_open"`
+	Unread        uint64            `json:"requests_without_read"`   // users', refused for want of a current read
+	Unanswered    uint64            `json:"indeterminate_writes"`    // that were not answered
+	FoundWritten  uint64            `json:"indeterminate_written"`   // rounds of these that were found to be written
+	FoundUnwrit   uint64            `json:"indeterminate_unwritten"` // and that were not, and never can be
+	Waits         map[string]int    `json:"jobs_waiting_over_60s"`   // in our parts, by reason; see jobs for each
 	Garbled       uint64            `json:"peer_messages_not_understood"`
 	Times         map[string]timing `json:"times"`
 
@@ -187,6 +196,41 @@
 	Oldest  float64 `json:"oldest_wait_s"`
 }
 
+// longWait is from when on a job that waits is counted by its reason, maxLongWaits how many jobs
+// are looked at for it.
+const (
+	longWait     = time.Minute
+	maxLongWaits = 200
+)
+
+// longWaits counts the jobs of our parts that have waited for long without a task there, by reason.
+func (n *Node) longWaits() map[string]int {
+	out, rooms, looks := map[string]int{}, n.rooms(), maxLongWaits
+	for _, ref := range slices.Sorted(maps.Keys(n.book.Open)) {
+		j := n.book.Open[ref]
+		for _, p := range slices.Sorted(maps.Keys(n.turfs)) {
+			if d := time.Duration(n.wall-j.Accepted) * time.Millisecond; d < longWait || j.Placed[p] > 0 || j.Waiting(p) == 0 {
+				continue
+			}
+			if looks--; looks < 0 {
+				return out
+			}
+			out[reasonOf(n.whyWaiting(j, p, rooms))]++
+		}
+	}
+	return out
+}
+
+// reasonOf is a reason for waiting without its figures.
+func reasonOf(why string) string {
+	for _, r := range []struct{ begins, reason string }{{"limit:", "limit"}, {"no room:", "no room"}, {"pool ", "pool"}, {"backs off", "backs off after failures"}, {"room is gathered", "room is gathered"}, {"the gang's last attempt", "the gang's last attempt ends"}} {
+		if strings.HasPrefix(why, r.begins) {
+			return r.reason
+		}
+	}
+	return "has room"
+}
+
 // maxPoolMetrics bounds the pools that metrics name.
 const maxPoolMetrics = 200
 
@@ -198,6 +242,7 @@
 		StateRPS: n.cfg.Deployment.State.RPS, StateWriteRPS: n.cfg.Deployment.State.WriteRPS,
 		CloudRequests: m.CloudRequests, CloudRPS: n.cfg.Deployment.Cloud.RPS, WorkerCalls: m.WorkerCalls, Reports: m.Reports,
 		FlowTasks: m.FlowTasks, FlowMachines: m.FlowMachines, Jobs: len(n.book.Jobs), Calls: len(n.calls),
+		Unread: m.Unread, Unanswered: m.Unanswered, FoundWritten: m.FoundWritten, FoundUnwrit: m.FoundUnwritten, Waits: n.longWaits(),
 		Times: map[string]timing{}, Work: map[string]float64{}, Process: m.spent.Process.Seconds(), Queue: m.spent.Queue, Shed: m.Shed, Garbled: m.Garbled}
 	for w, d := range m.spent.Work {
 		v.Work[workNames[w]] = d.Seconds()
--- a/control/node.go
+++ b/control/node.go
@@ -286,6 +286,9 @@
 			delete(n.asked, id)
 			n.metrics.took("state", n.now.Sub(at))
 		}
+		if ans.Status == 0 && c.Txn != nil {
+			n.metrics.Unanswered++
+		}
 		if ans.Status == 0 || ans.Status == 429 || ans.Status == 503 {
 			n.metrics.StateFailures++
 		}
--- a/control/part.go
+++ b/control/part.go
@@ -61,6 +61,7 @@
 	starts []*Place // as they will be once durable
 	ends   map[*Place]bool
 	begun  api.Time
+	unsure bool // a sending of it was not answered
 }
 
 // mine is the condition that the part is still ours, under this term.
@@ -182,6 +183,7 @@
 		if n.turfs[t.part] != t || t.writing != w {
 			return
 		}
+		w.unsure = w.unsure || a.Status == 0
 		switch {
 		case a.Status == 200:
 			n.durable(t, a.Txn.Revision)
@@ -230,6 +232,9 @@
 		return
 	}
 	t.writing, t.coming = nil, nil
+	if w.unsure {
+		n.metrics.FoundUnwritten++
+	}
 	maps.Copy(t.ends, w.ends)
 	t.dirty = true
 }
@@ -244,6 +249,9 @@
 	n.metrics.Starts += uint64(len(w.starts))
 	n.metrics.Ends += uint64(len(w.ends))
 	n.metrics.took("round", n.now.Sub(w.begun))
+	if w.unsure {
+		n.metrics.FoundWritten++
+	}
 	slot := w.txn.Writes[0].Put
 	n.book.Wrote(slot, rev)
 	n.book.FoldRecord(t.part, &w.rec)
--- a/control/user.go
+++ b/control/user.go
@@ -85,6 +85,7 @@
 func (n *Node) forward(req ReqID, f Forward, already bool) {
 	to := n.helpers()
 	if already || len(to) == 0 {
+		n.metrics.Unread++
 		n.refuse(req, 503, "state service not reachable")
 		return
 	}
@@ -104,6 +105,7 @@
 		case len(to) > 1:
 			n.forwardTo(req, f, to[1:])
 		default:
+			n.metrics.Unread++
 			n.refuse(req, 503, "no peer answers")
 		}
 	})
