--- a/control/cancel_test.go
+++ b/control/cancel_test.go
@@ -136,3 +136,35 @@
 		t.Errorf("the job is called %s", s.State)
 	}
 }
+
+// The machines that hold a cancelled job's tasks are called as soon as the cancellation is read, each
+// once: their next reports are seconds away.
+func TestMachinesAreCalledForCancelledTasks(t *testing.T) {
+	n, turf, m, j := cancelled(t)
+	m.addr = "10.1.0.1:9000"
+	for _, p := range j.Places {
+		m.tasks[taskKey{p.Task, p.Attempt}] = api.TaskReport{Task: p.Task.String(), Attempt: p.Attempt, State: api.TaskRunning}
+	}
+	calls := func() (count, halts int) {
+		n.tendMachines()
+		for _, e := range n.effects {
+			if c, ok := e.(WorkerCall); ok {
+				count++
+				for _, o := range c.Orders.Orders {
+					if o.Op == api.OpStop {
+						halts++
+					}
+				}
+			}
+		}
+		return count, halts
+	}
+	n.runPart(turf)
+	if count, halts := calls(); count != 1 || halts != 2 {
+		t.Errorf("%d calls with %d halts, expected 1 with 2", count, halts)
+	}
+	n.haltCancelled(turf, j)
+	if len(n.kicked) != 0 {
+		t.Error("it is called again for the same")
+	}
+}
