--- a/control/gossip.go
+++ b/control/gossip.go
@@ -284,7 +284,9 @@
 				// that it comes together.
 				var starved bool
 				want, starved = pn.Starved[team]
-				if _, ours := t.starved[team]; !starved || ours && t.part < pn.Part {
+				_, ours := t.starved[team]
+				_, due := t.wantDue[team] // what a job here that must begin is to have stays
+				if !starved || due || ours && t.part < pn.Part {
 					continue
 				}
 			}
