Checker: which machine had room for a job left waiting is named in order, the same each time

Cause: the machines were looked at in the order of a map, so two runs of one scenario named different ones; the verdict was the same. Change: in order. Checks run: vet, staticcheck and the checker's tests of the package, left-waiting scenarios.

--- a/internal/standin/waits.go
+++ b/internal/standin/waits.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -130,7 +131,8 @@
 
 // left takes in for which jobs there is room now.
 func (c *Checker) left(at time.Duration, now map[roomFor]bool) {
-	for k := range now {
+	inOrder := func(a, b roomFor) int { return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.machine, b.machine)) }
+	for _, k := range slices.SortedFunc(maps.Keys(now), inOrder) { // so that the same is named each time
 		since, ok := c.waits[k]
 		if !ok {
 			c.waits[k] = at
