--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -18,9 +18,10 @@
 type scenario func(rec *record, dir, runCommand string, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"late-answer":   lateAnswer,
-	"resume-tenant": resumeTenant,
-	"reset-command": resetCommand,
+	"late-answer":     lateAnswer,
+	"resume-tenant":   resumeTenant,
+	"reset-command":   resetCommand,
+	"foreign-history": foreignHistory,
 }
 
 var errNoRun = errors.New("the deploy file has no run command")
--- a/review/testdata/standin/resume.go
+++ b/review/testdata/standin/resume.go
@@ -5,10 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 )
@@ -68,24 +64,11 @@
 		waiting  = 92 * time.Second
 	)
 	s := lopresti()
-	// The run command of the deploy file of a hosted service, with the key file in the temporary folder.
-	program := strings.Fields(runCommand)[0]
-	keyFile := filepath.Join(dir, "admin.key")
-	secret, err := exec.Command(program, "new-key").Output()
+	command, root, err := hostedCommand(runCommand, dir)
 	if err != nil {
 		return false, err
 	}
-	if err := os.WriteFile(keyFile, secret, 0o600); err != nil {
-		return false, err
-	}
-	root := strings.TrimSpace(string(secret))
-	words := strings.Fields(runCommand)
-	for i := range words {
-		if words[i] == "--admin-key-file" {
-			words[i+1] = keyFile
-		}
-	}
-	t, err := newSite(rec, dir, strings.Join(words, " "), s)
+	t, err := newSite(rec, dir, command, s)
 	if err != nil {
 		return false, err
 	}
@@ -105,23 +88,11 @@
 	if err := t.awaitReady(20 * time.Second); err != nil {
 		return false, err
 	}
-	if _, err := t.admin(root, "PUT", "tenants/lopresti", object{"revision": 0, "teams": []string{"artigiani"}, "retention_s": 3600}); err != nil {
-		return false, err
-	}
-	revision, err := t.tenantRevision(root, "lopresti")
+	key, err := t.addTenant(root, "lopresti", "artigiani")
 	if err != nil {
 		return false, err
 	}
-	answer, err := t.admin(root, "POST", "tenants/lopresti/keys", object{"revision": revision, "name": "shop"})
-	if err != nil {
-		return false, err
-	}
-	var key struct {
-		Secret string `json:"secret"`
-	}
-	if err := json.Unmarshal(answer, &key); err != nil {
-		return false, err
-	}
+	var revision uint64
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	accepted := 0
@@ -129,7 +100,7 @@
 		wg.Go(func() {
 			for n := k; n < jobCount; n += senders {
 				err := t.submit(&jobSpec{Ref: fmt.Sprintf("run-%06d", 100+n), Class: "listini", Team: "artigiani", Kind: "sweep", Priority: "normal", Tasks: 1, Cores: 4, RAM: 3.9,
-					Image: "img-07", ImageGB: 0.1, Estimate: 3}, key.Secret)
+					Image: "img-07", ImageGB: 0.1, Estimate: 3}, key)
 				mu.Lock()
 				if err == nil {
 					accepted++
--- a/review/testdata/standin/site.go
+++ b/review/testdata/standin/site.go
@@ -190,6 +190,9 @@
 	return t, nil
 }
 
+// writeFile writes a file that only the owner may read.
+func writeFile(name string, data []byte) error { return os.WriteFile(name, data, 0o600) }
+
 func seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
 
 // addMachine adds a machine of the start, which comes up after a delay.
