agent: no attempt is reaped while a launch of it may still be executed

Cause: before a reap only direct calls in flight or without an answer counted as launches that may arrive. A launch is also in the reply to a heartbeat that arrives between the round and the call's answer, and a worker executes replies up to 4 s after it has sent the heartbeat. And the HTTP client sends a request again when a pooled connection is reset, and reported one answered call while the first copy could still arrive.

A reply is settled by the agent's next heartbeat, since it has one in flight at a time; a call by its answer; a call without an answer or with a second copy by a raised token. Clients report repeated requests (httpx Response.Repeated, metric worker_calls_repeated) and don't use a connection that the server has closed.

Trial, rejected: raising the token before every reap.

--- a/controller/agent/command.go
+++ b/controller/agent/command.go
@@ -50,15 +50,13 @@
 }
 
 // untrackedCommands returns commands that stop the reported tasks without a placement in the partition
-// and that make the agent forget those that have exited. An unanswered direct call may still arrive.
-// If the agent forgot a task before a newer token invalidates such calls, the task could start again.
+// and that make the agent forget those that have exited and that no launch can start again.
 func (am *Manager) untrackedCommands(m *core.Machine, owned *core.OwnedPartition) []api.Command {
 	var out []api.Command
-	settled := !m.CallInFlight && m.UncertainToken == 0
 	for _, k := range sortedAttempts(m.ReportedTasks) {
 		taskReport := m.ReportedTasks[k]
 		exited := taskReport.State == api.TaskExited
-		if exited && !settled {
+		if exited && mayStillLaunch(m, k) {
 			continue
 		}
 		if p := am.placementOf(m.ID, k); p != nil && p.Partition == owned.ID {
--- a/controller/agent/command_test.go
+++ b/controller/agent/command_test.go
@@ -10,6 +10,7 @@
 	"basaltwall/clusterstate"
 	"basaltwall/config"
 	"basaltwall/controller/core"
+	"basaltwall/controller/message"
 )
 
 // newTestManager returns a manager whose controller owns partition 0 under term 7. The partition has
@@ -70,6 +71,38 @@
 	}
 }
 
+// If an agent forgot an attempt while the reply to its heartbeat with a launch of it is late, the attempt
+// would start again. The launches of other attempts don't matter.
+func TestNoForgetWhileReplyMayArrive(t *testing.T) {
+	am, owned, m, _ := newTestManager(t)
+	late, other := core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 3}, core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 4}
+	for _, k := range []core.AttemptKey{late, other} {
+		m.ReportedTasks[k] = api.TaskStatus{Task: k.Task.String(), Attempt: k.Attempt, State: api.TaskExited}
+	}
+	recordReply(m, api.CommandBatch{Token: 7, Commands: []api.Command{{Op: api.OpStart, Task: late.Task.String(), Attempt: late.Attempt}}})
+	want := []api.Command{{Op: api.OpReap, Task: other.Task.String(), Attempt: other.Attempt}}
+	if got := am.CommandsFor(m, owned); !slices.Equal(got, want) {
+		t.Errorf("commands %v, expected %v", got, want)
+	}
+}
+
+// The first copy of a call that was sent twice may still arrive after the answer.
+func TestRepeatedCallIsUncertain(t *testing.T) {
+	am, owned, m, _ := newTestManager(t)
+	m.Address = "10.0.1.0:9000"
+	am.core.State.ApplyRecord(0, &clusterstate.RoundRecord{Seq: 1, Jobs: []clusterstate.JobDelta{{Job: "run-1", Starts: []clusterstate.TaskStart{{Task: 0, Machine: m.ID, Epoch: 1}}}}})
+	am.sendCommands(m, owned)
+	call, ok := am.core.TakeEffects()[0].(message.WorkerCall)
+	if !ok || len(call.Commands.Commands) != 1 {
+		t.Fatalf("call %v, expected one launch", call)
+	}
+	delete(am.core.Partitions, owned.ID) // the answer is not processed further
+	am.core.CompleteCall(call.ID, message.WorkerResponse{ID: call.ID, Status: statusOK, Heartbeat: &api.Heartbeat{Machine: m.ID}, Repeated: true})
+	if m.UncertainToken != call.Commands.Token || am.core.Metrics.WorkerCallsRepeated != 1 {
+		t.Errorf("uncertain token %d, %d repeated calls, expected %d and 1", m.UncertainToken, am.core.Metrics.WorkerCallsRepeated, call.Commands.Token)
+	}
+}
+
 // A launch by the former owner of a machine that was lent with its tasks may still arrive under any
 // token below the loan's revision, which may be higher than the new owner's term.
 func TestLaunchTokenAfterTransfer(t *testing.T) {
--- a/controller/agent/directcall.go
+++ b/controller/agent/directcall.go
@@ -125,12 +125,17 @@
 // sendCommands sends a machine its commands in a direct call.
 func (am *Manager) sendCommands(m *core.Machine, owned *core.OwnedPartition) {
 	commands := api.CommandBatch{Token: m.CommandToken, Epoch: max(m.Epoch, 1), Commands: am.CommandsFor(m, owned)}
+	logCommands(m, viaDirectCall, commands)
 	m.CallInFlight = true
 	am.directCallsInFlight++
 	m.NextCallAt = am.core.Now.Add(callInterval)
 	am.core.CallWorker(m.Address, commands, func(a message.WorkerResponse) {
 		m.CallInFlight = false
 		am.directCallsInFlight--
+		if a.Repeated {
+			am.core.Metrics.WorkerCallsRepeated++
+			recordUncertainCall(m, commands)
+		}
 		if a.Heartbeat != nil && a.Heartbeat.Machine != m.ID {
 			a.Status, a.Heartbeat = 0, nil // the address now belongs to another machine
 		}
@@ -147,12 +152,7 @@
 
 // handleMissedCall handles an unanswered direct call, whose commands may still arrive.
 func (am *Manager) handleMissedCall(m *core.Machine, commands api.CommandBatch) {
-	for _, command := range commands.Commands {
-		if command.Op == api.OpStart {
-			m.UncertainToken = max(m.UncertainToken, commands.Token)
-			break
-		}
-	}
+	recordUncertainCall(m, commands)
 	m.UnansweredCalls++
 	m.NextCallAt = am.core.Now.Add(unansweredCallDelay)
 }
--- a/controller/agent/heartbeat.go
+++ b/controller/agent/heartbeat.go
@@ -49,6 +49,7 @@
 	newer := am.applyHeartbeat(m, heartbeat, owned)
 	if newer {
 		m.LeaseRenewedAt = am.core.Now
+		clear(m.RepliedLaunches)
 	}
 	if c.Forwarded && am.recentDirectReply(m) {
 		// A peer forwarded the heartbeat because the agent could not reach this controller. A direct
@@ -63,7 +64,10 @@
 		// duplicate whose response nobody reads.
 		m.DirectCallPending = false
 	}
-	am.core.Reply(c.Req, statusOK, api.CommandBatch{Token: m.CommandToken, Commands: am.CommandsFor(m, owned)}, 0)
+	commands := api.CommandBatch{Token: m.CommandToken, Commands: am.CommandsFor(m, owned)}
+	recordReply(m, commands)
+	logCommands(m, viaHeartbeatReply, commands)
+	am.core.Reply(c.Req, statusOK, commands, 0)
 }
 
 // recentDirectReply reports whether the machine has answered a direct call within the last heartbeat
--- a/controller/agent/manager.go
+++ b/controller/agent/manager.go
@@ -71,10 +71,13 @@
 	m := am.core.Machines[id]
 	if m == nil {
 		m = &core.Machine{
-			ID:             id,
-			DiscoveredAt:   am.core.Now,
-			HeartbeatState: core.HeartbeatState{ReportedTasks: map[core.AttemptKey]api.TaskStatus{}},
-			ScaleInState:   core.ScaleInState{IdleSince: am.core.Now},
+			ID:           id,
+			DiscoveredAt: am.core.Now,
+			HeartbeatState: core.HeartbeatState{
+				ReportedTasks:   map[core.AttemptKey]api.TaskStatus{},
+				RepliedLaunches: map[core.AttemptKey]bool{},
+			},
+			ScaleInState: core.ScaleInState{IdleSince: am.core.Now},
 			TaskHistory: core.TaskHistory{
 				CachedImages:   map[api.Image]sched.CachedImage{},
 				RecentFailures: map[api.JobID]api.Time{},
--- a/controller/core/machine.go
+++ b/controller/core/machine.go
@@ -48,6 +48,10 @@
 	ReportedTasks      map[AttemptKey]api.TaskStatus
 	UntrackedUsage     api.Resources // of reported tasks that are not in the cluster state
 	HasUnknownTasks    bool          // a task of an unknown job runs on the machine
+
+	// RepliedLaunches are the attempts with a launch in the reply to the newest heartbeat that this
+	// controller received from the agent itself, or to an older one received later.
+	RepliedLaunches map[AttemptKey]bool
 }
 
 // TokenState contains a machine's fencing tokens. Agents refuse commands with a token lower than
@@ -55,7 +59,7 @@
 type TokenState struct {
 	ReportedToken  api.FencingToken // highest token reported by the agent
 	CommandToken   api.FencingToken // token of commands to the machine; 0 if there is none yet
-	UncertainToken api.FencingToken // direct commands with tokens up to this one may still arrive; 0 if there are none
+	UncertainToken api.FencingToken // direct commands with tokens up to this one may still arrive, though no call is in flight; 0 if there are none
 }
 
 // DirectCallState is the state of direct calls to a machine's agent, made without waiting for its
--- a/controller/core/metrics.go
+++ b/controller/core/metrics.go
@@ -32,6 +32,7 @@
 type CallMetrics struct {
 	StoreRequests, StoreWrites, StoreFailures uint64
 	CloudRequests, WorkerCalls                uint64
+	WorkerCallsRepeated                       uint64 // by the HTTP client
 	WorkerHeartbeats, MalformedMessages       uint64
 	PollsDeferred                             uint64
 }
--- a/controller/golden_test.go
+++ b/controller/golden_test.go
@@ -124,7 +124,10 @@
 	golden.JSON(f, "teams", golden.Filled[[]operations.TeamView](t))
 	golden.JSON(f, "jobs", golden.Filled[jobs.Listing](t))
 	golden.JSON(f, "settings", golden.Filled[operations.VersionedSettings](t))
-	golden.JSON(f, "metrics", golden.Filled[metrics.View](t))
+	view := golden.Filled[metrics.View](t)
+	golden.JSON(f, "metrics with repeated calls", view)
+	view.WorkerCallsRepeated = 0
+	golden.JSON(f, "metrics", view)
 	golden.JSON(f, "skips", golden.Filled[skips.PageView](t))
 	golden.JSON(f, "depots", golden.Filled[skips.CountsView](t))
 	golden.JSON(f, "skip answer", golden.Filled[skips.ChangeView](t))
--- a/controller/message/responses.go
+++ b/controller/message/responses.go
@@ -25,6 +25,7 @@
 		ID        CallID
 		Status    int
 		Heartbeat *api.Heartbeat
+		Repeated  bool // the call was sent twice, and the first copy may still arrive
 	}
 	// CloudResponse is the response to a CloudCall.
 	CloudResponse struct {
--- a/controller/metrics/reporter.go
+++ b/controller/metrics/reporter.go
@@ -133,6 +133,7 @@
 		CloudRequests:          m.CloudRequests,
 		CloudRPSLimit:          limits.Cloud.RPS,
 		WorkerCalls:            m.WorkerCalls,
+		WorkerCallsRepeated:    m.WorkerCallsRepeated,
 		WorkerHeartbeats:       m.WorkerHeartbeats,
 		FlowTasks:              m.FlowTasks,
 		FlowMachines:           m.FlowMachines,
--- a/controller/metrics/view.go
+++ b/controller/metrics/view.go
@@ -74,6 +74,9 @@
 	// this controller has written.
 	Pools          map[api.PoolName]PoolView `json:"pools,omitempty"`
 	PoolShareMoves uint64                    `json:"pool_share_moves,omitempty"`
+
+	// Direct calls that the HTTP client sent twice.
+	WorkerCallsRepeated uint64 `json:"worker_calls_repeated,omitempty"`
 }
 
 // ZoneView is an unhealthy zone as shown to operators.
--- a/httpx/client.go
+++ b/httpx/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,7 +53,7 @@
 			c.idle[addr] = conns[:len(conns)-1]
 		}
 		c.idleCount--
-		if time.Since(conn.idleSince) < idleTimeout {
+		if time.Since(conn.idleSince) < idleTimeout && isOpen(conn.Conn) {
 			return conn.Conn
 		}
 		_ = conn.Close()
@@ -60,6 +61,26 @@
 	return nil
 }
 
+// isOpen reports whether an idle connection can still be used: it has not been closed by the server, and
+// there is nothing to read. A request that is sent on a closed connection would have to be repeated.
+func isOpen(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && open
+}
+
 // putIdle returns a connection to the pool, or closes it if the pool is full.
 func (c *Client) putIdle(addr string, conn net.Conn) {
 	c.mu.Lock()
@@ -97,16 +118,19 @@
 // errStale reports that the server closed an idle connection before it sent any byte of a response.
 var errStale = errors.New("server closed the idle connection")
 
-// Do sends a request and waits for its response until the timeout. If the server closed an idle connection
-// before the first byte of the response, Do retries once on a new connection, which is safe because every
-// request of this program is idempotent. The context applies only to connecting.
+// Do sends a request and waits for its response until the timeout. If an idle connection ends before the
+// first byte of the response, Do sends the request again on a new connection and marks the response as
+// Repeated: the network may have delayed the first copy, which then arrives after the response. The
+// context applies only to connecting.
 func (c *Client) Do(ctx context.Context, addr, method, target string, body []byte, timeout time.Duration) (Response, error) {
 	deadline := time.Now().Add(timeout)
+	repeated := false
 	if conn := c.getIdle(addr); conn != nil {
 		r, err := c.exchange(conn, addr, method, target, body, deadline)
 		if !errors.Is(err, errStale) {
 			return r, err
 		}
+		repeated = true
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -114,7 +138,9 @@
 	if err != nil {
 		return Response{}, fmt.Errorf("connecting: %w", err)
 	}
-	return c.exchange(conn, addr, method, target, body, deadline)
+	r, err := c.exchange(conn, addr, method, target, body, deadline)
+	r.Repeated = repeated
+	return r, err
 }
 
 // exchange sends a request on a connection and reads the response. It closes the connection or returns
--- a/httpx/parse.go
+++ b/httpx/parse.go
@@ -46,6 +46,10 @@
 	Body       []byte
 	Close      bool
 	RetryAfter int // in seconds; 0 if the header is absent or contains a date
+
+	// Repeated is set by Client.Do if the request was sent twice. The first copy may still be executed, however
+	// late.
+	Repeated bool
 }
 
 // head is a start line with the parsed headers. contentLength is -1 if the header is absent, and
--- a/internal/emulator/controllers.go
+++ b/internal/emulator/controllers.go
@@ -140,6 +140,10 @@
 	case message.WorkerCall:
 		_, _, body, err := worker.Request(e)
 		sim.must(err)
+		repeated := sim.RepeatedCommandRate > 0 && sim.rand.Float64() < sim.RepeatedCommandRate
+		if repeated {
+			sim.delayCopy(h.name, e.Address, body)
+		}
 		sim.roundTrip(h, EndpointWorkers, 0, e.Timeout, func(answer func(int, []byte)) {
 			sim.DirectCommands++
 			if wk := sim.workersByAddr[e.Address]; wk != nil {
@@ -147,7 +151,10 @@
 					wk.handleCommands(body, func(status int, body []byte) { sim.transmitToZone(h.name, wk.zone, func() { answer(status, body) }) })
 				})
 			}
-		}, func(r httpx.Response, err error) message.Command { return worker.ParseResponse(e, r, err) })
+		}, func(r httpx.Response, err error) message.Command {
+			r.Repeated = repeated
+			return worker.ParseResponse(e, r, err)
+		})
 	case message.PeerCall:
 		sim.callPeer(h, e)
 	default:
@@ -155,6 +162,20 @@
 	}
 }
 
+// maxCopyDelay bounds the delay after which the first copy of a repeated direct command arrives.
+const maxCopyDelay = 20 * time.Second
+
+// delayCopy delivers the first copy of a repeated direct command late. Nobody receives the response.
+func (sim *Simulation) delayCopy(controllerName, address string, body []byte) {
+	delay := time.Second + time.Duration(sim.rand.Int64N(int64(maxCopyDelay-time.Second)))
+	sim.Checker.RecordFaultUntil(sim.Now + delay)
+	sim.After(delay, func() {
+		if wk := sim.workersByAddr[address]; wk != nil {
+			sim.transmitToZone(controllerName, wk.zone, func() { wk.handleCommands(body, func(int, []byte) {}) })
+		}
+	})
+}
+
 // callPeer sends a message to another controller and returns its reply to the sender.
 func (sim *Simulation) callPeer(h *controllerHost, e message.PeerCall) {
 	_, _, body, err := peer.Request(e)
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -42,6 +42,14 @@
 	// possibly after the sender's timeout.
 	ReplyLossRate, TransactionDelayRate float64
 
+	// RepeatedCommandRate is the share of direct commands of which a copy arrives seconds after the sender has
+	// received the response, as when the connection of the first copy is reset and the request is repeated.
+	RepeatedCommandRate float64
+
+	// FailLateLaunches makes a task of each job fail whose launch is in a late reply, see DelayReplies.
+	FailLateLaunches bool
+	lateLaunchJobs   map[api.JobID]bool
+
 	// StaleHeartbeatRate is the share of heartbeats of which a duplicate is delivered late.
 	StaleHeartbeatRate float64
 
@@ -55,7 +63,7 @@
 }
 
 func newNetworkFaults() NetworkFaults {
-	return NetworkFaults{linkCuts: map[linkKey]*networkCut{}, zoneCuts: map[api.Zone]*networkCut{}}
+	return NetworkFaults{linkCuts: map[linkKey]*networkCut{}, zoneCuts: map[api.Zone]*networkCut{}, lateLaunchJobs: map[api.JobID]bool{}}
 }
 
 func (sim *Simulation) latency() time.Duration {
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -33,6 +33,8 @@
 	heldCalls            []func() // direct commands that are held while the machine hangs
 	delayedCommands      []func() // direct commands that are delayed, see DelayCommands
 	commandsDelayedUntil time.Duration
+	repliesDelayedUntil  time.Duration // replies to heartbeats arrive late until then, see DelayReplies
+	lateLaunchFailed     bool          // a task has failed whose launch was in a late reply
 	inboundCutUntil      time.Duration // responses and direct commands to the machine are lost until then
 	outboundCutUntil     time.Duration // heartbeats are lost until then
 	tasksFailUntil       time.Duration
--- a/internal/emulator/worker_faults.go
+++ b/internal/emulator/worker_faults.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"encoding/json"
 	"time"
 
 	"basaltwall/api"
@@ -57,6 +58,46 @@
 	})
 }
 
+// lateReplyDelay is the delay of replies to heartbeats by DelayReplies. With the latency it is below the time for
+// which a worker waits for a reply.
+const lateReplyDelay = 3200 * time.Millisecond
+
+// DelayReplies delays the replies to a machine's heartbeats for the given time, while direct commands are delivered
+// at once.
+func (sim *Simulation) DelayReplies(id api.MachineID, length time.Duration) {
+	if wk := sim.workers[id]; wk != nil {
+		wk.repliesDelayedUntil = sim.Now + length
+		sim.Checker.RecordFaultUntil(wk.repliesDelayedUntil + lateReplyDelay)
+	}
+}
+
+// lateLaunchFailureDelay is the time after which a task fails whose launch is in a late reply; by then a direct call
+// has started it.
+const lateLaunchFailureDelay = 400 * time.Millisecond
+
+// failLateLaunch makes a task fail that a direct call starts while its launch is also in a late reply: with
+// FailLateLaunches one on each machine, of a job of which none has failed.
+func (wk *Worker) failLateLaunch(reply []byte) {
+	var batch api.CommandBatch
+	if !wk.sim.FailLateLaunches || wk.lateLaunchFailed || json.Unmarshal(reply, &batch) != nil {
+		return
+	}
+	for _, command := range batch.Commands {
+		id, err := api.ParseTaskID(command.Task)
+		if command.Op != api.OpStart || err != nil || wk.sim.lateLaunchJobs[id.Job] {
+			continue
+		}
+		wk.sim.After(lateLaunchFailureDelay, func() {
+			t := wk.tasks[command.Task][command.Attempt]
+			if t == nil || t.state != api.TaskRunning || wk.lateLaunchFailed || wk.sim.lateLaunchJobs[id.Job] {
+				return
+			}
+			wk.lateLaunchFailed, wk.sim.lateLaunchJobs[id.Job] = true, true
+			wk.exitTask(t, api.ReasonError)
+		})
+	}
+}
+
 // CutInbound drops packets to a machine for the given time: its heartbeats arrive, but their responses and direct
 // commands are lost.
 func (sim *Simulation) CutInbound(id api.MachineID, length time.Duration) {
--- a/internal/emulator/worker_protocol.go
+++ b/internal/emulator/worker_protocol.go
@@ -59,7 +59,7 @@
 	}
 	transmit(func() {
 		sim.SendHeartbeat(wk, name, body, func(status int, answer []byte) {
-			transmit(func() {
+			wk.transmitReply(answer, transmit, func() {
 				if wk.inboundCutUntil > sim.Now {
 					return
 				}
@@ -79,6 +79,16 @@
 	})
 }
 
+// transmitReply sends the reply to a heartbeat over the network, late while replies are delayed.
+func (wk *Worker) transmitReply(body []byte, transmit func(func()), callback func()) {
+	if wk.repliesDelayedUntil > wk.sim.Now {
+		wk.failLateLaunch(body)
+		wk.sim.After(lateReplyDelay, func() { transmit(callback) })
+		return
+	}
+	transmit(callback)
+}
+
 // followRedirect switches to the controller that a redirect names, and reports whether it is another one.
 func (wk *Worker) followRedirect(answer []byte) bool {
 	var r api.Redirect
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -62,6 +62,7 @@
 //	lose-replies AT FOR SHARE           This share of the key-value store's replies is lost.
 //	delay-transactions AT FOR SHARE     This share of transactions arrives seconds late.
 //	add-latency AT FOR SECONDS          Adds to the mean network latency.
+//	repeat-commands AT FOR SHARE        Copies of this share of direct commands arrive up to 20 s later.
 //	stale-heartbeats AT FOR SHARE       Copies of this share of heartbeats arrive again, up to two leases
 //	                                    later.
 //	hold-heartbeats AT FOR SHARE        Copies of this share of heartbeats are held until a partition
@@ -74,6 +75,8 @@
 //	                                    are lost.
 //	cut-outbound AT FOR MACHINE|all     A machine reaches no controller; direct commands reach it.
 //	delay-commands AT FOR MACHINE       Direct commands to a machine are delayed.
+//	delay-replies AT FOR MACHINE|all    Replies to a machine's heartbeats arrive 3.2 s late.
+//	fail-late-launches AT FOR           On each machine a task fails whose launch is also in a late reply.
 //	fail-tasks AT FOR MACHINE           Each task that a machine starts fails.
 //	random-faults SEED FROM TO          Injects random faults.
 //	end AT                              Ends the scenario.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -94,6 +94,21 @@
 	runSeeds(t, randomScript, 24)
 }
 
+// lateCommandsScript makes commands late in each way while other faults occur.
+const lateCommandsScript = randomScript + `
+add-latency 5 125 0.05
+delay-replies 5 60 i-000000
+delay-replies 30 90 i-000003
+delay-replies 60 60 all
+fail-late-launches 5 125
+repeat-commands 5 125 0.3
+`
+
+// A task starts once, however late its commands arrive and whatever else fails.
+func TestRandomFaultsLateCommands(t *testing.T) {
+	runSeeds(t, lateCommandsScript, 12)
+}
+
 // hostedScript has two tenants with jobs of each kind, which are suspended and resumed under
 // random faults; at the end one is removed with its jobs.
 const hostedScript = `
--- a/internal/scenario/steps_faults.go
+++ b/internal/scenario/steps_faults.go
@@ -61,6 +61,12 @@
 		r.sim.Checker.RecordFaultUntil(a.durations[0] + a.durations[1])
 		r.during(a, func() { r.sim.ExtraLatency = a.durations[2] }, func() { r.sim.ExtraLatency = 0 })
 	}},
+	"fail-late-launches": {form: "dd", schedule: func(r *runner, a arguments) {
+		r.during(a, func() { r.sim.FailLateLaunches = true }, func() { r.sim.FailLateLaunches = false })
+	}},
+	"repeat-commands": {form: "ddn", schedule: func(r *runner, a arguments) {
+		r.during(a, func() { r.sim.RepeatedCommandRate = a.numbers[0] }, func() { r.sim.RepeatedCommandRate = 0 })
+	}},
 	"stale-heartbeats": {form: "ddn", schedule: func(r *runner, a arguments) {
 		r.sim.Checker.RecordFaultUntil(a.durations[0] + a.durations[1] + 2*r.configs[0].WorkerLease())
 		r.during(a, func() { r.sim.StaleHeartbeatRate = a.numbers[0] }, func() { r.sim.StaleHeartbeatRate = 0 })
@@ -92,6 +98,11 @@
 	"delay-commands": {form: "dds", schedule: func(r *runner, a arguments) {
 		r.sim.After(a.durations[0], func() { r.sim.DelayCommands(api.MachineID(a.names[0]), a.durations[1]) })
 	}},
+	"delay-replies": {form: "dds", schedule: func(r *runner, a arguments) {
+		r.sim.After(a.durations[0], func() {
+			r.eachMachine(a.names[0], func(id api.MachineID) { r.sim.DelayReplies(id, a.durations[1]) })
+		})
+	}},
 	"cut-inbound": {form: "dds", schedule: func(r *runner, a arguments) {
 		r.sim.After(a.durations[0], func() {
 			r.eachMachine(a.names[0], func(id api.MachineID) { r.sim.CutInbound(id, a.durations[1]) })
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -38,7 +38,7 @@
 // ParseResponse returns the command for the outcome of a call. A worker responds with a heartbeat, even if
 // it refuses the call with status 409; without a valid heartbeat the command's status is 0.
 func ParseResponse(c message.WorkerCall, r httpx.Response, callErr error) message.WorkerResponse {
-	response := message.WorkerResponse{ID: c.ID}
+	response := message.WorkerResponse{ID: c.ID, Repeated: r.Repeated}
 	if callErr != nil || r.Status != api.StatusOK && r.Status != api.StatusConflict {
 		return response
 	}
