skipledger: the blocks written with a record are within the limits too

Callers saw no answers from a shard of the ledger of skips until its writer was restarted.

Cause: a record was limited to the size of a value, but it may add bookings to a block that is nearly full, and the block is written in the same transaction. The state service refused it for good (400), and the ledger sent it again, unchanged, ten times a second: a 400 was handled like a lost answer.

Evidence: the emulated state service now checks all limits of its protocol, and the checker has the rule rejected_write: no transaction may be refused for good.

Change: a record is composed from fewer requests until all values of its transaction and the transaction itself fit. After a refusal it is composed from half as many, and a single request is refused (TestRejectedRecordIsMadeSmaller).

--- a/api/kv.go
+++ b/api/kv.go
@@ -49,6 +49,9 @@
 	Writes []Write     `json:"writes"`
 }
 
+// MaxTxnBytes is the state service's limit on the size of the request of a Txn.
+const MaxTxnBytes = 64 << 10
+
 // TxnResponse is the result of a Txn: the keys whose conditions failed, and the revision.
 type TxnResponse struct {
 	Failed   []string `json:"failed,omitempty"`
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/url"
 	"slices"
@@ -181,7 +182,7 @@
 	writes := 0.0
 	if method == "POST" && target == api.PathTxn {
 		var t api.Txn
-		s.sim.must(json.Unmarshal(body, &t))
+		_ = json.Unmarshal(body, &t) // a malformed transaction is refused later
 		writes = float64(len(t.Writes))
 	}
 	if s.requestTokens < 1 || s.writeTokens < writes {
@@ -216,7 +217,11 @@
 	case method == "POST" && u.Path == api.PathLeases:
 		s.grantLease(body, answer)
 	case method == "POST" && strings.HasPrefix(u.Path, api.PathLeases+"/"):
-		n, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		n, err := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		if err != nil {
+			answer(400, nil)
+			return
+		}
 		id := api.LeaseID(n)
 		if _, ok := s.leaseExpiry[id]; !ok {
 			answer(404, []byte(`{}`))
@@ -228,6 +233,10 @@
 		s.listPage(q, answer)
 	case method == "GET" && strings.HasPrefix(u.Path, api.PathKeys+"/"):
 		key := u.Path[len(api.PathKeys)+1:]
+		if !validStoreKey(key) {
+			answer(400, nil)
+			return
+		}
 		e, ok := s.entries[key]
 		if !ok {
 			writeJSON(answer, 404, map[string]api.Revision{"registro": s.revision})
@@ -241,10 +250,10 @@
 	}
 }
 
-// grantLease grants a lease. It refuses a time to live under 100 ms.
+// grantLease grants a lease.
 func (s *Store) grantLease(body []byte, answer func(int, []byte)) {
 	var request api.LeaseRequest
-	if json.Unmarshal(body, &request) != nil || request.TTL < 100 {
+	if json.Unmarshal(body, &request) != nil || request.TTL < minLeaseMillis || request.TTL > maxLeaseMillis {
 		answer(400, nil)
 		return
 	}
@@ -257,8 +266,12 @@
 // watch returns the changes since a revision: at once if there are any or the wait is 0, otherwise when there are
 // any or the wait ends.
 func (s *Store) watch(controllerName string, q url.Values, answer func(int, []byte)) {
-	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	since, sinceErr := strconv.ParseUint(q.Get("since"), 10, 64)
+	wait, waitErr := strconv.Atoi(cmp.Or(q.Get("wait_ms"), "0"))
+	if sinceErr != nil || waitErr != nil || wait < 0 || wait > maxWatchMillis {
+		answer(400, nil)
+		return
+	}
 	w := &storeWatch{controllerName: controllerName, prefix: q.Get("under"), sinceRevision: api.Revision(since), answer: answer}
 	if w.sinceRevision < s.compactedRevision {
 		answer(410, []byte(`{}`))
@@ -281,8 +294,9 @@
 func (s *Store) commitTransaction(body []byte, answer func(int, []byte)) {
 	var t api.Txn
 	cfg := s.sim.configs[s.sim.controllerNames[0]].Deployment.State
-	if json.Unmarshal(body, &t) != nil || len(t.Writes) > cfg.TxnOps || len(t.If) > 4*cfg.TxnOps || len(body) > 64<<10 {
-		answer(400, []byte(`{"error":"malformed"}`))
+	if reason := malformedTxn(body, &t, storeLimits{valueBytes: int(cfg.ValueKB * 1024), txnOps: cfg.TxnOps}); reason != "" {
+		s.sim.Checker.RecordViolation(s.sim.Now, invariant.RuleRejectedWrite, "%s: %.200s", reason, body)
+		writeJSON(answer, 400, map[string]string{"error": reason})
 		return
 	}
 	if what := missingGuard(&t); what != "" {
@@ -291,10 +305,6 @@
 	s.Writes += len(t.Writes)
 	for _, w := range t.Writes {
 		s.LargestValue = max(s.LargestValue, len(w.Value))
-		if float64(len(w.Value)) > cfg.ValueKB*1024 {
-			answer(400, []byte(`{"error":"too large"}`))
-			return
-		}
 		if _, ok := s.leaseExpiry[w.Lease]; w.Lease != 0 && !ok {
 			answer(400, []byte(`{"error":"no such lease"}`))
 			return
@@ -335,7 +345,12 @@
 }
 
 func (s *Store) listPage(q url.Values, answer func(int, []byte)) {
-	limit, _ := strconv.Atoi(q.Get("limit"))
+	limit, err := strconv.Atoi(cmp.Or(q.Get("limit"), "1000"))
+	if err != nil || limit < 1 {
+		answer(400, nil)
+		return
+	}
+	limit = min(limit, maxPageItems)
 	var keys []string
 	for k := range s.entries {
 		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -24,4 +24,5 @@
 	RulePoolSize              Rule = "pool"             // more units of a pool are held than its size
 	RuleSuspension            Rule = "held"             // a suspended tenant's job is accepted, starts or does not drain
 	RuleMissingWriteGuard     Rule = "unguarded"        // a write lacks a compare-and-swap condition on a key that it depends on
+	RuleRejectedWrite         Rule = "rejected_write"   // the key-value store refuses a write for good: it is malformed or exceeds a limit
 )
--- a/skipledger/ledger.go
+++ b/skipledger/ledger.go
@@ -40,6 +40,7 @@
 type shardQueue struct {
 	pending  []*PendingRequest
 	inFlight *inFlightWrite
+	halvings int // how often the number of requests of a record is halved, after transactions that were refused for good
 }
 
 // inFlightWrite is the write of a record whose outcome is not known yet.
--- a/skipledger/ledger_test.go
+++ b/skipledger/ledger_test.go
@@ -1,6 +1,8 @@
 package skipledger
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -140,3 +142,37 @@
 		t.Error("a pending request does not time out")
 	}
 }
+
+// A record that the key-value store refuses for good is not sent again: smaller ones follow, and the
+// requests of the smallest are refused.
+func TestRejectedRecordIsMadeSmaller(t *testing.T) {
+	a, _, _ := twoLedgers(t)
+	var got []Result
+	const requests = 60
+	for i := range requests {
+		r := promiseRequest(IdempotencyKey(fmt.Sprintf("%064d", i)), "site", &got)
+		r.Request.From, r.Request.To = Day(5+2*i), Day(7+2*i)
+		a.Enqueue(r)
+	}
+	size := math.MaxInt
+	for step := 0; len(got) == 0; step++ {
+		tx := a.Compose(0, 2, 0)
+		if tx == nil {
+			break
+		}
+		if step > maxHalvings {
+			t.Fatalf("another record after %d refusals", step)
+		}
+		if smaller := len(tx.Writes[0].Value); smaller > size {
+			t.Fatalf("a record of %d bytes after one of %d was refused", smaller, size)
+		} else {
+			size = smaller
+		}
+		if next := a.HandleOutcome(0, statusRejected, 0); next != StepDone {
+			t.Fatalf("step %v after a refusal, expected none", next)
+		}
+	}
+	if len(got) == 0 || got[0].Reason != ReasonRecordTooLarge {
+		t.Errorf("answers %+v, expected %q", got, ReasonRecordTooLarge)
+	}
+}
--- a/skipledger/write.go
+++ b/skipledger/write.go
@@ -13,6 +13,9 @@
 // maxRequestsPerRecord is the maximum number of requests that one record is composed from.
 const maxRequestsPerRecord = 200
 
+// maxHalvings is the number of halvings after which a record is composed from a single request.
+const maxHalvings = 8
+
 // Compose answers pending requests of a shard that need no write, and returns the transaction that writes
 // the next record, or nil if there is none. readAt is the start time of the read up to which the replica
 // is current: requests that arrived later stay pending, and so do those that do not fit into the record.
@@ -27,7 +30,7 @@
 		requests[i] = a.Request
 	}
 	g.composedRecords++
-	d := s.Compose(fmt.Sprintf("%s-%d", g.WriterID, g.composedRecords), requests, now, g.ClockError, g.Limits)
+	d, txn, err := g.composeFitting(shard, requests, now)
 	queue.pending = slices.Clone(queue.pending[d.RequestCount:])
 	pending = slices.Clone(pending[:d.RequestCount])
 	if len(d.Record.Ops) == 0 {
@@ -36,17 +39,46 @@
 		}
 		return nil
 	}
-	data, err := json.Marshal(d.Record)
 	if err != nil || !s.HasRingSpace() {
 		for _, a := range pending {
 			g.respond(a, Result{Reason: ReasonBusy})
 		}
 		return nil
 	}
-	queue.inFlight = &inFlightWrite{draft: d, requests: pending, txn: g.transaction(shard, &d, data, now)}
+	queue.inFlight = &inFlightWrite{draft: d, requests: pending, txn: txn}
 	return &queue.inFlight.txn
 }
 
+// composeFitting composes the next record of a shard from fewer and fewer requests until its transaction
+// is within the limits: the record may also write several blocks, to which it adds bookings.
+func (g *Ledger) composeFitting(shard int, requests []*Request, now api.WallTime) (d Draft, txn api.Txn, err error) {
+	writerID := fmt.Sprintf("%s-%d", g.WriterID, g.composedRecords)
+	requests = requests[:min(len(requests), max(1, maxRequestsPerRecord>>g.queues[shard].halvings))]
+	for {
+		d = g.shards[shard].Compose(writerID, requests, now, g.ClockError, g.Limits)
+		data, err := json.Marshal(d.Record)
+		if err != nil || len(d.Record.Ops) == 0 {
+			return d, api.Txn{}, err
+		}
+		txn = g.transaction(shard, &d, data, now)
+		if g.fits(txn) || d.RequestCount <= 1 {
+			return d, txn, nil
+		}
+		requests = requests[:d.RequestCount/2]
+	}
+}
+
+// fits reports whether a transaction is within the limits of the key-value store.
+func (g *Ledger) fits(txn api.Txn) bool {
+	for _, w := range txn.Writes {
+		if len(w.Value) > g.Limits.MaxValueBytes {
+			return false
+		}
+	}
+	body, err := json.Marshal(txn)
+	return err == nil && len(body) <= api.MaxTxnBytes
+}
+
 // arrivedBy returns the pending requests that arrived by a time, at most maxRequestsPerRecord.
 func (q *shardQueue) arrivedBy(at api.Time) []*PendingRequest {
 	arrived := 0
@@ -92,6 +124,7 @@
 // HTTP statuses of a transaction's outcome.
 const (
 	statusCommitted = 200
+	statusRejected  = 400
 	statusConflict  = 409
 )
 
@@ -110,10 +143,29 @@
 		return StepDone
 	case status == statusConflict:
 		return StepRead
+	case status == statusRejected:
+		g.reduce(shard)
+		return StepDone
 	}
 	return StepRetry
 }
 
+// reduce ends a write that was refused for good. Its requests are pending again and are written in smaller
+// records. A single request is refused.
+func (g *Ledger) reduce(shard int) {
+	queue := &g.queues[shard]
+	w := queue.inFlight
+	queue.inFlight = nil
+	if len(w.requests) > 1 {
+		queue.halvings = min(queue.halvings+1, maxHalvings)
+		queue.pending = append(w.requests, queue.pending...)
+		return
+	}
+	for _, a := range w.requests {
+		g.respond(a, Result{Reason: ReasonRecordTooLarge})
+	}
+}
+
 // applyWritten applies a written record before it is read from the log; it returns false if the record is
 // not the next one.
 func (g *Ledger) applyWritten(shard int, w *inFlightWrite, revision api.Revision) bool {
@@ -149,6 +201,7 @@
 	queue := &g.queues[shard]
 	w := queue.inFlight
 	queue.inFlight = nil
+	queue.halvings = max(0, queue.halvings-1)
 	g.RecordCount++
 	for i, a := range w.requests {
 		if opIndex := w.draft.OpIndexes[i]; opIndex != noOps {
