rounds: every write is within the state service's limits, and a refused one is made smaller

Cause: the planner reserved 64 bytes for a job with one start. With the ids of a hosted service (40 bytes) such an entry has up to 84, so 98 or more of them exceed a value. And a 400 was handled like a lost answer: the same transaction was sent again for as long as the partition's owner lived.

Evidence: the new log line "transaction rejected by the state service" on the code before: first_key=b/round/2/3 writes=1 conditions=129 largest_value=8896, 377 times in the first half minute. Not the conditions (192 allowed), not the transaction (64 KiB).

Change: a round counts the bytes of its entries by their own ids and names, for the record and for the transaction with its conditions; a gang's starts are recorded together or not at all; quota transfers take the space that is left. A refused round is reported, counted (metric state_rejections), abandoned after a read of the log, and the next one is half as large.

TestRandomFaultsSmallLimits runs jobs of all kinds, tenants and pools with value_kb 2 and txn_ops 4; it passed before the change too.

--- a/controller/agent/launch_model_test.go
+++ b/controller/agent/launch_model_test.go
@@ -86,25 +86,25 @@
 }
 
 // execute executes commands on the machine under a token, unless it has seen a higher one.
-func (n *launchWorld) execute(token int8, launch, reap bool) {
-	if token < n.token {
+func (w *launchWorld) execute(token int8, launch, reap bool) {
+	if token < w.token {
 		return
 	}
-	n.token = token
-	if reap && n.attempt == attemptExited {
-		n.attempt = attemptAbsent
+	w.token = token
+	if reap && w.attempt == attemptExited {
+		w.attempt = attemptAbsent
 	}
-	if launch && n.attempt == attemptAbsent {
-		n.attempt = attemptLive
-		n.violated = n.ended // it may run on another machine
+	if launch && w.attempt == attemptAbsent {
+		w.attempt = attemptLive
+		w.violated = w.ended // it may run on another machine
 	}
 }
 
 // receive updates the owner's knowledge by a heartbeat or the answer to a direct call.
-func (n *launchWorld) receive() {
-	n.heard, n.seen, n.reportedToken = true, n.attempt, n.token
-	if n.reportedToken > n.uncertain {
-		n.uncertain = 0
+func (w *launchWorld) receive() {
+	w.heard, w.seen, w.reportedToken = true, w.attempt, w.token
+	if w.reportedToken > w.uncertain {
+		w.uncertain = 0
 	}
 }
 
--- a/controller/autoscale/machinetypes.go
+++ b/controller/autoscale/machinetypes.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"time"
 
 	"basaltwall/api"
@@ -50,6 +51,10 @@
 // the next read, as the recorded types still differ then.
 func (as *Manager) recordMachineTypes(owned *core.OwnedPartition, types []api.MachineType) {
 	value, _ := json.Marshal(api.MachineTypes{Types: types}) // plain data; encoding can't fail
+	if as.core.ExceedsValueSize(value) {
+		slog.Error("machine types not recorded: too large for a value", "types", len(types), "bytes", len(value))
+		return
+	}
 	as.core.CallStoreTxn(api.Txn{
 		If:     []api.Condition{owned.OwnershipCondition(), as.core.State.VersionCondition(core.MachineTypesKey)},
 		Writes: []api.Write{{Put: core.MachineTypesKey, Value: value}},
--- a/controller/balance/transfer.go
+++ b/controller/balance/transfer.go
@@ -57,7 +57,7 @@
 		}
 		jobs[p.Job.ID] = true
 	}
-	return len(jobs) < b.deps.Scheduler.RoundConditionBudget()
+	return len(jobs) < owned.RoundReduction.Apply(b.deps.Scheduler.RoundConditionBudget())
 }
 
 // isTransferableTask reports whether a task can change its partition: its machine has reported it, it
@@ -94,11 +94,25 @@
 		}
 	}
 	round.Record.QuotaTransfers = b.usedQuotaTransfers(borrower, used)
+	if !b.core.TxnFits(round.Txn) || !b.roundRecordFits(round, len(value)) {
+		return
+	}
 	slog.Info("machine lent with running tasks", "machine", m.ID, "from", owned.ID, "to", borrower, "for", jobID, "tasks", len(placements))
 	b.core.Metrics.MachinesTransferred++
 	b.deps.Scheduler.CommitRound(owned, round)
 }
 
+// roundRecordFits reports whether the record of a round fits into a value, and into one transaction with
+// another value and the conditions.
+func (b *Balancer) roundRecordFits(round *core.PendingRound, otherBytes int) bool {
+	data, err := json.Marshal(round.Record)
+	if err != nil || b.core.ExceedsValueSize(data) {
+		return false
+	}
+	conditions, err := json.Marshal(round.Txn.If)
+	return err == nil && len(data)+otherBytes+len(conditions) <= api.MaxTxnBytes-core.TxnReserveBytes
+}
+
 // usedQuotaTransfers returns transfers of the quota that transferred tasks use, for teams with a limit.
 func (b *Balancer) usedQuotaTransfers(to api.PartitionID, used map[api.Team]api.Resources) []clusterstate.QuotaTransfer {
 	var out []clusterstate.QuotaTransfer
--- a/controller/core/metrics.go
+++ b/controller/core/metrics.go
@@ -31,6 +31,7 @@
 // CallMetrics counts outgoing calls, and incoming requests and messages.
 type CallMetrics struct {
 	StoreRequests, StoreWrites, StoreFailures uint64
+	StoreRejections                           uint64 // transactions refused for good
 	CloudRequests, WorkerCalls                uint64
 	WorkerCallsRepeated                       uint64 // by the HTTP client
 	WorkerHeartbeats, MalformedMessages       uint64
--- a/controller/core/partition.go
+++ b/controller/core/partition.go
@@ -37,8 +37,9 @@
 	InFlight       *PendingRound                   // nil if no record is being written
 	InFlightDemand map[api.MachineID]api.Resources // of the tasks started by the round in flight
 	PlannedTeams   map[api.Team]bool               // teams with starts in the last round
-	UnexaminedJobs int                             // number of jobs that the last round left out
-	PoolCursor     int                             // position at which the next round continues with the pools, if there are more than MaxRoundPools
+	RoundReduction WriteReduction
+	UnexaminedJobs int // number of jobs that the last round left out
+	PoolCursor     int // position at which the next round continues with the pools, if there are more than MaxRoundPools
 }
 
 // OwnershipChange is the state of a handover of the partition to another controller.
@@ -49,9 +50,11 @@
 
 // ArchiveState is the state of writes of a partition other than its rounds.
 type ArchiveState struct {
-	Checkpointing    bool // a checkpoint is being written
-	ArchivingResults bool // records of finished jobs are being replaced by their results
-	NextArchive      api.Time
+	Checkpointing       bool // a checkpoint is being written
+	ArchivingResults    bool // records of finished jobs are being replaced by their results
+	NextArchive         api.Time
+	CheckpointReduction WriteReduction
+	ArchiveReduction    WriteReduction
 }
 
 // QuotaState is the state of teams' quota in a partition.
--- a/controller/core/storecalls.go
+++ b/controller/core/storecalls.go
@@ -3,6 +3,7 @@
 // This file makes calls to the state service and monitors its health.
 
 import (
+	"slices"
 	"time"
 
 	"basaltwall/api"
@@ -30,6 +31,9 @@
 	id = o.registerCall(func(response any) {
 		storeResponse := response.(message.StoreResponse)
 		o.observeStoreResponse(id, storeResponse.Status, isTxn)
+		if isTxn && storeResponse.Status == api.StatusBadRequest && !usesLease(call.Txn) {
+			o.ReportRejectedTxn(call.Txn)
+		}
 		callback(storeResponse)
 	})
 	call.ID = id
@@ -43,6 +47,12 @@
 	o.Emit(call)
 }
 
+// usesLease reports whether a transaction attaches a key to a lease. It is refused when the lease has
+// expired, whatever its size.
+func usesLease(txn *api.Txn) bool {
+	return slices.ContainsFunc(txn.Writes, func(write api.Write) bool { return write.Lease != 0 })
+}
+
 // CallStoreTxn sends a transaction to the state service.
 func (o *Outbox) CallStoreTxn(txn api.Txn, callback func(message.StoreResponse)) {
 	o.CallStore(message.StoreCall{Txn: &txn}, callback)
--- a/controller/core/storelimits.go
+++ b/controller/core/storelimits.go
@@ -1,7 +1,16 @@
 package core
 
-// This file divides the state service's write rate among components and checks its limit on the
-// size of a value.
+// This file divides the state service's write rate among components and checks its limits on the
+// sizes of values and transactions. The service refuses a request beyond a limit for good, so a write
+// whose size depends on what is pending must be composed within the limits, and one that was refused must
+// be made smaller.
+
+import (
+	"encoding/json"
+	"log/slog"
+
+	"basaltwall/api"
+)
 
 // Shares of the state service's write rate. The service refuses writes beyond the rate, including
 // renewals of this controller's lease.
@@ -19,13 +28,95 @@
 // cancellationReserveBytes bounds the bytes that a cancellation adds to a job's record.
 const cancellationReserveBytes = 64
 
+const (
+	// TxnReserveBytes is the part of a transaction's size that a large value leaves for the encoding of the
+	// transaction and for the conditions that do not depend on the number of entries.
+	TxnReserveBytes = 4 * bytesPerKB
+	// conditionsPerWrite is the service's limit on conditions, as a multiple of its limit on writes.
+	conditionsPerWrite = 4
+)
+
+// MaxValueBytes returns the maximum size of a value, which must fit into a transaction.
+func (k *Core) MaxValueBytes() int {
+	return min(int(k.Config.Deployment.State.ValueKB*bytesPerKB), api.MaxTxnBytes-TxnReserveBytes)
+}
+
+// MaxConditions returns the maximum number of conditions of a transaction.
+func (k *Core) MaxConditions() int { return conditionsPerWrite * k.Config.Deployment.State.TxnOps }
+
 // ExceedsValueSize reports whether data is too large to be written as one value.
-func (k *Core) ExceedsValueSize(data []byte) bool {
-	return float64(len(data)) > k.Config.Deployment.State.ValueKB*bytesPerKB
+func (k *Core) ExceedsValueSize(data []byte) bool { return len(data) > k.MaxValueBytes() }
+
+// TxnFits reports whether a transaction is within the service's limits.
+func (k *Core) TxnFits(txn api.Txn) bool {
+	if len(txn.Writes) > k.Config.Deployment.State.TxnOps || len(txn.If) > k.MaxConditions() {
+		return false
+	}
+	for _, write := range txn.Writes {
+		if k.ExceedsValueSize(write.Value) {
+			return false
+		}
+	}
+	body, err := json.Marshal(txn)
+	return err == nil && len(body) <= api.MaxTxnBytes
 }
 
+// LargestFittingTxn returns the longest prefix of a list of units, each with its conditions and writes,
+// that fits into one transaction with the given conditions, and its length. It contains at most maxUnits.
+func (k *Core) LargestFittingTxn(conditions []api.Condition, units []api.Txn, maxUnits int) (txn api.Txn, count int) {
+	txn.If = conditions
+	for _, unit := range units[:min(len(units), maxUnits)] {
+		next := api.Txn{
+			If:     append(txn.If[:len(txn.If):len(txn.If)], unit.If...),
+			Writes: append(txn.Writes[:len(txn.Writes):len(txn.Writes)], unit.Writes...),
+		}
+		if !k.TxnFits(next) {
+			break
+		}
+		txn = next
+		count++
+	}
+	return txn, count
+}
+
+// ReportRejectedTxn logs and counts a transaction that the service has refused for good, or would refuse.
+func (o *Outbox) ReportRejectedTxn(txn *api.Txn) {
+	o.metrics.StoreRejections++
+	key, largest := "", 0
+	for _, write := range txn.Writes {
+		largest = max(largest, len(write.Value))
+		if key == "" {
+			key = write.Put + write.Drop
+		}
+	}
+	body, _ := json.Marshal(txn) // only its length is reported
+	slog.Error("transaction rejected by the state service", "first_key", key, "writes", len(txn.Writes), "conditions", len(txn.If),
+		"largest_value", largest, "bytes", len(body))
+}
+
+// maxReduction bounds how much smaller writes become after refusals.
+const maxReduction = 64
+
+// WriteReduction makes writes of one kind smaller after the state service has refused one for good.
+type WriteReduction struct{ halvings int }
+
+// Apply returns the reduced limit of a write, at least 1.
+func (r *WriteReduction) Apply(limit int) int {
+	return max(1, limit>>r.halvings)
+}
+
+// Rejected halves the following writes.
+func (r *WriteReduction) Rejected() {
+	if 1<<r.halvings < maxReduction {
+		r.halvings++
+	}
+}
+
+// Accepted lets the following writes grow again.
+func (r *WriteReduction) Accepted() { r.halvings = max(0, r.halvings-1) }
+
 // JobExceedsValueSize reports whether a job's record is too large to be written, including the
 // bytes that a cancellation adds: without them the job could never be cancelled.
 func (k *Core) JobExceedsValueSize(data []byte) bool {
-	return float64(len(data)+cancellationReserveBytes) > k.Config.Deployment.State.ValueKB*bytesPerKB
+	return len(data)+cancellationReserveBytes > k.MaxValueBytes()
 }
--- a/controller/core/timekey.go
+++ b/controller/core/timekey.go
@@ -58,14 +58,15 @@
 func (k *Core) DeleteExpiredRecords(owned *OwnedPartition, prefix string, retention time.Duration, done func()) {
 	cutoff := TimeKey(k.WallClock - api.WallTime(retention.Milliseconds()))
 	k.CallStore(message.StoreCall{Page: &message.PageRequest{Prefix: prefix, Limit: k.Config.Deployment.State.TxnOps}}, func(response message.StoreResponse) {
-		txn := api.Txn{If: []api.Condition{owned.OwnershipCondition()}}
+		var deletions []api.Txn
 		if response.Status == api.StatusOK {
 			for _, pair := range response.Page.Pairs {
 				if strings.TrimPrefix(pair.Key, prefix) < cutoff {
-					txn.Writes = append(txn.Writes, api.Write{Drop: pair.Key})
+					deletions = append(deletions, api.Txn{Writes: []api.Write{{Drop: pair.Key}}})
 				}
 			}
 		}
+		txn, _ := k.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, deletions, len(deletions))
 		if len(txn.Writes) == 0 {
 			done()
 			return
--- a/controller/jobs/submit.go
+++ b/controller/jobs/submit.go
@@ -107,6 +107,8 @@
 		s.deps.Log.LinearizableRead(func() {}, func() {}) // reads the job's record, so that its first round comes soon
 	case api.StatusConflict:
 		s.LookupJob(id, sub.replyKnown, sub.forward, sub.forward)
+	case api.StatusBadRequest: // a peer would be refused too
+		sub.refuse(api.StatusBadRequest, core.ReasonSpecTooLarge)
 	case api.StatusTooManyRequests: // the state service would refuse a peer too
 		s.core.ReplyError(sub.request.Req, api.StatusServiceUnavailable, "the state service refused the write: rate limit reached")
 	default:
--- a/controller/metrics/reporter.go
+++ b/controller/metrics/reporter.go
@@ -134,6 +134,7 @@
 		CloudRPSLimit:          limits.Cloud.RPS,
 		WorkerCalls:            m.WorkerCalls,
 		WorkerCallsRepeated:    m.WorkerCallsRepeated,
+		StoreRejections:        m.StoreRejections,
 		WorkerHeartbeats:       m.WorkerHeartbeats,
 		FlowTasks:              m.FlowTasks,
 		FlowMachines:           m.FlowMachines,
--- a/controller/metrics/view.go
+++ b/controller/metrics/view.go
@@ -75,8 +75,10 @@
 	Pools          map[api.PoolName]PoolView `json:"pools,omitempty"`
 	PoolShareMoves uint64                    `json:"pool_share_moves,omitempty"`
 
-	// Direct calls that the HTTP client sent twice.
+	// Direct calls that the HTTP client sent twice, and transactions that the state service has refused for
+	// good.
 	WorkerCallsRepeated uint64 `json:"worker_calls_repeated,omitempty"`
+	StoreRejections     uint64 `json:"state_rejections,omitempty"`
 }
 
 // ZoneView is an unhealthy zone as shown to operators.
--- a/controller/operations/settings.go
+++ b/controller/operations/settings.go
@@ -102,6 +102,10 @@
 	if tenants.Hosted() {
 		tx.Writes = append(tx.Writes, tenants.NewAuditWrite(c, "settings", s.core.Settings.AuditView(), settings.AuditView()))
 	}
+	if !s.core.TxnFits(tx) {
+		s.core.ReplyError(c.Req, 400, "drained, precedence: the record is too large")
+		return
+	}
 	s.core.CallStoreTxn(tx, func(a message.StoreResponse) {
 		tenants.ReplyChange(c.Req, a.Status, a.Txn.Revision, "the settings have", func(revision api.Revision) any {
 			settings.Revision = revision
--- a/controller/pools/shares.go
+++ b/controller/pools/shares.go
@@ -44,8 +44,8 @@
 		return
 	}
 	data, err := json.Marshal(next)
-	if err != nil {
-		slog.Error("pool shares could not be encoded", "pool", name, "err", err)
+	if err != nil || pm.core.ExceedsValueSize(data) {
+		slog.Error("pool shares could not be written", "pool", name, "bytes", len(data), "err", err)
 		return
 	}
 	pm.shareWrites[name] = true
--- a/controller/rounds/archive.go
+++ b/controller/rounds/archive.go
@@ -29,26 +29,34 @@
 	if len(txn.Writes) == 0 {
 		return
 	}
-	txn.If = append(txn.If, owned.OwnershipCondition())
 	owned.ArchivingResults = true
-	s.core.CallStoreTxn(txn, func(message.StoreResponse) { owned.ArchivingResults = false })
+	s.core.CallStoreTxn(txn, func(response message.StoreResponse) {
+		owned.ArchivingResults = false
+		switch response.Status {
+		case api.StatusOK:
+			owned.ArchiveReduction.Accepted()
+		case api.StatusBadRequest:
+			owned.ArchiveReduction.Rejected()
+		}
+	})
 }
 
 // archiveTxn returns a transaction that archives as many finished jobs as fit into it.
 func (s *Scheduler) archiveTxn(owned *core.OwnedPartition) api.Txn {
-	var txn api.Txn
+	maxJobs := owned.ArchiveReduction.Apply(s.core.Config.Deployment.State.TxnOps)
+	var jobs []api.Txn
 	for _, id := range slices.Sorted(maps.Keys(s.core.State.FinishedJobs)) {
 		j := s.core.State.FinishedJobs[id]
 		if !ownsFirstTask(owned.ID, j) {
 			continue
 		}
-		writes := s.archiveWrites(j)
-		if len(txn.Writes)+len(writes) > s.core.Config.Deployment.State.TxnOps {
+		if len(jobs) == maxJobs {
 			break
 		}
-		txn.If = append(txn.If, api.Condition{Key: clusterstate.KeyJob + string(id), Version: j.Version}, api.Condition{Key: clusterstate.KeyJobResult + string(id)})
-		txn.Writes = append(txn.Writes, writes...)
+		conditions := []api.Condition{{Key: clusterstate.KeyJob + string(id), Version: j.Version}, {Key: clusterstate.KeyJobResult + string(id)}}
+		jobs = append(jobs, api.Txn{If: conditions, Writes: s.archiveWrites(j)})
 	}
+	txn, _ := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, jobs, maxJobs)
 	return txn
 }
 
--- a/controller/rounds/checkpoint.go
+++ b/controller/rounds/checkpoint.go
@@ -16,8 +16,8 @@
 	// checkpointReserveBytes is the part of a value that a piece of a checkpoint leaves for its
 	// encoding.
 	checkpointReserveBytes = 64
-	// checkpointTxnKB limits the pieces of a checkpoint in one transaction.
-	checkpointTxnKB = 56
+	// minCheckpointPieceBytes is the size to which refusals reduce pieces at most.
+	minCheckpointPieceBytes = 256
 )
 
 // maybeCheckpoint writes the partition's state when enough rounds have passed, so that a recovery
@@ -27,7 +27,8 @@
 	if owned.Checkpointing || owned.HandingOver || partition.RoundSeq < partition.CheckpointHead.Seq+clusterstate.RingSize/2 || s.core.Now < owned.NextArchive {
 		return
 	}
-	writes, err := s.core.State.CheckpointWrites(owned.ID, s.valueBytes()-checkpointReserveBytes)
+	pieceBytes := max(owned.CheckpointReduction.Apply(s.core.MaxValueBytes()-checkpointReserveBytes), minCheckpointPieceBytes)
+	writes, err := s.core.State.CheckpointWrites(owned.ID, pieceBytes)
 	if err != nil {
 		slog.Error("checkpoint could not be encoded", "err", err)
 		return
@@ -40,16 +41,24 @@
 // transaction contains the head, which makes the checkpoint valid. Each transaction is conditional
 // on the versions of the values that it replaces.
 func (s *Scheduler) writeCheckpointPieces(owned *core.OwnedPartition, writes []api.Write) {
-	state := s.core.Config.Deployment.State
-	count := min(len(writes), state.TxnOps, max(1, int(checkpointTxnKB/state.ValueKB)))
-	txn := api.Txn{If: []api.Condition{owned.OwnershipCondition()}, Writes: writes[:count]}
-	for _, write := range writes[:count] {
-		txn.If = append(txn.If, s.core.State.VersionCondition(write.Put))
+	var pieces []api.Txn
+	for _, write := range writes {
+		pieces = append(pieces, api.Txn{If: []api.Condition{s.core.State.VersionCondition(write.Put)}, Writes: []api.Write{write}})
+	}
+	txn, count := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, pieces, len(pieces))
+	if count == 0 {
+		s.core.ReportRejectedTxn(&pieces[0])
+		owned.CheckpointReduction.Rejected()
+		s.retryCheckpoint(owned)
+		return
 	}
 	s.core.CallStoreTxn(txn, func(response message.StoreResponse) {
 		if s.core.Partitions[owned.ID] != owned {
 			return
 		}
+		if response.Status == api.StatusBadRequest {
+			owned.CheckpointReduction.Rejected()
+		}
 		if response.Status != api.StatusOK {
 			s.retryCheckpoint(owned)
 			return
@@ -72,6 +81,7 @@
 		s.core.State.Partitions[owned.ID].CheckpointHead = head
 	}
 	owned.Checkpointing, owned.NeedsRound = false, true
+	owned.CheckpointReduction.Accepted()
 }
 
 // retryCheckpoint allows a new checkpoint after a read of the log, which updates the versions of
--- a/controller/rounds/commit.go
+++ b/controller/rounds/commit.go
@@ -36,6 +36,12 @@
 	}
 	round.Txn.If = append(round.Txn.If, s.core.State.VersionCondition(slot), owned.OwnershipCondition())
 	round.Txn.Writes = append([]api.Write{{Put: slot, Value: body}}, round.Txn.Writes...)
+	if !s.core.TxnFits(round.Txn) {
+		s.core.ReportRejectedTxn(&round.Txn)
+		s.reduceRounds(owned)
+		s.returnEnds(owned, round)
+		return
+	}
 	round.SentAt = s.core.Now
 	owned.InFlight, owned.InFlightDemand = round, map[api.MachineID]api.Resources{}
 	for _, start := range round.Starts {
@@ -77,6 +83,9 @@
 	case response.Status == api.StatusConflict:
 		// A job has changed, so this record can never be written.
 		s.deps.Follower.LinearizableRead(func() { s.abandonRound(owned, round) }, func() { s.retryRound(owned, round) })
+	case response.Status == api.StatusBadRequest:
+		s.reduceRounds(owned)
+		s.resolveRejectedRound(owned, round)
 	default:
 		if response.Status == api.StatusTooManyRequests {
 			s.backOffRounds()
@@ -85,6 +94,26 @@
 	}
 }
 
+// reduceRounds makes the following rounds of a partition smaller after one that the state service refuses
+// for good.
+func (s *Scheduler) reduceRounds(owned *core.OwnedPartition) {
+	owned.RoundReduction.Rejected()
+	owned.NextRound = s.core.Now.Add(core.RetryDelay)
+}
+
+// resolveRejectedRound abandons a round that the state service has refused for good, after a read of the
+// log. The round is not sent again: it would be refused again.
+func (s *Scheduler) resolveRejectedRound(owned *core.OwnedPartition, round *core.PendingRound) {
+	abandon := func() { s.abandonRound(owned, round) }
+	s.deps.Follower.LinearizableRead(abandon, func() {
+		s.core.DeferCall(func() {
+			if s.isInFlight(owned, round) {
+				s.resolveRejectedRound(owned, round)
+			}
+		})
+	})
+}
+
 // recordSlot returns the key of the record of a round.
 func recordSlot(round *core.PendingRound) string { return round.Txn.Writes[0].Put }
 
@@ -116,6 +145,11 @@
 	if round.OutcomeUnknown {
 		s.core.Metrics.IndeterminateUnwritten++
 	}
+	s.returnEnds(owned, round)
+}
+
+// returnEnds leaves the ends in a round that is not written to the next round.
+func (s *Scheduler) returnEnds(owned *core.OwnedPartition, round *core.PendingRound) {
 	maps.Copy(owned.PendingEnds, round.Ends)
 	owned.NeedsRound = true
 }
@@ -126,6 +160,7 @@
 	round := owned.InFlight
 	owned.InFlight, owned.InFlightDemand = nil, nil
 	owned.NextRound = s.core.Now.Add(s.currentRoundInterval())
+	owned.RoundReduction.Accepted()
 	owned.LastRevision = max(owned.LastRevision, revision)
 	s.countCommittedRound(round)
 	s.core.State.SetVersion(recordSlot(round), revision)
--- a/controller/rounds/plan.go
+++ b/controller/rounds/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -13,23 +14,23 @@
 	"basaltwall/controller/core"
 )
 
-// Maximum sizes of the entries of a record, and the space reserved for the rest of it, in bytes.
+// Sizes of the entries of a record and of conditions, in bytes.
 const (
-	recordReserveBytes = 512
-	jobDeltaBytes      = 48 // the entry of a job, without tasks
+	recordReserveBytes = 512 // the record without its jobs: reservations, and few quota transfers
+	jobDeltaBytes      = 48  // the entry of a job, without its ID and tasks
 	taskEndBytes       = 8
-	maxEntryBytes      = 64 // a job with one end, a start, or an acknowledgement
+	minStartBytes      = 64 // the planned starts of a round are limited to what fits at this size
+	jobConditionBytes  = 64 // a condition on a job's version, without the job's ID
+	fixedConditions    = 4  // conditions on the slot, the term, the gate, and the loan of a transfer
 )
 
 // RoundByteBudget returns the maximum size of the starts and ends in a round's record, in bytes:
 // the record must fit into a value.
-func (s *Scheduler) RoundByteBudget() int { return s.valueBytes() - recordReserveBytes }
+func (s *Scheduler) RoundByteBudget() int { return s.core.MaxValueBytes() - recordReserveBytes }
 
 // RoundConditionBudget returns the maximum number of jobs on whose versions a round may be
 // conditional.
-func (s *Scheduler) RoundConditionBudget() int {
-	return 4*s.core.Config.Deployment.State.TxnOps - 4
-}
+func (s *Scheduler) RoundConditionBudget() int { return s.core.MaxConditions() - fixedConditions }
 
 // roundBuilder composes a round within the limits of its transaction.
 type roundBuilder struct {
@@ -38,7 +39,8 @@
 	deltas          map[api.JobID]*clusterstate.JobDelta
 	conditionalJobs map[api.JobID]bool // jobs on whose version the round is conditional
 	namedPools      map[api.PoolName]bool
-	bytesLeft       int
+	bytesLeft       int // of the record
+	txnBytesLeft    int // of the record and the conditions
 	maxConditions   int // maximum size of conditionalJobs
 }
 
@@ -52,8 +54,9 @@
 		deltas:          map[api.JobID]*clusterstate.JobDelta{},
 		conditionalJobs: map[api.JobID]bool{},
 		namedPools:      map[api.PoolName]bool{},
-		bytesLeft:       s.RoundByteBudget(),
-		maxConditions:   s.RoundConditionBudget(),
+		bytesLeft:       owned.RoundReduction.Apply(s.RoundByteBudget()),
+		txnBytesLeft:    api.MaxTxnBytes - core.TxnReserveBytes - recordReserveBytes,
+		maxConditions:   owned.RoundReduction.Apply(s.RoundConditionBudget()),
 	}
 	if pools := s.deps.Pools.Count(); pools > 0 {
 		b.maxConditions -= min(core.MaxRoundPools, pools)
@@ -71,19 +74,59 @@
 	s.acknowledgeCancellations(b)
 	owned.PlannedTeams = map[api.Team]bool{}
 	owned.ReservedQuota = s.deps.Backfiller.QuotaReservedForOthers(owned)
-	maxStarts := b.bytesLeft / maxEntryBytes
-	for _, start := range s.scheduleTasks(owned, b.round, maxStarts) {
-		b.addStart(start)
+	maxStarts := max(0, b.bytesLeft) / minStartBytes
+	for _, starts := range groupGangs(s.scheduleTasks(owned, b.round, maxStarts)) {
+		b.addStarts(starts)
 	}
 	s.finishJobDeltas(b)
 	for _, name := range slices.Sorted(maps.Keys(b.namedPools)) {
 		b.round.Txn.If = append(b.round.Txn.If, s.core.State.VersionCondition(core.KeyPool+string(name)))
 	}
-	b.round.Record.QuotaTransfers = s.deps.Balancer.SpareQuotaTransfers(owned)
 	b.round.Record.Reservations = s.deps.Backfiller.ReservationChanges(owned)
+	s.addQuotaTransfers(b, s.deps.Balancer.SpareQuotaTransfers(owned))
 	return b.round
 }
 
+// addQuotaTransfers adds as many quota transfers as fit into the record. The others follow when the next
+// transfers are due.
+func (s *Scheduler) addQuotaTransfers(b *roundBuilder, transfers []clusterstate.QuotaTransfer) {
+	limit := min(s.core.MaxValueBytes(), api.MaxTxnBytes-core.TxnReserveBytes-b.conditionBytes())
+	size := encodedBytes(b.round.Record) + len(`,"g":[]`)
+	for i, transfer := range transfers {
+		size += encodedBytes(transfer) + len(",")
+		if size > limit {
+			transfers = transfers[:i]
+			break
+		}
+	}
+	b.round.Record.QuotaTransfers = transfers
+}
+
+// encodedBytes returns the size of a part of a record in bytes.
+func encodedBytes(part any) int {
+	data, _ := json.Marshal(part) // the parts of a record can always be encoded
+	return len(data)
+}
+
+// groupGangs groups the starts of each gang, which are recorded together or not at all; every other start
+// is a group of its own.
+func groupGangs(starts []*core.Placement) [][]*core.Placement {
+	var groups [][]*core.Placement
+	gangs := map[api.JobID]int{}
+	for _, start := range starts {
+		i, known := gangs[start.Job.ID]
+		if known {
+			groups[i] = append(groups[i], start)
+			continue
+		}
+		if start.Job.Spec.Kind == api.Gang {
+			gangs[start.Job.ID] = len(groups)
+		}
+		groups = append(groups, []*core.Placement{start})
+	}
+	return groups
+}
+
 func comparePlacements(a, b *core.Placement) int {
 	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
 }
@@ -98,6 +141,39 @@
 	return d
 }
 
+// deltaBytes returns the size of a job's entry without tasks, 0 if the round has the entry already.
+func (b *roundBuilder) deltaBytes(id api.JobID) int {
+	if b.deltas[id] != nil {
+		return 0
+	}
+	return jobDeltaBytes + len(id)
+}
+
+// conditionBytes returns the size of the conditions on jobs' versions.
+func (b *roundBuilder) conditionBytes() int {
+	size := 0
+	for id := range b.conditionalJobs {
+		size += jobConditionBytes + len(id)
+	}
+	return size
+}
+
+// reserve takes the space for an addition to the entry of a job, which may make the round conditional on
+// the job's version, and reports whether there was enough.
+func (b *roundBuilder) reserve(id api.JobID, size int, conditional bool) bool {
+	size += b.deltaBytes(id)
+	txnSize := size
+	if conditional && !b.conditionalJobs[id] {
+		txnSize += jobConditionBytes + len(id)
+	}
+	if size > b.bytesLeft || txnSize > b.txnBytesLeft {
+		return false
+	}
+	b.bytesLeft -= size
+	b.txnBytesLeft -= txnSize
+	return true
+}
+
 // exceedsConditions reports whether a condition on a job's version would exceed the limit on
 // conditions.
 func (b *roundBuilder) exceedsConditions(id api.JobID) bool {
@@ -112,7 +188,7 @@
 		return
 	}
 	done := b.isCompletion(placement)
-	if b.bytesLeft < maxEntryBytes || done && b.exceedsConditions(placement.Job.ID) {
+	if done && b.exceedsConditions(placement.Job.ID) || !b.reserve(placement.Job.ID, taskEndBytes, done) {
 		b.owned.NeedsRound = true
 		return
 	}
@@ -123,10 +199,6 @@
 	} else {
 		d.EndedIncomplete = append(d.EndedIncomplete, placement.Task.Index)
 	}
-	b.bytesLeft -= taskEndBytes
-	if len(d.Completed)+len(d.EndedIncomplete) == 1 {
-		b.bytesLeft -= jobDeltaBytes
-	}
 	b.round.Ends[placement] = done
 	delete(b.owned.PendingEnds, placement)
 }
@@ -162,27 +234,34 @@
 		if !s.deps.Jobs.CanAcknowledgeCancellation(b.owned, j) {
 			continue
 		}
-		if b.bytesLeft < maxEntryBytes {
+		if !b.reserve(id, 0, false) {
 			b.owned.NeedsRound = true
 			return
 		}
 		b.delta(j).CancellationAcknowledged = true
-		b.bytesLeft -= maxEntryBytes
 	}
 }
 
-// addStart records a start, which makes the round conditional on the versions of the job and of the
-// pools from which it takes units.
-func (b *roundBuilder) addStart(start *core.Placement) {
-	if b.exceedsConditions(start.Job.ID) || !core.AddRoundPools(b.namedPools, start.Job.Spec.Needs) {
+// addStarts records starts of a job, all or none. They make the round conditional on the versions of the
+// job and of the pools from which it takes units.
+func (b *roundBuilder) addStarts(starts []*core.Placement) {
+	j := starts[0].Job
+	size := 0
+	var entries []clusterstate.TaskStart
+	for _, start := range starts {
+		entry := clusterstate.TaskStart{Task: start.Task.Index, Machine: start.Machine, Epoch: start.Epoch}
+		size += encodedBytes(entry) + len(",")
+		entries = append(entries, entry)
+	}
+	if b.exceedsConditions(j.ID) || !core.AddRoundPools(b.namedPools, j.Spec.Needs) || !b.reserve(j.ID, size, true) {
 		b.owned.NeedsRound = true
 		return
 	}
-	b.conditionalJobs[start.Job.ID] = true
-	b.owned.PlannedTeams[start.Job.Spec.Team] = true
-	d := b.delta(start.Job)
-	d.Starts = append(d.Starts, clusterstate.TaskStart{Task: start.Task.Index, Machine: start.Machine, Epoch: start.Epoch})
-	b.round.Starts = append(b.round.Starts, start)
+	b.conditionalJobs[j.ID] = true
+	b.owned.PlannedTeams[j.Spec.Team] = true
+	d := b.delta(j)
+	d.Starts = append(d.Starts, entries...)
+	b.round.Starts = append(b.round.Starts, starts...)
 }
 
 // finishJobDeltas adds the entries of jobs, and the conditions on their versions, to the round.
--- a/controller/rounds/scheduler.go
+++ b/controller/rounds/scheduler.go
@@ -77,11 +77,6 @@
 	return len(record.Jobs) == 0 && len(record.QuotaTransfers) == 0 && len(record.Reservations) == 0
 }
 
-// valueBytes returns the state service's limit on the size of a value.
-func (s *Scheduler) valueBytes() int {
-	return int(s.core.Config.Deployment.State.ValueKB * 1024)
-}
-
 // ownsFirstTask reports whether the first task of a job is in the partition, whose owner makes the
 // decisions for the job as a whole.
 func ownsFirstTask(p api.PartitionID, j *core.Job) bool {
--- a/controller/skips/load.go
+++ b/controller/skips/load.go
@@ -104,5 +104,8 @@
 	limits := s.core.Config.Deployment.State
 	writer := fmt.Sprintf("%s-%d", s.core.Config.Label, s.core.Incarnation)
 	return skipledger.NewLedger(writer, len(s.core.State.Partitions), s.core.MaxClockError(),
-		skipledger.Limits{MaxValueBytes: int(limits.ValueKB*1024) - valueReserveBytes, MaxPuts: limits.TxnOps})
+		skipledger.Limits{
+			MaxValueBytes: s.core.MaxValueBytes() - valueReserveBytes,
+			MaxPuts:       limits.TxnOps,
+		})
 }
--- a/controller/tenancy/audit.go
+++ b/controller/tenancy/audit.go
@@ -50,11 +50,30 @@
 		entry.Before, _ = json.Marshal(before)
 	}
 	entry.After, _ = json.Marshal(after)
-	value, _ := json.Marshal(entry)
+	value := ts.encodeAuditEntry(entry)
 	ts.hosted.auditSequence++
 	return api.Write{Put: fmt.Sprintf("%s%s-%s-%d", KeyAudit, core.TimeKey(ts.core.WallClock), ts.core.Config.Label, ts.hosted.auditSequence), Value: value}
 }
 
+// omittedRecord replaces a record in an audit entry that is too large for a value.
+type omittedRecord struct {
+	OmittedBytes int `json:"omitted_bytes"`
+}
+
+// encodeAuditEntry encodes an audit entry. If it is too large for a value, the record before the change,
+// and if necessary the one after it, are replaced by their sizes: otherwise the change could never be made.
+func (ts *Service) encodeAuditEntry(entry AuditEntry) []byte {
+	value, _ := json.Marshal(entry)
+	for _, record := range []*json.RawMessage{&entry.Before, &entry.After} {
+		if !ts.core.ExceedsValueSize(value) {
+			break
+		}
+		*record, _ = json.Marshal(omittedRecord{OmittedBytes: len(*record)})
+		value, _ = json.Marshal(entry)
+	}
+	return value
+}
+
 // ListAudit answers an operator with a page of the audit log.
 func (ts *Service) ListAudit(c message.AdminRequest) {
 	core.ReadPage(ts.core, KeyAudit, c.After, c.Limit, func(entries []AuditEntry, next string) {
--- a/controller/tenancy/commit.go
+++ b/controller/tenancy/commit.go
@@ -43,6 +43,8 @@
 	case 200:
 		ts.core.Reply(req, 200, view(revision), 0)
 		ts.deps.Follower.LinearizableRead(func() {}, func() {})
+	case 400:
+		ts.core.ReplyError(req, 400, what+" become too large for the state service")
 	case 409:
 		ts.core.ReplyError(req, 409, "revision: "+what+" changed since")
 	default:
--- a/controller/tenancy/keyuse.go
+++ b/controller/tenancy/keyuse.go
@@ -66,16 +66,18 @@
 		return
 	}
 	uses.writeInFlight, uses.nextWrite = true, ts.core.Now.Add(lastUseWriteInterval)
-	batch := uses.pending[:min(len(uses.pending), ts.core.Config.Deployment.State.TxnOps)]
-	uses.pending = slices.Clone(uses.pending[len(batch):])
-	txn := api.Txn{If: []api.Condition{ts.core.State.VersionCondition(clusterstate.KeyMember + string(ts.core.Config.Label))}}
-	for _, use := range batch {
+	var writes []api.Txn
+	for _, use := range uses.pending[:min(len(uses.pending), ts.core.Config.Deployment.State.TxnOps)] {
 		value, _ := json.Marshal(uses.lastUsed[use])
-		txn.Writes = append(txn.Writes, api.Write{Put: KeyLastUse + string(use.holder) + "/" + string(use.key), Value: value})
+		writes = append(writes, api.Txn{Writes: []api.Write{{Put: KeyLastUse + string(use.holder) + "/" + string(use.key), Value: value}}})
 	}
+	condition := ts.core.State.VersionCondition(clusterstate.KeyMember + string(ts.core.Config.Label))
+	txn, count := ts.core.LargestFittingTxn([]api.Condition{condition}, writes, len(writes))
+	batch := uses.pending[:count]
+	uses.pending = slices.Clone(uses.pending[count:])
 	ts.core.CallStoreTxn(txn, func(response message.StoreResponse) {
 		uses.writeInFlight = false
-		if response.Status != 200 {
+		if response.Status != 200 && response.Status != api.StatusBadRequest { // a refused write would be refused again
 			uses.pending = append(uses.pending, batch...)
 		}
 	})
--- a/controller/tenancy/service_test.go
+++ b/controller/tenancy/service_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,3 +150,30 @@
 		t.Errorf("transaction: %+v", got)
 	}
 }
+
+// An operator's change of records that fill a value can be made: its audit entry has their sizes instead.
+func TestLargeAuditEntryFitsAValue(t *testing.T) {
+	ts, _ := newTestService(t)
+	large, small := strings.Repeat("x", 7<<10), "y"
+	for what, c := range map[string]struct {
+		before, after         string
+		keepBefore, keepAfter bool
+	}{
+		"both small":   {small, small, true, true},
+		"before large": {large, small, true, true},
+		"both large":   {large, large, false, true},
+		"too large":    {small, large + large, false, false},
+	} {
+		write := ts.NewAuditWrite(message.AdminRequest{What: message.AdminPutTenant}, "tenant kipper", c.before, c.after)
+		var entry AuditEntry
+		if err := json.Unmarshal(write.Value, &entry); err != nil || ts.core.ExceedsValueSize(write.Value) {
+			t.Fatalf("%s: %d bytes, %v", what, len(write.Value), err)
+		}
+		if kept := string(entry.Before) == strconv.Quote(c.before); kept != c.keepBefore {
+			t.Errorf("%s: record before the change kept: %t", what, kept)
+		}
+		if kept := string(entry.After) == strconv.Quote(c.after); kept != c.keepAfter {
+			t.Errorf("%s: record after the change kept: %t", what, kept)
+		}
+	}
+}
--- a/controller/tenancy/submission.go
+++ b/controller/tenancy/submission.go
@@ -148,6 +148,8 @@
 		case 200:
 			s.accepted()
 			return
+		case 400: // a peer would be refused too
+			s.refuse(400, core.ReasonSpecTooLarge, 0)
 		case 409:
 			s.retry(func() { s.replyIfKnown(s.forward) })
 		case 429:
--- a/controller/tenancy/tenantrecord.go
+++ b/controller/tenancy/tenantrecord.go
@@ -74,7 +74,7 @@
 	}
 	txn := api.Txn{If: []api.Condition{condition}, Writes: append([]api.Write{{Put: key, Value: data}}, extraWrites...)}
 	ts.claimTeams(&txn, t, teams)
-	if len(txn.Writes) > ts.core.Config.Deployment.State.TxnOps {
+	if !ts.core.TxnFits(txn) {
 		respond(statusTooManyWrites, 0)
 		return
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -109,6 +109,16 @@
 	runSeeds(t, lateCommandsScript, 12)
 }
 
+// smallLimits is the smallest state service that the scripts' jobs fit into, by value_kb and txn_ops.
+const smallLimits = "\nstate-limits 2 4\n"
+
+// No write is refused for good, however small the limits of the state service are.
+func TestRandomFaultsSmallLimits(t *testing.T) {
+	runSeeds(t, randomScript+smallLimits, 4)
+	t.Run("hosted", func(t *testing.T) { runSeeds(t, hostedScript+smallLimits, 4) })
+	t.Run("pools", func(t *testing.T) { runSeeds(t, poolsScript+smallLimits, 4) })
+}
+
 // hostedScript has two tenants with jobs of each kind, which are suspended and resumed under
 // random faults; at the end one is removed with its jobs.
 const hostedScript = `
--- a/internal/scenario/settings.go
+++ b/internal/scenario/settings.go
@@ -97,6 +97,9 @@
 	"team-limit": {"sn", limitTeam},
 	"teams":      {"nnn", replaceTeams},
 	"objective":  {"ssn", addObjective},
+	"state-limits": {"nn", func(deployment *config.Deployment, a arguments) {
+		deployment.State.ValueKB, deployment.State.TxnOps = a.numbers[0], int(a.numbers[1])
+	}},
 	"only-type": {"s", func(deployment *config.Deployment, _ arguments) {
 		deployment.Zones = []api.Zone{"a"}
 	}},
