Put back reasons behind constants and choices that the wording had dropped

Comments only: the ring of records, the slowdown of machines, waits for images, the timeout of the state service, clock drift, capacity targets, spot losses, the share of scale-out requests, the list's lag.

--- a/clusterstate/keys.go
+++ b/clusterstate/keys.go
@@ -26,8 +26,9 @@
 )
 
 // RingSize is the number of round records of a partition before their keys are reused. A checkpoint must
-// cover a record by then. Checkpoints are large, so a larger ring saves writes, but a load reads more
-// records.
+// cover a record by then. A checkpoint grows with the running tasks, a record only with those that start or
+// end, so checkpoints must be much rarer than rounds, or they would use up the write limit. A larger ring
+// saves writes, but a load reads more records, about a hundred with this one.
 const RingSize = 128
 
 // PartitionKey returns the key of a partition under a prefix.
--- a/controller/autoscale/capacitytarget.go
+++ b/controller/autoscale/capacitytarget.go
@@ -14,7 +14,8 @@
 
 const (
 	// headroomDeviations is the capacity kept above the mean load, in standard deviations.
-	// Independent arrivals are assumed: the deviation is the square root of the load.
+	// Independent arrivals are assumed: the deviation is the square root of the load. With this
+	// headroom few latency-sensitive jobs find no machine.
 	headroomDeviations = 1.5
 
 	// riskySpotLoss is the probability of a missed deadline after the loss of a spot machine
@@ -111,7 +112,8 @@
 
 // updateCapacityTargets computes the capacity targets of all types with accelerators and marks
 // surplus machines. Otherwise short tasks that start on changing machines would keep all of these
-// expensive machines from becoming idle.
+// expensive machines from becoming idle. Other types have no targets: a few more of their machines do
+// not matter, and rounds of short tasks would miss them.
 func (as *Manager) updateCapacityTargets() {
 	as.NextDemandSample = as.core.Now.Add(core.DemandSampleInterval)
 	as.recordSpotUptime()
--- a/controller/autoscale/inventory.go
+++ b/controller/autoscale/inventory.go
@@ -14,7 +14,7 @@
 
 const (
 	deletedRetention     = 5 * time.Minute // for confirmed deletions
-	provisionedRetention = time.Minute     // for created machines that the list does not show
+	provisionedRetention = time.Minute     // for created machines; the list may take this long to show one
 )
 
 // Inventory holds the machines that a controller knows from the cloud.
--- a/controller/autoscale/scaleout.go
+++ b/controller/autoscale/scaleout.go
@@ -118,7 +118,7 @@
 func (as *Manager) noteScaleOut(offer core.MachineOffer, requested int, requestedAt api.Time, created []api.MachineID) {
 	calls := &as.scaleOuts
 	if requested == maxScaleOutBatch {
-		calls.nextAt = requestedAt.Add(as.core.CloudCallInterval * 2 / 3) // many machines are needed: send requests more often
+		calls.nextAt = requestedAt.Add(as.core.CloudCallInterval * 2 / 3) // many machines are needed: requests may use half of the cloud's limit
 	}
 	slog.Info("machines provisioned", "type", offer.Type, "zone", offer.Zone, "spot", offer.Spot, "requested", requested, "created", len(created))
 	if len(created) < requested {
--- a/controller/autoscale/spothistory.go
+++ b/controller/autoscale/spothistory.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// spotDecayTime is the time constant of the exponential decay of past observations, as
-	// the loss rate changes over time.
+	// spotDecayTime is the time after which a past observation counts a third as much: the cloud
+	// reclaims more machines at some times than at others.
 	spotDecayTime = 2 * time.Minute
 
 	// The prior loss rate is one loss per hour, with the weight of an hour of observation.
--- a/controller/core/intervals.go
+++ b/controller/core/intervals.go
@@ -12,7 +12,8 @@
 
 // Timing that does not depend on the configuration. Safety does not depend on it.
 const (
-	// StoreTimeout is the timeout of most calls to the state service.
+	// StoreTimeout is the timeout of most calls to the state service, whose responses take a few
+	// hundred milliseconds at most.
 	StoreTimeout = 1500 * time.Millisecond
 	// RenewTimeout is the timeout of the renewal of this controller's lease.
 	RenewTimeout = time.Second
@@ -55,7 +56,7 @@
 const RuntimeSafetyFactor = 1.2
 
 // leaseSlack is the time that a worker may take to notice the expiry of its lease. A thousandth of
-// the lease is added to it for clock drift.
+// the lease is added to it for clock drift: a worker's clock may be off by a two-thousandth.
 const leaseSlack = time.Second
 
 // Intervals is the timing derived from the configuration. TestIntervalsFitSettings checks it for
--- a/sched/cost.go
+++ b/sched/cost.go
@@ -25,7 +25,7 @@
 	fastStartPenalty    = 0.7 // capacity for latency-sensitive jobs stays free while there is other capacity
 	fragmentationWeight = 4.0 // starting on an empty machine outweighs any dot product, and a fetch
 	surplusPenalty      = 2.0 // outweighs the usual differences of dot products
-	slowdownThreshold   = 1.3 // above the normal variation among machines of a type
+	slowdownThreshold   = 1.3 // machines of a type normally differ by up to a tenth; above this one is slow
 	imageFetchWeight    = 2.0 // multiplied by the share of the fetch in the task's total duration
 )
 
--- a/sched/fetch.go
+++ b/sched/fetch.go
@@ -13,8 +13,9 @@
 // limitByFetchTime limits the machines eligible for a service's replicas to those with a short
 // fetch: all pending replicas must find free capacity on them within maxImageWaitRounds, and the
 // fetch must not take longer than a booting machine needs to have the image. A round assigns at
-// most one task to a machine, so the machines that have the image may be used up in this round;
-// waiting a few rounds for them takes far less time than a fetch on a slow machine.
+// most one task to a machine, so when a zone is lost the machines that have the image are soon used up
+// in the round. The next round, about a tenth of a second later, has more of their capacity, while a fetch
+// on a slow machine takes a hundred times as long.
 func limitByFetchTime(in *Input, j *Job, free []api.Resources, eligible []int) []int {
 	type candidate struct {
 		machineIndex int
@@ -47,5 +48,5 @@
 }
 
 // maxImageWaitRounds is the maximum number of rounds that a replica waits for a machine that has
-// its image.
+// its image. Together they take a second or less.
 const maxImageWaitRounds = 8
