rounds, balance, core: one check of a round's size, one repeated read

A transfer asked for the size of its round by a check of its own beside that of CommitRound: both use RoundFits. The read after a refused round and after a refused loan is RepeatRead. LargestFittingTxn counts bytes instead of encoding each longer transaction again, and has no second limit; the record of a round is not encoded for quota transfers that it does not have, and the space of conditions is kept once. The settings are checked once, with their transaction.

--- a/controller/balance/balancer.go
+++ b/controller/balance/balancer.go
@@ -118,6 +118,8 @@
 	FreeCapacityOn(*core.Machine, *core.OwnedPartition) api.Resources
 	// CommitRound writes a round's record.
 	CommitRound(*core.OwnedPartition, *core.PendingRound)
+	// RoundFits reports whether a round is within the limits of the state service.
+	RoundFits(*core.OwnedPartition, *core.PendingRound) bool
 	// IsRecordRingFull reports whether a partition must write a checkpoint before its next record.
 	IsRecordRingFull(*core.OwnedPartition) bool
 	// RoundConditionBudget returns the number of conditions that a round's transaction may have in
--- a/controller/balance/loan.go
+++ b/controller/balance/loan.go
@@ -158,7 +158,7 @@
 				slog.Info("machine lent", "machine", id, "from", owned.ID, "to", borrower, "for", jobID)
 				b.deps.Log.LinearizableRead(settle, retry)
 			case api.StatusConflict, api.StatusBadRequest: // refused for good
-				b.settleLoan(owned, settle)
+				b.core.RepeatRead(b.deps.Log.LinearizableRead, func() bool { return b.core.Partitions[owned.ID] == owned }, settle)
 			default:
 				retry()
 			}
@@ -167,17 +167,6 @@
 	attempt()
 }
 
-// settleLoan calls settle after a read of the log that shows the outcome of a loan.
-func (b *Balancer) settleLoan(owned *core.OwnedPartition, settle func()) {
-	b.deps.Log.LinearizableRead(settle, func() {
-		b.core.DeferCall(func() {
-			if b.core.Partitions[owned.ID] == owned {
-				b.settleLoan(owned, settle)
-			}
-		})
-	})
-}
-
 // DropLoanRecord removes the loan record of a deleted machine, unless a checkpoint still depends on
 // the record for tasks that were transferred with the machine.
 func (b *Balancer) DropLoanRecord(owned *core.OwnedPartition, id api.MachineID) {
--- a/controller/balance/transfer.go
+++ b/controller/balance/transfer.go
@@ -73,7 +73,7 @@
 func (b *Balancer) lendMachineWithTasks(owned *core.OwnedPartition, m *core.Machine, borrower api.PartitionID, jobID api.JobID) {
 	key := clusterstate.KeyLoan + string(m.ID)
 	value, err := json.Marshal(clusterstate.LoanValue{Partition: borrower, Job: jobID, Transferred: true, Tasks: b.core.State.StartsOn(m.ID)})
-	if err != nil || b.core.ExceedsValueSize(value) {
+	if err != nil {
 		return
 	}
 	round := &core.PendingRound{
@@ -94,7 +94,7 @@
 		}
 	}
 	round.Record.QuotaTransfers = b.usedQuotaTransfers(borrower, used)
-	if !b.core.TxnFits(round.Txn) || !b.roundRecordFits(round, len(value)) {
+	if !b.deps.Scheduler.RoundFits(owned, round) {
 		return
 	}
 	slog.Info("machine lent with running tasks", "machine", m.ID, "from", owned.ID, "to", borrower, "for", jobID, "tasks", len(placements))
@@ -102,17 +102,6 @@
 	b.deps.Scheduler.CommitRound(owned, round)
 }
 
-// roundRecordFits reports whether the record of a round fits into a value, and into one transaction with
-// another value and the conditions.
-func (b *Balancer) roundRecordFits(round *core.PendingRound, otherBytes int) bool {
-	data, err := json.Marshal(round.Record)
-	if err != nil || b.core.ExceedsValueSize(data) {
-		return false
-	}
-	conditions, err := json.Marshal(round.Txn.If)
-	return err == nil && len(data)+otherBytes+len(conditions) <= api.MaxTxnBytes-core.TxnReserveBytes
-}
-
 // usedQuotaTransfers returns transfers of the quota that transferred tasks use, for teams with a limit.
 func (b *Balancer) usedQuotaTransfers(to api.PartitionID, used map[api.Team]api.Resources) []clusterstate.QuotaTransfer {
 	var out []clusterstate.QuotaTransfer
--- a/controller/core/outbox.go
+++ b/controller/core/outbox.go
@@ -110,6 +110,18 @@
 	o.deferredCalls = append(o.deferredCalls, deferredCall{At: o.clock.Now.Add(RetryDelay), Callback: callback})
 }
 
+// RepeatRead calls onRead after a linearizable read of the log. A failed read is repeated after RetryDelay
+// while needed reports true.
+func (o *Outbox) RepeatRead(read func(onRead, onFailure func()), needed func() bool, onRead func()) {
+	read(onRead, func() {
+		o.DeferCall(func() {
+			if needed() {
+				o.RepeatRead(read, needed, onRead)
+			}
+		})
+	})
+}
+
 // RunDeferredCalls runs the deferred callbacks that are due. All have the same delay, so the first
 // is always the next.
 func (o *Outbox) RunDeferredCalls() {
--- a/controller/core/storelimits.go
+++ b/controller/core/storelimits.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
 
 	"basaltwall/api"
 )
@@ -48,29 +49,36 @@
 func (k *Core) ExceedsValueSize(data []byte) bool { return len(data) > k.MaxValueBytes() }
 
 // TxnFits reports whether a transaction is within the service's limits.
-func (k *Core) TxnFits(txn api.Txn) bool {
-	if len(txn.Writes) > k.Config.Deployment.State.TxnOps || len(txn.If) > k.MaxConditions() {
+func (k *Core) TxnFits(txn api.Txn) bool { return k.txnFits(&txn, EncodedBytes(txn)) }
+
+// txnFits reports whether a transaction of a known size is within the service's limits.
+func (k *Core) txnFits(txn *api.Txn, size int) bool {
+	if size > api.MaxTxnBytes || len(txn.Writes) > k.Config.Deployment.State.TxnOps || len(txn.If) > k.MaxConditions() {
 		return false
 	}
-	for _, write := range txn.Writes {
-		if k.ExceedsValueSize(write.Value) {
-			return false
-		}
-	}
-	body, err := json.Marshal(txn)
-	return err == nil && len(body) <= api.MaxTxnBytes
+	return !slices.ContainsFunc(txn.Writes, func(write api.Write) bool { return k.ExceedsValueSize(write.Value) })
+}
+
+// EncodedBytes returns the size of a part of a transaction or record, which can always be encoded.
+func EncodedBytes(part any) int {
+	data, _ := json.Marshal(part)
+	return len(data)
 }
 
 // LargestFittingTxn returns the longest prefix of a list of units, each with its conditions and writes,
-// that fits into one transaction with the given conditions, and its length. It contains at most maxUnits.
-func (k *Core) LargestFittingTxn(conditions []api.Condition, units []api.Txn, maxUnits int) (txn api.Txn, count int) {
-	txn.If = conditions
-	for _, unit := range units[:min(len(units), maxUnits)] {
-		next := api.Txn{
-			If:     append(txn.If[:len(txn.If):len(txn.If)], unit.If...),
-			Writes: append(txn.Writes[:len(txn.Writes):len(txn.Writes)], unit.Writes...),
+// that fits into one transaction with the given conditions, and its length.
+func (k *Core) LargestFittingTxn(conditions []api.Condition, units []api.Txn) (txn api.Txn, count int) {
+	txn.If = slices.Clone(conditions)
+	size := EncodedBytes(api.Txn{If: txn.If, Writes: []api.Write{}})
+	for _, unit := range units {
+		for _, condition := range unit.If {
+			size += EncodedBytes(condition) + len(",")
+		}
+		for _, write := range unit.Writes {
+			size += EncodedBytes(write) + len(",")
 		}
-		if !k.TxnFits(next) {
+		next := api.Txn{If: append(txn.If, unit.If...), Writes: append(txn.Writes, unit.Writes...)}
+		if !k.txnFits(&next, size) {
 			break
 		}
 		txn = next
@@ -89,28 +97,21 @@
 			key = write.Put + write.Drop
 		}
 	}
-	body, _ := json.Marshal(txn) // only its length is reported
 	slog.Error("transaction rejected by the state service", "first_key", key, "writes", len(txn.Writes), "conditions", len(txn.If),
-		"largest_value", largest, "bytes", len(body))
+		"largest_value", largest, "bytes", EncodedBytes(txn))
 }
 
-// maxReduction bounds how much smaller writes become after refusals.
-const maxReduction = 64
+// maxHalvings bounds how often writes are halved after refusals.
+const maxHalvings = 6
 
 // WriteReduction makes writes of one kind smaller after the state service has refused one for good.
 type WriteReduction struct{ halvings int }
 
 // Apply returns the reduced limit of a write, at least 1.
-func (r *WriteReduction) Apply(limit int) int {
-	return max(1, limit>>r.halvings)
-}
+func (r *WriteReduction) Apply(limit int) int { return max(1, limit>>r.halvings) }
 
 // Rejected halves the following writes.
-func (r *WriteReduction) Rejected() {
-	if 1<<r.halvings < maxReduction {
-		r.halvings++
-	}
-}
+func (r *WriteReduction) Rejected() { r.halvings = min(r.halvings+1, maxHalvings) }
 
 // Accepted lets the following writes grow again.
 func (r *WriteReduction) Accepted() { r.halvings = max(0, r.halvings-1) }
--- a/controller/operations/settings.go
+++ b/controller/operations/settings.go
@@ -90,10 +90,6 @@
 // writeSettings writes settings on the condition of the revision that they name.
 func (s *Service) writeSettings(c message.AdminRequest, settings VersionedSettings) {
 	v, err := json.Marshal(settings.Settings)
-	if err != nil || s.core.ExceedsValueSize(v) {
-		s.core.ReplyError(c.Req, 400, "drained, precedence: the record is too large")
-		return
-	}
 	tx := api.Txn{
 		If:     []api.Condition{{Key: core.SettingsKey, Version: settings.Revision}},
 		Writes: []api.Write{{Put: core.SettingsKey, Value: v}},
@@ -102,7 +98,7 @@
 	if tenants.Hosted() {
 		tx.Writes = append(tx.Writes, tenants.NewAuditWrite(c, "settings", s.core.Settings.AuditView(), settings.AuditView()))
 	}
-	if !s.core.TxnFits(tx) {
+	if err != nil || !s.core.TxnFits(tx) {
 		s.core.ReplyError(c.Req, 400, "drained, precedence: the record is too large")
 		return
 	}
--- a/controller/recordsize_test.go
+++ b/controller/recordsize_test.go
@@ -167,8 +167,8 @@
 		value, _ := json.Marshal(strings.Repeat("x", 1000))
 		units = append(units, api.Txn{Writes: []api.Write{{Put: fmt.Sprintf("b/x/%d", i), Value: value}}})
 	}
-	for _, limit := range []struct{ units, count int }{{10, 10}, {1000, 63}} {
-		txn, count := n.core.LargestFittingTxn(nil, units, limit.units)
+	for _, limit := range []struct{ units, count int }{{10, 10}, {100, 63}} {
+		txn, count := n.core.LargestFittingTxn(nil, units[:limit.units])
 		if count != limit.count || len(txn.Writes) != count || !n.core.TxnFits(txn) {
 			t.Errorf("of at most %d writes of 1 KiB %d fit, expected %d", limit.units, count, limit.count)
 		}
--- a/controller/rounds/archive.go
+++ b/controller/rounds/archive.go
@@ -56,7 +56,7 @@
 		conditions := []api.Condition{{Key: clusterstate.KeyJob + string(id), Version: j.Version}, {Key: clusterstate.KeyJobResult + string(id)}}
 		jobs = append(jobs, api.Txn{If: conditions, Writes: s.archiveWrites(j)})
 	}
-	txn, _ := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, jobs, maxJobs)
+	txn, _ := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, jobs)
 	return txn
 }
 
--- a/controller/rounds/commit.go
+++ b/controller/rounds/commit.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -23,21 +24,16 @@
 	return partition.RoundSeq+1 >= partition.CheckpointHead.Seq+clusterstate.RingSize
 }
 
-// CommitRound starts to write a round. The record is the first write of its transaction.
+// CommitRound starts to write a round.
 func (s *Scheduler) CommitRound(owned *core.OwnedPartition, round *core.PendingRound) {
-	body, err := json.Marshal(round.Record)
+	txn, err := s.roundTxn(owned, round)
 	if err != nil {
 		slog.Error("round record could not be encoded", "err", err)
 		return
 	}
-	slot := clusterstate.RoundKey(owned.ID, round.Record.Seq)
-	if s.deps.Tenancy.Hosted() {
-		round.Txn.If = append(round.Txn.If, s.core.State.VersionCondition(core.KeyGate))
-	}
-	round.Txn.If = append(round.Txn.If, s.core.State.VersionCondition(slot), owned.OwnershipCondition())
-	round.Txn.Writes = append([]api.Write{{Put: slot, Value: body}}, round.Txn.Writes...)
-	if !s.core.TxnFits(round.Txn) {
-		s.core.ReportRejectedTxn(&round.Txn)
+	round.Txn = txn
+	if !s.core.TxnFits(txn) {
+		s.core.ReportRejectedTxn(&txn)
 		s.reduceRounds(owned)
 		s.returnEnds(owned, round)
 		return
@@ -50,6 +46,30 @@
 	s.sendRound(owned)
 }
 
+// roundTxn returns the transaction that writes a round, with the conditions and writes that the round has
+// already. The record is the first write.
+func (s *Scheduler) roundTxn(owned *core.OwnedPartition, round *core.PendingRound) (api.Txn, error) {
+	body, err := json.Marshal(round.Record)
+	if err != nil {
+		return api.Txn{}, fmt.Errorf("round %d: %w", round.Record.Seq, err)
+	}
+	slot := clusterstate.RoundKey(owned.ID, round.Record.Seq)
+	conditions := slices.Clone(round.Txn.If)
+	if s.deps.Tenancy.Hosted() {
+		conditions = append(conditions, s.core.State.VersionCondition(core.KeyGate))
+	}
+	return api.Txn{
+		If:     append(conditions, s.core.State.VersionCondition(slot), owned.OwnershipCondition()),
+		Writes: append([]api.Write{{Put: slot, Value: body}}, round.Txn.Writes...),
+	}, nil
+}
+
+// RoundFits reports whether a round is within the limits of the state service.
+func (s *Scheduler) RoundFits(owned *core.OwnedPartition, round *core.PendingRound) bool {
+	txn, err := s.roundTxn(owned, round)
+	return err == nil && s.core.TxnFits(txn)
+}
+
 // sendRound sends the transaction of a round. The same transaction is sent again until its outcome
 // is known. It takes effect at most once, because it is conditional on the version of its slot.
 func (s *Scheduler) sendRound(owned *core.OwnedPartition) {
@@ -84,8 +104,9 @@
 		// A job has changed, so this record can never be written.
 		s.deps.Follower.LinearizableRead(func() { s.abandonRound(owned, round) }, func() { s.retryRound(owned, round) })
 	case response.Status == api.StatusBadRequest:
+		// The round is not sent again, since it would be refused again.
 		s.reduceRounds(owned)
-		s.resolveRejectedRound(owned, round)
+		s.core.RepeatRead(s.deps.Follower.LinearizableRead, func() bool { return s.isInFlight(owned, round) }, func() { s.abandonRound(owned, round) })
 	default:
 		if response.Status == api.StatusTooManyRequests {
 			s.backOffRounds()
@@ -101,19 +122,6 @@
 	owned.NextRound = s.core.Now.Add(core.RetryDelay)
 }
 
-// resolveRejectedRound abandons a round that the state service has refused for good, after a read of the
-// log. The round is not sent again: it would be refused again.
-func (s *Scheduler) resolveRejectedRound(owned *core.OwnedPartition, round *core.PendingRound) {
-	abandon := func() { s.abandonRound(owned, round) }
-	s.deps.Follower.LinearizableRead(abandon, func() {
-		s.core.DeferCall(func() {
-			if s.isInFlight(owned, round) {
-				s.resolveRejectedRound(owned, round)
-			}
-		})
-	})
-}
-
 // recordSlot returns the key of the record of a round.
 func recordSlot(round *core.PendingRound) string { return round.Txn.Writes[0].Put }
 
--- a/controller/rounds/plan.go
+++ b/controller/rounds/plan.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 
@@ -90,22 +89,18 @@
 // addQuotaTransfers adds as many quota transfers as fit into the record. The others follow when the next
 // transfers are due.
 func (s *Scheduler) addQuotaTransfers(b *roundBuilder, transfers []clusterstate.QuotaTransfer) {
-	limit := min(s.core.MaxValueBytes(), api.MaxTxnBytes-core.TxnReserveBytes-b.conditionBytes())
-	size := encodedBytes(b.round.Record) + len(`,"g":[]`)
-	for i, transfer := range transfers {
-		size += encodedBytes(transfer) + len(",")
-		if size > limit {
-			transfers = transfers[:i]
-			break
+	if len(transfers) == 0 {
+		return
+	}
+	record := &b.round.Record
+	left := min(s.core.MaxValueBytes()-core.EncodedBytes(record)-len(`,"g":[]`), b.txnBytesLeft)
+	for _, transfer := range transfers {
+		left -= core.EncodedBytes(transfer) + len(",")
+		if left < 0 {
+			return
 		}
+		record.QuotaTransfers = append(record.QuotaTransfers, transfer)
 	}
-	b.round.Record.QuotaTransfers = transfers
-}
-
-// encodedBytes returns the size of a part of a record in bytes.
-func encodedBytes(part any) int {
-	data, _ := json.Marshal(part) // the parts of a record can always be encoded
-	return len(data)
 }
 
 // groupGangs groups the starts of each gang, which are recorded together or not at all; every other start
@@ -149,15 +144,6 @@
 	return jobDeltaBytes + len(id)
 }
 
-// conditionBytes returns the size of the conditions on jobs' versions.
-func (b *roundBuilder) conditionBytes() int {
-	size := 0
-	for id := range b.conditionalJobs {
-		size += jobConditionBytes + len(id)
-	}
-	return size
-}
-
 // reserve takes the space for an addition to the entry of a job, which may make the round conditional on
 // the job's version, and reports whether there was enough.
 func (b *roundBuilder) reserve(id api.JobID, size int, conditional bool) bool {
@@ -250,7 +236,7 @@
 	var entries []clusterstate.TaskStart
 	for _, start := range starts {
 		entry := clusterstate.TaskStart{Task: start.Task.Index, Machine: start.Machine, Epoch: start.Epoch}
-		size += encodedBytes(entry) + len(",")
+		size += core.EncodedBytes(entry) + len(",")
 		entries = append(entries, entry)
 	}
 	if b.exceedsConditions(j.ID) || !core.AddRoundPools(b.namedPools, j.Spec.Needs) || !b.reserve(j.ID, size, true) {
--- a/controller/tenancy/keyuse.go
+++ b/controller/tenancy/keyuse.go
@@ -72,7 +72,7 @@
 		writes = append(writes, api.Txn{Writes: []api.Write{{Put: KeyLastUse + string(use.holder) + "/" + string(use.key), Value: value}}})
 	}
 	condition := ts.core.State.VersionCondition(clusterstate.KeyMember + string(ts.core.Config.Label))
-	txn, count := ts.core.LargestFittingTxn([]api.Condition{condition}, writes, len(writes))
+	txn, count := ts.core.LargestFittingTxn([]api.Condition{condition}, writes)
 	batch := uses.pending[:count]
 	uses.pending = slices.Clone(uses.pending[count:])
 	ts.core.CallStoreTxn(txn, func(response message.StoreResponse) {
