rounds: the reduction after refusals ends when a round stays empty

What callers would see: after refusals of rounds a gang, or any start, that is too large for the reduced round never starts. The round stays empty, nothing is committed, and only a commit let rounds grow again. Found by reading, not seen.

TestGangStartsAfterRefusals fails before the change: "the gang never starts". TestGangIsNotSplitByTheRecord passed although its gang never started; it now has ends that leave space for a part of the gang, and requires that it starts. Names of machines in these tests are longer.

--- a/controller/recordsize_test.go
+++ b/controller/recordsize_test.go
@@ -17,6 +17,9 @@
 // longestIDDigits is the number of digits of a hosted service's job ids.
 const longestIDDigits = 36
 
+// machineName returns a long name of a machine.
+func machineName(i int) api.MachineID { return api.MachineID(fmt.Sprintf("i-%060d", i)) }
+
 // addSmallJobs adds jobs of one task with the longest ids to the cluster state, each cancelled, ended or
 // pending in turn, and a machine with a long name for each.
 func addSmallJobs(t *testing.T, n *Controller, owned *core.OwnedPartition, count int) {
@@ -33,7 +36,7 @@
 		if err := n.core.State.Put(clusterstate.KeyJob+string(spec.Ref), data, api.Revision(1000+i)); err != nil {
 			t.Fatal(err)
 		}
-		m := n.agents.EnsureMachine(api.MachineID(fmt.Sprintf("i-%020d", i)))
+		m := n.agents.EnsureMachine(machineName(i))
 		m.MachineType, m.Zone, m.LastHeartbeat, m.Epoch, m.ReportedToken = "c8", "a", n.core.Now, 1000, 1<<50
 		if i%4 > 1 {
 			continue
@@ -89,6 +92,7 @@
 			}
 			starts, ends = starts+len(round.Starts), ends+len(round.Ends)
 			n.scheduler.ApplyCommittedRound(owned, n.core.State.Version(clusterstate.RoundKey(0, round.Record.Seq))+2000)
+			n.core.State.Partitions[0].CheckpointHead.Seq = round.Record.Seq
 		}
 		if ends != jobs/2 || starts < jobs/2 || n.core.Metrics.StoreRejections != 0 {
 			t.Errorf("%+v: %d ends, %d starts, %d rejections; expected %d ends and as many starts or more", limits, ends, starts, n.core.Metrics.StoreRejections, jobs/2)
@@ -129,18 +133,48 @@
 	}
 }
 
-// The starts of a gang are recorded together or not at all, also if the record has space for some of them.
+// After refusals a gang may be too large for the reduced round. It starts all the same, whole, once rounds
+// may be larger again.
+func TestGangStartsAfterRefusals(t *testing.T) {
+	spec := testSpec(12)
+	spec.Kind, spec.CPUs = api.Gang, 8
+	n, owned, _, _ := newTestOwner(t, spec)
+	n.core.Config.Deployment.State.ValueKB = 2
+	for i := range spec.Tasks {
+		m := n.agents.EnsureMachine(machineName(i))
+		m.MachineType, m.Zone, m.Epoch, m.ReportedToken = "c8", "a", 1000, 1<<50
+	}
+	for range 6 {
+		owned.RoundReduction.Rejected()
+	}
+	for range 20 {
+		nextSecond(n)
+		n.scheduler.RunPartition(owned)
+		if owned.InFlight == nil {
+			owned.NeedsRound = true
+			continue
+		}
+		if got := len(owned.InFlight.Starts); got != spec.Tasks {
+			t.Fatalf("a round starts %d of %d tasks of a gang", got, spec.Tasks)
+		}
+		return
+	}
+	t.Error("the gang never starts")
+}
+
+// A gang whose starts don't fit beside the other entries of a round is left out as a whole.
 func TestGangIsNotSplitByTheRecord(t *testing.T) {
-	spec := testSpec(20)
+	spec := testSpec(8)
 	spec.Kind, spec.CPUs = api.Gang, 8
 	n, owned, _, _ := newTestOwner(t, spec)
-	n.core.Config.Deployment.State.ValueKB = 1
-	addSmallJobs(t, n, owned, 60)
+	n.core.Config.Deployment.State.ValueKB = 1.3
+	addSmallJobs(t, n, owned, 20) // their ends leave space for some of the gang's starts
+	started := false
 	for range 100 {
 		nextSecond(n)
 		n.scheduler.RunPartition(owned)
 		if owned.InFlight == nil {
-			return
+			break
 		}
 		gang := 0
 		for _, start := range owned.InFlight.Starts {
@@ -151,8 +185,12 @@
 		if gang != 0 && gang != spec.Tasks {
 			t.Fatalf("a round starts %d of %d tasks of a gang", gang, spec.Tasks)
 		}
+		started = started || gang > 0
 		n.scheduler.ApplyCommittedRound(owned, 5000)
 	}
+	if !started {
+		t.Error("the gang never starts")
+	}
 }
 
 // Values and batches are within the limits of a transaction, whatever the limits of the deployment.
--- a/controller/rounds/scheduler.go
+++ b/controller/rounds/scheduler.go
@@ -48,6 +48,7 @@
 	owned.NeedsRound, owned.PlannedAt = false, s.core.Now
 	round := s.PlanRound(owned)
 	if isEmptyRecord(&round.Record) && !owned.NeedsNewToken {
+		owned.RoundReduction.Accepted() // what is pending may be too large for a reduced round
 		owned.NextRound = s.core.Now.Add(s.currentRoundInterval())
 		return
 	}
