core: after a refusal the next checkpoint and archive transactions are smaller

The reduction after a 400 halved the pieces of a checkpoint, of which more then fit into the transaction, and the limit of archived jobs, of which fewer fit anyway: the next transaction was as large as the refused one. The reduction now belongs to LargestFittingTxn, which shortens what fits.

TestCheckpointsAndArchivesAreWithinTheStoresLimits fails before the change: {valueKB:8 txnOps:48}: job of 6552 bytes after one of 6552 was refused {valueKB:1 txnOps:1000}: snap of 3624 bytes after one of 3420 was refused It also covers the limits themselves, with 1600 jobs with the longest ids.

--- a/controller/core/storelimits.go
+++ b/controller/core/storelimits.go
@@ -49,14 +49,11 @@
 func (k *Core) ExceedsValueSize(data []byte) bool { return len(data) > k.MaxValueBytes() }
 
 // TxnFits reports whether a transaction is within the service's limits.
-func (k *Core) TxnFits(txn api.Txn) bool { return k.txnFits(&txn, EncodedBytes(txn)) }
-
-// txnFits reports whether a transaction of a known size is within the service's limits.
-func (k *Core) txnFits(txn *api.Txn, size int) bool {
-	if size > api.MaxTxnBytes || len(txn.Writes) > k.Config.Deployment.State.TxnOps || len(txn.If) > k.MaxConditions() {
+func (k *Core) TxnFits(txn api.Txn) bool {
+	if len(txn.Writes) > k.Config.Deployment.State.TxnOps || len(txn.If) > k.MaxConditions() {
 		return false
 	}
-	return !slices.ContainsFunc(txn.Writes, func(write api.Write) bool { return k.ExceedsValueSize(write.Value) })
+	return !slices.ContainsFunc(txn.Writes, k.exceedsValueSize) && EncodedBytes(txn) <= api.MaxTxnBytes
 }
 
 // EncodedBytes returns the size of a part of a transaction or record, which can always be encoded.
@@ -66,27 +63,43 @@
 }
 
 // LargestFittingTxn returns the longest prefix of a list of units, each with its conditions and writes,
-// that fits into one transaction with the given conditions, and its length.
-func (k *Core) LargestFittingTxn(conditions []api.Condition, units []api.Txn) (txn api.Txn, count int) {
+// that fits into one transaction with the given conditions, and its length. After refusals it returns a
+// shorter one.
+func (k *Core) LargestFittingTxn(conditions []api.Condition, units []api.Txn, reduction WriteReduction) (txn api.Txn, count int) {
+	count = k.fittingUnits(conditions, units)
+	if count > 0 {
+		count = reduction.Apply(count)
+	}
 	txn.If = slices.Clone(conditions)
-	size := EncodedBytes(api.Txn{If: txn.If, Writes: []api.Write{}})
-	for _, unit := range units {
+	for _, unit := range units[:count] {
+		txn.If = append(txn.If, unit.If...)
+		txn.Writes = append(txn.Writes, unit.Writes...)
+	}
+	return txn, count
+}
+
+// fittingUnits returns the number of units that fit into one transaction with the given conditions.
+func (k *Core) fittingUnits(conditions []api.Condition, units []api.Txn) int {
+	conditionsLeft, writesLeft := k.MaxConditions()-len(conditions), k.Config.Deployment.State.TxnOps
+	bytesLeft := api.MaxTxnBytes - EncodedBytes(api.Txn{If: conditions, Writes: []api.Write{}})
+	for i, unit := range units {
+		conditionsLeft, writesLeft = conditionsLeft-len(unit.If), writesLeft-len(unit.Writes)
 		for _, condition := range unit.If {
-			size += EncodedBytes(condition) + len(",")
+			bytesLeft -= EncodedBytes(condition) + len(",")
 		}
 		for _, write := range unit.Writes {
-			size += EncodedBytes(write) + len(",")
+			bytesLeft -= EncodedBytes(write) + len(",")
 		}
-		next := api.Txn{If: append(txn.If, unit.If...), Writes: append(txn.Writes, unit.Writes...)}
-		if !k.txnFits(&next, size) {
-			break
+		if conditionsLeft < 0 || writesLeft < 0 || bytesLeft < 0 || slices.ContainsFunc(unit.Writes, k.exceedsValueSize) {
+			return i
 		}
-		txn = next
-		count++
 	}
-	return txn, count
+	return len(units)
 }
 
+// exceedsValueSize reports whether the value of a write is too large.
+func (k *Core) exceedsValueSize(write api.Write) bool { return k.ExceedsValueSize(write.Value) }
+
 // ReportRejectedTxn logs and counts a transaction that the service has refused for good, or would refuse.
 func (o *Outbox) ReportRejectedTxn(txn *api.Txn) {
 	o.metrics.StoreRejections++
@@ -108,7 +121,7 @@
 type WriteReduction struct{ halvings int }
 
 // Apply returns the reduced limit of a write, at least 1.
-func (r *WriteReduction) Apply(limit int) int { return max(1, limit>>r.halvings) }
+func (r WriteReduction) Apply(limit int) int { return max(1, limit>>r.halvings) }
 
 // Rejected halves the following writes.
 func (r *WriteReduction) Rejected() { r.halvings = min(r.halvings+1, maxHalvings) }
--- a/controller/core/timekey.go
+++ b/controller/core/timekey.go
@@ -66,7 +66,7 @@
 				}
 			}
 		}
-		txn, _ := k.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, deletions)
+		txn, _ := k.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, deletions, WriteReduction{})
 		if len(txn.Writes) == 0 {
 			done()
 			return
--- a/controller/recordsize_test.go
+++ b/controller/recordsize_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -206,7 +208,7 @@
 		units = append(units, api.Txn{Writes: []api.Write{{Put: fmt.Sprintf("b/x/%d", i), Value: value}}})
 	}
 	for _, limit := range []struct{ units, count int }{{10, 10}, {100, 63}} {
-		txn, count := n.core.LargestFittingTxn(nil, units[:limit.units])
+		txn, count := n.core.LargestFittingTxn(nil, units[:limit.units], core.WriteReduction{})
 		if count != limit.count || len(txn.Writes) != count || !n.core.TxnFits(txn) {
 			t.Errorf("of at most %d writes of 1 KiB %d fit, expected %d", limit.units, count, limit.count)
 		}
@@ -219,3 +221,100 @@
 		}
 	}
 }
+
+// Checkpoints and the archiving of finished jobs are within all limits, and are made smaller after a
+// refusal.
+func TestCheckpointsAndArchivesAreWithinTheStoresLimits(t *testing.T) {
+	for _, limits := range []struct {
+		valueKB float64
+		txnOps  int
+	}{{1, 4}, {8, 48}, {1, 1000}, {64, 1000}} {
+		n, owned, _, _ := newTestOwner(t, testSpec(1))
+		n.core.Config.Deployment.State.ValueKB, n.core.Config.Deployment.State.TxnOps = limits.valueKB, limits.txnOps
+		addSmallJobs(t, n, owned, 1600)
+		n.core.State.Partitions[0].RoundSeq = clusterstate.RingSize
+		for j := range maps.Values(n.core.State.Jobs) {
+			if j.Cancelled {
+				n.core.State.ApplyRecord(0, &clusterstate.RoundRecord{Seq: n.core.State.Partitions[0].RoundSeq + 1, Jobs: []clusterstate.JobDelta{{Job: j.ID, EndedIncomplete: []int{0}}}})
+			}
+		}
+		owned.InFlight = &core.PendingRound{} // no round is planned meanwhile
+		sizes := map[string]int{}
+		for step := range 400 {
+			nextSecond(n)
+			n.core.RunDeferredCalls()
+			n.scheduler.RunPartition(owned)
+			for _, e := range n.core.TakeEffects() {
+				call, ok := e.(message.StoreCall)
+				if !ok || call.Txn == nil {
+					continue
+				}
+				if !n.core.TxnFits(*call.Txn) || len(call.Txn.Writes) == 0 {
+					t.Fatalf("%+v: a transaction of %d writes and %d conditions exceeds the limits", limits, len(call.Txn.Writes), len(call.Txn.If))
+				}
+				kind := strings.SplitN(call.Txn.Writes[0].Put+call.Txn.Writes[0].Drop, "/", 3)[1]
+				status := api.StatusOK
+				if step == 0 {
+					status, sizes[kind] = api.StatusBadRequest, core.EncodedBytes(call.Txn)
+				} else if size := core.EncodedBytes(call.Txn); sizes[kind] > 0 && limits.txnOps > 4 {
+					if size >= sizes[kind] {
+						t.Errorf("%+v: %s of %d bytes after one of %d was refused", limits, kind, size, sizes[kind])
+					}
+					sizes[kind] = 0
+				}
+				n.core.CompleteCall(call.ID, message.StoreResponse{ID: call.ID, Status: status, Txn: api.TxnResponse{Revision: api.Revision(9000 + step)}})
+			}
+			for _, w := range n.follower.TakeWaiters() {
+				w.OnRead()
+			}
+		}
+		if n.core.State.Partitions[0].CheckpointHead.Seq == 0 || n.core.Metrics.StoreRejections != 2 {
+			t.Errorf("%+v: checkpoint up to %d, %d rejections; expected one, and 2", limits, n.core.State.Partitions[0].CheckpointHead.Seq, n.core.Metrics.StoreRejections)
+		}
+	}
+}
+
+// A job whose record is as large as a submission may be can be cancelled.
+func TestLargestJobCanBeCancelled(t *testing.T) {
+	n, _, _, _ := newTestOwner(t, testSpec(1))
+	value := clusterstate.JobValue{Spec: testSpec(1), Split: []clusterstate.TaskRange{{From: 0, To: 1}}, AcceptedAt: math.MaxInt64}
+	for {
+		data, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.core.JobExceedsValueSize(data) {
+			break
+		}
+		value.Spec.Image += "x"
+	}
+	value.Spec.Image = value.Spec.Image[1:]
+	value.Cancelled, value.CancelledAt = true, math.MaxInt64
+	data, err := json.Marshal(value)
+	if err != nil || n.core.ExceedsValueSize(data) {
+		t.Errorf("the record of the cancelled job has %d bytes, %v", len(data), err)
+	}
+}
+
+// A submission that the state service refuses for good is refused, and not forwarded to a peer that would be
+// refused too.
+func TestRejectedSubmissionIsRefused(t *testing.T) {
+	n, _, _, _ := newTestOwner(t, testSpec(1))
+	n.core.StoreHealthy = true
+	n.jobs.Submit(message.Submit{Req: 1, Body: submission(t, func(map[string]any) {})})
+	call, ok := lastTxn(t, n)
+	if !ok {
+		t.Fatal("the job is not written")
+	}
+	n.core.CompleteCall(call.ID, message.StoreResponse{ID: call.ID, Status: api.StatusBadRequest})
+	answerRead(t, n)
+	n.jobs.SendResultLookup()
+	for _, e := range n.core.Effects {
+		if c, ok := e.(message.StoreCall); ok && c.Get != "" {
+			n.dispatch(message.StoreResponse{ID: c.ID, Status: 404})
+		}
+	}
+	if status, text := replyTo(n, 1); status != api.StatusBadRequest {
+		t.Errorf("answered %d %s, expected 400", status, text)
+	}
+}
--- a/controller/rounds/archive.go
+++ b/controller/rounds/archive.go
@@ -43,20 +43,19 @@
 
 // archiveTxn returns a transaction that archives as many finished jobs as fit into it.
 func (s *Scheduler) archiveTxn(owned *core.OwnedPartition) api.Txn {
-	maxJobs := owned.ArchiveReduction.Apply(s.core.Config.Deployment.State.TxnOps)
 	var jobs []api.Txn
 	for _, id := range slices.Sorted(maps.Keys(s.core.State.FinishedJobs)) {
 		j := s.core.State.FinishedJobs[id]
 		if !ownsFirstTask(owned.ID, j) {
 			continue
 		}
-		if len(jobs) == maxJobs {
+		if len(jobs) == s.core.Config.Deployment.State.TxnOps {
 			break
 		}
 		conditions := []api.Condition{{Key: clusterstate.KeyJob + string(id), Version: j.Version}, {Key: clusterstate.KeyJobResult + string(id)}}
 		jobs = append(jobs, api.Txn{If: conditions, Writes: s.archiveWrites(j)})
 	}
-	txn, _ := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, jobs)
+	txn, _ := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, jobs, owned.ArchiveReduction)
 	return txn
 }
 
--- a/controller/rounds/checkpoint.go
+++ b/controller/rounds/checkpoint.go
@@ -45,7 +45,7 @@
 	for _, write := range writes {
 		pieces = append(pieces, api.Txn{If: []api.Condition{s.core.State.VersionCondition(write.Put)}, Writes: []api.Write{write}})
 	}
-	txn, count := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, pieces)
+	txn, count := s.core.LargestFittingTxn([]api.Condition{owned.OwnershipCondition()}, pieces, owned.CheckpointReduction)
 	if count == 0 {
 		s.core.ReportRejectedTxn(&pieces[0])
 		owned.CheckpointReduction.Rejected()
--- a/controller/tenancy/keyuse.go
+++ b/controller/tenancy/keyuse.go
@@ -10,6 +10,7 @@
 
 	"basaltwall/api"
 	"basaltwall/clusterstate"
+	"basaltwall/controller/core"
 	"basaltwall/controller/message"
 	"basaltwall/tenant"
 )
@@ -72,7 +73,7 @@
 		writes = append(writes, api.Txn{Writes: []api.Write{{Put: KeyLastUse + string(use.holder) + "/" + string(use.key), Value: value}}})
 	}
 	condition := ts.core.State.VersionCondition(clusterstate.KeyMember + string(ts.core.Config.Label))
-	txn, count := ts.core.LargestFittingTxn([]api.Condition{condition}, writes)
+	txn, count := ts.core.LargestFittingTxn([]api.Condition{condition}, writes, core.WriteReduction{})
 	batch := uses.pending[:count]
 	uses.pending = slices.Clone(uses.pending[count:])
 	ts.core.CallStoreTxn(txn, func(response message.StoreResponse) {
