--- a/controller/autoscale/deletions_test.go
+++ b/controller/autoscale/deletions_test.go
@@ -177,3 +177,18 @@
 		t.Error("deletions back off after a success")
 	}
 }
+
+// Machine types that don't fit into a value are not written: the write would be refused again and again.
+func TestTooManyMachineTypesAreNotRecorded(t *testing.T) {
+	test := newDeletionTest(t)
+	types := make([]api.MachineType, 200)
+	for i := range types {
+		types[i].Name = api.MachineTypeName(fmt.Sprintf("type-%d", i))
+	}
+	for count, want := range map[int]int{10: 1, len(types): 0} {
+		test.recordMachineTypes(test.owned, types[:count])
+		if effects := test.core.TakeEffects(); len(effects) != want {
+			t.Errorf("%d types: %d writes, expected %d", count, len(effects), want)
+		}
+	}
+}
--- a/controller/tenancy/service_test.go
+++ b/controller/tenancy/service_test.go
@@ -177,3 +177,29 @@
 		}
 	}
 }
+
+// Changes of tenants are within all limits of a transaction, and a refusal of the state service is answered
+// with the reason. Uses of keys that it refuses are dropped.
+func TestRejectedChangesAreAnswered(t *testing.T) {
+	ts, _ := newTestService(t)
+	ts.core.Config.Deployment.State.ValueKB = 64
+	filler := api.Write{Put: "b/x", Value: json.RawMessage(strconv.Quote(strings.Repeat("x", 10<<10)))}
+	large := tenant.Tenant{Name: "large", DisplayName: strings.Repeat("x", 55<<10)}
+	status := 0
+	ts.writeTenant(large, nil, []api.Write{filler}, func(s int, _ api.Revision) { status = s })
+	if status != statusTooManyWrites || len(storeCalls(ts)) != 0 {
+		t.Errorf("a transaction of over 64 KiB: status %d, expected %d and no call", status, statusTooManyWrites)
+	}
+	ts.CommitChange(message.AdminRequest{Req: 1}, api.Txn{Writes: []api.Write{filler}}, "the team has", nil)
+	respond(t, ts, message.StoreResponse{ID: storeCalls(ts)[0].ID, Status: 400})
+	if reply, ok := ts.core.TakeEffects()[0].(message.Reply); !ok || reply.Status != 400 || !strings.Contains(string(reply.Body), "the team has") {
+		t.Errorf("a refused change is answered %+v", reply)
+	}
+	ts.recordKeyUse("kipper", "00aa00aa00aa00aa")
+	ts.flushKeyUses()
+	call := storeCalls(ts)[0]
+	respond(t, ts, message.StoreResponse{ID: call.ID, Status: 400})
+	if pending := ts.hosted.keyUses.pending; len(pending) != 0 {
+		t.Errorf("refused uses %v are pending", pending)
+	}
+}
