--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -84,15 +84,15 @@
 		for n, ln := range workers {
 			if ln.Addr().String() == wk.addr {
 				delete(workers, n)
-				l.serve(ln, func(_, _, _ string, body []byte, answer func(int, []byte)) { wk.handleCommands(body, answer) })
+				l.serveWithCopies(ln, EndpointWorkers, func(_, _, _ string, body []byte, answer func(int, []byte)) { wk.handleCommands(body, answer) })
 			}
 		}
 	}
 	for i := range machines {
 		sim.Cloud.Launch("small", api.Zone([]string{"a", "b"}[i%2]), false, time.Second)
 	}
-	l.serve(listeners[0], sim.Store.Serve)
-	l.serve(listeners[1], func(_, method, target string, body []byte, answer func(int, []byte)) {
+	l.serveWithCopies(listeners[0], EndpointStore, sim.Store.Serve)
+	l.serveWithCopies(listeners[1], EndpointCloud, func(_, method, target string, body []byte, answer func(int, []byte)) {
 		answer(sim.Cloud.Serve(method, target, body))
 	})
 	l.serveLoadBalancer(listeners[2])
@@ -179,6 +179,13 @@
 	}
 }
 
+// InjectFaults calls inject while the simulation does not advance.
+func (l *Live) InjectFaults(inject func(*Simulation)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	inject(l.sim)
+}
+
 // Violations returns the rule violations that the checker has recorded.
 func (l *Live) Violations() []string {
 	l.mu.Lock()
@@ -191,8 +198,19 @@
 	body   []byte
 }
 
+// requestHandler handles a request in the simulation.
+type requestHandler func(controllerName, method, target string, body []byte, answer func(int, []byte))
+
+// serveWithCopies serves requests to an endpoint of the controllers, and copies of them.
+func (l *Live) serveWithCopies(ln net.Listener, endpoint Endpoint, handle requestHandler) {
+	l.serve(ln, func(controllerName, method, target string, body []byte, answer func(int, []byte)) {
+		l.sim.scheduleCopies(endpoint, func() { handle(controllerName, method, target, body, discardResponse) })
+		handle(controllerName, method, target, body, answer)
+	})
+}
+
 // serve serves requests on a listener with a handler that runs in the simulation.
-func (l *Live) serve(ln net.Listener, handle func(controllerName, method, target string, body []byte, answer func(int, []byte))) {
+func (l *Live) serve(ln net.Listener, handle requestHandler) {
 	l.serveHTTP(ln, func(rw http.ResponseWriter, r *http.Request, body []byte) {
 		c := make(chan response, 1)
 		l.mu.Lock()
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -46,6 +46,12 @@
 	// received the response, as when the connection of the first copy is reset and the request is repeated.
 	RepeatedCommandRate float64
 
+	// RequestCopyRates is the share of requests, by endpoint, of which copies arrive after the request has been
+	// executed and answered. The sender is not told. Controllers send to all endpoints but the users, who send
+	// to the controllers.
+	RequestCopyRates map[Endpoint]float64
+	RequestCopies    int // copies delivered
+
 	// FailLateLaunches makes a task of each job fail whose launch is in a late reply, see DelayReplies.
 	FailLateLaunches bool
 	lateLaunchJobs   map[api.JobID]bool
@@ -63,7 +69,8 @@
 }
 
 func newNetworkFaults() NetworkFaults {
-	return NetworkFaults{linkCuts: map[linkKey]*networkCut{}, zoneCuts: map[api.Zone]*networkCut{}, lateLaunchJobs: map[api.JobID]bool{}}
+	return NetworkFaults{linkCuts: map[linkKey]*networkCut{}, zoneCuts: map[api.Zone]*networkCut{}, lateLaunchJobs: map[api.JobID]bool{},
+		RequestCopyRates: map[Endpoint]float64{}}
 }
 
 func (sim *Simulation) latency() time.Duration {
@@ -97,6 +104,9 @@
 		})
 	}
 	sim.After(extraDelay, func() { sim.transmit(h.name, endpoint, deliver) })
+	sim.scheduleCopies(endpoint, func() {
+		sim.transmit(h.name, endpoint, func() { serve(discardResponse) })
+	})
 }
 
 // transmit calls callback after the network latency unless the link is cut. The key-value store,
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -103,6 +103,9 @@
 		}
 	}
 	sim.After(timeout, func() { settle(0, nil) })
+	sim.scheduleCopies(EndpointUsers, func() {
+		sim.transmit(name, EndpointUsers, func() { send(discardResponse) })
+	})
 	sim.transmit(name, EndpointUsers, func() {
 		send(func(status int, b []byte) {
 			sim.transmit(name, EndpointUsers, func() { settle(status, b) })
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -65,6 +65,9 @@
 //	delay-transactions AT FOR SHARE     This share of transactions arrives seconds late.
 //	add-latency AT FOR SECONDS          Adds to the mean network latency.
 //	repeat-commands AT FOR SHARE        Copies of this share of direct commands arrive up to 20 s later.
+//	copy-requests AT FOR SHARE ENDPOINT Copies of this share of the requests to an endpoint (state, workers, peers,
+//	                                    cloud, users for requests to the controllers, or all) arrive again, up to
+//	                                    three times and three minutes later, after they have been answered.
 //	stale-heartbeats AT FOR SHARE       Copies of this share of heartbeats arrive again, up to two leases
 //	                                    later.
 //	hold-heartbeats AT FOR SHARE        Copies of this share of heartbeats are held until a partition
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -18,7 +18,13 @@
 }
 
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
+	runScenarioFiles(t, "testdata/*.txtar")
+}
+
+// runScenarioFiles runs the scenarios in the files that match a pattern.
+func runScenarioFiles(t *testing.T, pattern string) {
+	t.Helper()
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scenarios: %v", err)
 	}
--- a/internal/scenario/steps_faults.go
+++ b/internal/scenario/steps_faults.go
@@ -67,6 +67,9 @@
 	"repeat-commands": {form: "ddn", schedule: func(r *runner, a arguments) {
 		r.during(a, func() { r.sim.RepeatedCommandRate = a.numbers[0] }, func() { r.sim.RepeatedCommandRate = 0 })
 	}},
+	"copy-requests": {form: "ddns", schedule: func(r *runner, a arguments) {
+		r.during(a, func() { r.setCopyRate(a.names[0], a.numbers[0]) }, func() { r.setCopyRate(a.names[0], 0) })
+	}},
 	"stale-heartbeats": {form: "ddn", schedule: func(r *runner, a arguments) {
 		r.sim.Checker.RecordFaultUntil(a.durations[0] + a.durations[1] + 2*r.configs[0].WorkerLease())
 		r.during(a, func() { r.sim.StaleHeartbeatRate = a.numbers[0] }, func() { r.sim.StaleHeartbeatRate = 0 })
@@ -157,16 +160,26 @@
 
 // cutLinks cuts controllers off from one or all endpoints.
 func (r *runner) cutLinks(controllerName, endpoint string, length time.Duration, hold bool) {
+	r.eachController(controllerName, func(name string) {
+		eachEndpoint(endpoint, func(e emulator.Endpoint) { r.sim.CutLink(name, e, length, hold) })
+	})
+}
+
+// setCopyRate sets the share of the requests to one or all endpoints of which copies arrive again.
+func (r *runner) setCopyRate(endpoint string, rate float64) {
+	eachEndpoint(endpoint, func(e emulator.Endpoint) { r.sim.RequestCopyRates[e] = rate })
+}
+
+// eachEndpoint calls callback for one or all endpoints.
+func eachEndpoint(name string, callback func(emulator.Endpoint)) {
 	endpoints := []emulator.Endpoint{
 		emulator.EndpointStore, emulator.EndpointWorkers, emulator.EndpointPeers, emulator.EndpointCloud, emulator.EndpointUsers,
 	}
-	r.eachController(controllerName, func(name string) {
-		for _, e := range endpoints {
-			if endpoint == all || endpoint == string(e) {
-				r.sim.CutLink(name, e, length, hold)
-			}
+	for _, e := range endpoints {
+		if name == all || name == string(e) {
+			callback(e)
 		}
-	})
+	}
 }
 
 // reclaimSpot kills a share of the spot machines, evenly distributed over their list.
