agent: an attempt is reaped only when its machine refuses every launch of it

What callers saw: a task ran on two machines at once (ran_twice), teams were over their limits (quota), and tasks of cancelled jobs started again (began_cancelled, ran_cancelled), when the network delivered a direct call again that had been executed and answered.

Cause: a direct call counted as closed once it was answered, so its attempt was reaped under the token of its launch. The answer proves that the launch was executed once, not that no other copy exists.

Fix: one condition for all ways of a launch. Machine.LaunchTokens is the highest token of this owner's launches by attempt, and an entry is removed when the agent reports a higher token or a newer epoch. An attempt with an entry is not reaped, and a missing one is not recorded as never started. This replaces RepliedLaunches, UncertainToken, PlacementOwnerState.LaunchToken, and the cases for calls in flight, unanswered and repeated. For reaps the token becomes the revision of the partition's last round, which recorded the attempt's end after its last launch was sent: no write is needed. It is raised in the reply to a new heartbeat only, since the agent has one heartbeat in flight, so that no reply under the old token is dropped with a renewal of the lease.

TestNoForgetWhileCallsAreUncertain, TestNoForgetWhileReplyMayArrive and TestRepeatedCallIsUncertain asserted the single cases; TestNoForgetBeforeLaunchesAreRefused and TestLaunchOutlivesItsCall assert the same for all of them, also for answered calls.

The emulated agent reports a higher token as a change at most once per half of its lease, as the protocol says: the token is raised much more often than before.

Logs and metrics: "commands sent" at info, with the token and the reported one; a task that runs without a placement is reported and counted (tasks_without_placement).

--- a/controller/agent/command.go
+++ b/controller/agent/command.go
@@ -43,7 +43,6 @@
 			}
 		case !reported:
 			launches = append(launches, api.Command{Op: api.OpStart, Task: p.Task.String(), Attempt: p.Attempt})
-			p.OwnerState.LaunchToken = max(p.OwnerState.LaunchToken, m.CommandToken)
 		}
 	}
 	return stops, launches
--- a/controller/agent/command_test.go
+++ b/controller/agent/command_test.go
@@ -51,44 +51,61 @@
 	}
 }
 
-// If an agent forgot an attempt while a launch of it may still arrive, the attempt would start again.
-func TestNoForgetWhileCallsAreUncertain(t *testing.T) {
+// reapsOf returns the attempts that the manager commands a machine to forget.
+func reapsOf(am *Manager, m *core.Machine, owned *core.OwnedPartition) []api.Attempt {
+	var out []api.Attempt
+	for _, command := range am.CommandsFor(m, owned) {
+		if command.Op == api.OpReap {
+			out = append(out, command.Attempt)
+		}
+	}
+	return out
+}
+
+// launchOf returns commands that launch an attempt under the given token.
+func launchOf(k core.AttemptKey, token api.FencingToken) api.CommandBatch {
+	return api.CommandBatch{Token: token, Commands: []api.Command{{Op: api.OpStart, Task: k.Task.String(), Attempt: k.Attempt}}}
+}
+
+// An attempt must not be forgotten while a launch of it may be executed. The launches of other attempts
+// don't matter.
+func TestNoForgetBeforeLaunchesAreRefused(t *testing.T) {
 	am, owned, m, _ := newTestManager(t)
-	k := core.AttemptKey{Task: api.TaskID{Job: "run-9", Index: 0}, Attempt: 3}
-	m.ReportedTasks[k] = api.TaskStatus{Task: k.Task.String(), Attempt: 3, State: api.TaskExited}
-	forgets := func() bool {
-		return slices.ContainsFunc(am.CommandsFor(m, owned), func(command api.Command) bool { return command.Op == api.OpReap })
+	launched, other := core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 3}, core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 4}
+	heartbeat := &api.Heartbeat{Machine: m.ID, Epoch: 1, Token: 7}
+	for _, k := range []core.AttemptKey{launched, other} {
+		heartbeat.Tasks = append(heartbeat.Tasks, api.TaskStatus{Task: k.Task.String(), Attempt: k.Attempt, State: api.TaskExited})
 	}
-	if !forgets() {
-		t.Error("an exited attempt without a placement is not forgotten")
+	am.updateMachine(m, heartbeat)
+	if got, want := reapsOf(am, m, owned), []api.Attempt{3, 4}; !slices.Equal(got, want) {
+		t.Errorf("attempts %v of which this owner has sent no launch are forgotten, expected %v", got, want)
 	}
-	if m.CallInFlight = true; forgets() {
-		t.Error("attempt forgotten while a direct call is in flight")
+	recordLaunches(m, launchOf(launched, 7))
+	am.updateMachine(m, heartbeat)
+	if got, want := reapsOf(am, m, owned), []api.Attempt{4}; !slices.Equal(got, want) {
+		t.Errorf("attempts %v are forgotten while the agent has reported the token of a launch, expected %v", got, want)
 	}
-	m.CallInFlight, m.UncertainToken = false, 7
-	if forgets() {
-		t.Error("attempt forgotten although an unanswered call may still arrive under the machine's token")
+	heartbeat.Token = 8
+	am.updateMachine(m, heartbeat)
+	if got, want := reapsOf(am, m, owned), []api.Attempt{3, 4}; !slices.Equal(got, want) {
+		t.Errorf("attempts %v are forgotten once the agent refuses the launch, expected %v", got, want)
 	}
 }
 
-// If an agent forgot an attempt while the reply to its heartbeat with a launch of it is late, the attempt
-// would start again. The launches of other attempts don't matter.
-func TestNoForgetWhileReplyMayArrive(t *testing.T) {
-	am, owned, m, _ := newTestManager(t)
-	late, other := core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 3}, core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 4}
-	for _, k := range []core.AttemptKey{late, other} {
-		m.ReportedTasks[k] = api.TaskStatus{Task: k.Task.String(), Attempt: k.Attempt, State: api.TaskExited}
-	}
-	recordReply(m, api.CommandBatch{Token: 7, Commands: []api.Command{{Op: api.OpStart, Task: late.Task.String(), Attempt: late.Attempt}}})
-	want := []api.Command{{Op: api.OpReap, Task: other.Task.String(), Attempt: other.Attempt}}
-	if got := am.CommandsFor(m, owned); !slices.Equal(got, want) {
-		t.Errorf("commands %v, expected %v", got, want)
+// A launch of a former epoch is refused, whatever its token.
+func TestNewEpochRefusesLaunches(t *testing.T) {
+	am, _, m, _ := newTestManager(t)
+	k := core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 3}
+	recordLaunches(m, launchOf(k, 7))
+	am.updateMachine(m, &api.Heartbeat{Machine: m.ID, Epoch: 2, Token: 7})
+	if mayStillLaunch(m, k) {
+		t.Error("a launch of a former epoch counts as one that may be executed")
 	}
 }
 
-// The first copy of a call that was sent twice may still arrive after the answer.
-func TestRepeatedCallIsUncertain(t *testing.T) {
-	am, owned, m, _ := newTestManager(t)
+// sendLaunch makes a direct call with a launch and returns the call.
+func sendLaunch(t *testing.T, am *Manager, owned *core.OwnedPartition, m *core.Machine) message.WorkerCall {
+	t.Helper()
 	m.Address = "10.0.1.0:9000"
 	am.core.State.ApplyRecord(0, &clusterstate.RoundRecord{Seq: 1, Jobs: []clusterstate.JobDelta{{Job: "run-1", Starts: []clusterstate.TaskStart{{Task: 0, Machine: m.ID, Epoch: 1}}}}})
 	am.sendCommands(m, owned)
@@ -96,10 +113,60 @@
 	if !ok || len(call.Commands.Commands) != 1 {
 		t.Fatalf("call %v, expected one launch", call)
 	}
-	delete(am.core.Partitions, owned.ID) // the answer is not processed further
-	am.core.CompleteCall(call.ID, message.WorkerResponse{ID: call.ID, Status: statusOK, Heartbeat: &api.Heartbeat{Machine: m.ID}, Repeated: true})
-	if m.UncertainToken != call.Commands.Token || am.core.Metrics.WorkerCallsRepeated != 1 {
-		t.Errorf("uncertain token %d, %d repeated calls, expected %d and 1", m.UncertainToken, am.core.Metrics.WorkerCallsRepeated, call.Commands.Token)
+	return call
+}
+
+// A call that was executed may arrive again, whether it was answered, answered to a second copy or not.
+func TestLaunchOutlivesItsCall(t *testing.T) {
+	for what, response := range map[string]message.WorkerResponse{
+		"answered":     {Status: statusOK, Heartbeat: &api.Heartbeat{Machine: "i-000000"}},
+		"sent twice":   {Status: statusOK, Heartbeat: &api.Heartbeat{Machine: "i-000000"}, Repeated: true},
+		"not answered": {},
+	} {
+		am, owned, m, _ := newTestManager(t)
+		call := sendLaunch(t, am, owned, m)
+		delete(am.core.Partitions, owned.ID) // the answer is not processed further
+		response.ID = call.ID
+		am.core.CompleteCall(call.ID, response)
+		id, err := api.ParseTaskID(call.Commands.Commands[0].Task)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if k := (core.AttemptKey{Task: id, Attempt: call.Commands.Commands[0].Attempt}); m.LaunchTokens[k] != call.Commands.Token {
+			t.Errorf("%s: launches %v after the call, expected token %d", what, m.LaunchTokens, call.Commands.Token)
+		}
+		if repeated := am.core.Metrics.WorkerCallsRepeated == 1; repeated != response.Repeated {
+			t.Errorf("%s: %d repeated calls", what, am.core.Metrics.WorkerCallsRepeated)
+		}
+	}
+}
+
+// The token is raised in the reply to a heartbeat, so that no reply under the former token is lost, and only
+// if an exited attempt without a placement waits for it.
+func TestTokenIsRaisedForReaps(t *testing.T) {
+	k := core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 3}
+	for what, c := range map[string]struct {
+		state        api.TaskState
+		launched     api.FencingToken
+		lastRevision api.Revision
+		want         api.FencingToken
+	}{
+		"exited":                         {api.TaskExited, 7, 9, 9},
+		"running":                        {api.TaskRunning, 7, 9, 7},
+		"launched by a former owner":     {api.TaskExited, 0, 9, 7},
+		"no round since the launch":      {api.TaskExited, 7, 7, 7},
+		"launched under a later token":   {api.TaskExited, 9, 9, 7},
+		"launched under a current token": {api.TaskExited, 8, 9, 9},
+	} {
+		am, owned, m, _ := newTestManager(t)
+		m.ReportedTasks[k] = api.TaskStatus{Task: k.Task.String(), Attempt: 3, State: c.state}
+		if c.launched != 0 {
+			recordLaunches(m, launchOf(k, c.launched))
+		}
+		owned.LastRevision = c.lastRevision
+		if am.raiseTokenForReaps(m, owned); m.CommandToken != c.want {
+			t.Errorf("%s: token %d after launches %v and revision %d, expected %d", what, m.CommandToken, m.LaunchTokens, c.lastRevision, c.want)
+		}
 	}
 }
 
@@ -108,11 +175,11 @@
 func TestLaunchTokenAfterTransfer(t *testing.T) {
 	am, owned, m, j := newTestManager(t)
 	am.core.State.ApplyRecord(0, &clusterstate.RoundRecord{Seq: 1, Jobs: []clusterstate.JobDelta{{Job: j.ID, Starts: []clusterstate.TaskStart{{Task: 0, Machine: m.ID, Epoch: 1}}}}})
-	if got := am.LatestLaunchToken(j.Placements[0], owned); got != api.FencingToken(owned.Term)-1 {
+	if got := am.LatestLaunchToken(m, j.Placements[0], owned); got != api.FencingToken(owned.Term)-1 {
 		t.Errorf("latest launch token %d under term %d", got, owned.Term)
 	}
 	am.core.State.Loans[m.ID] = clusterstate.Loan{LoanValue: clusterstate.LoanValue{Transferred: true}, Revision: owned.Term + 5}
-	if got := am.LatestLaunchToken(j.Placements[0], owned); got != api.FencingToken(owned.Term)+4 {
+	if got := am.LatestLaunchToken(m, j.Placements[0], owned); got != api.FencingToken(owned.Term)+4 {
 		t.Errorf("latest launch token %d after a transfer at revision %d", got, owned.Term+5)
 	}
 }
--- a/controller/agent/directcall.go
+++ b/controller/agent/directcall.go
@@ -91,8 +91,8 @@
 // its liveness.
 func (am *Manager) reconcileMachine(m *core.Machine, owned *core.OwnedPartition, urgent bool) {
 	m.CommandToken = max(m.CommandToken, am.core.MinToken(owned, m.ID))
-	if m.UncertainToken != 0 && m.CommandToken <= m.UncertainToken {
-		if api.FencingToken(owned.LastRevision) > m.UncertainToken {
+	if m.SupersededToken != 0 && m.CommandToken <= m.SupersededToken {
+		if api.FencingToken(owned.LastRevision) > m.SupersededToken {
 			m.CommandToken, urgent = api.FencingToken(owned.LastRevision), true
 		} else {
 			owned.NeedsNewToken = true
@@ -124,8 +124,8 @@
 
 // sendCommands sends a machine its commands in a direct call.
 func (am *Manager) sendCommands(m *core.Machine, owned *core.OwnedPartition) {
-	commands := api.CommandBatch{Token: m.CommandToken, Epoch: max(m.Epoch, 1), Commands: am.CommandsFor(m, owned)}
-	logCommands(m, viaDirectCall, commands)
+	commands := am.composeCommands(m, owned, viaDirectCall)
+	commands.Epoch = max(m.Epoch, 1)
 	m.CallInFlight = true
 	am.directCallsInFlight++
 	m.NextCallAt = am.core.Now.Add(callInterval)
@@ -134,13 +134,12 @@
 		am.directCallsInFlight--
 		if a.Repeated {
 			am.core.Metrics.WorkerCallsRepeated++
-			recordUncertainCall(m, commands)
 		}
 		if a.Heartbeat != nil && a.Heartbeat.Machine != m.ID {
 			a.Status, a.Heartbeat = 0, nil // the address now belongs to another machine
 		}
 		if a.Status == 0 || a.Heartbeat == nil {
-			am.handleMissedCall(m, commands)
+			am.handleMissedCall(m)
 			return
 		}
 		if am.core.Partitions[owned.ID] != owned || m.Deleting {
@@ -151,8 +150,7 @@
 }
 
 // handleMissedCall handles an unanswered direct call, whose commands may still arrive.
-func (am *Manager) handleMissedCall(m *core.Machine, commands api.CommandBatch) {
-	recordUncertainCall(m, commands)
+func (am *Manager) handleMissedCall(m *core.Machine) {
 	m.UnansweredCalls++
 	m.NextCallAt = am.core.Now.Add(unansweredCallDelay)
 }
--- a/controller/agent/heartbeat.go
+++ b/controller/agent/heartbeat.go
@@ -49,7 +49,7 @@
 	newer := am.applyHeartbeat(m, heartbeat, owned)
 	if newer {
 		m.LeaseRenewedAt = am.core.Now
-		clear(m.RepliedLaunches)
+		am.raiseTokenForReaps(m, owned)
 	}
 	if c.Forwarded && am.recentDirectReply(m) {
 		// A peer forwarded the heartbeat because the agent could not reach this controller. A direct
@@ -64,10 +64,7 @@
 		// duplicate whose response nobody reads.
 		m.DirectCallPending = false
 	}
-	commands := api.CommandBatch{Token: m.CommandToken, Commands: am.CommandsFor(m, owned)}
-	recordReply(m, commands)
-	logCommands(m, viaHeartbeatReply, commands)
-	am.core.Reply(c.Req, statusOK, commands, 0)
+	am.core.Reply(c.Req, statusOK, am.composeCommands(m, owned, viaHeartbeatReply), 0)
 }
 
 // recentDirectReply reports whether the machine has answered a direct call within the last heartbeat
--- a/controller/agent/launch.go
+++ b/controller/agent/launch.go
@@ -1,45 +1,66 @@
 // Launches that were sent to a machine and may still be executed.
 //
-// Once an agent has forgotten an attempt, a launch of the attempt starts it again. So an attempt is reaped
-// only when none of its launches can be executed any more:
-//   - A launch in the reply to a heartbeat can't once a newer heartbeat has arrived. An agent has one
-//     heartbeat in flight at a time, so it has executed or dropped the reply before.
-//   - A launch in a direct call can't once the call is answered. If it is not answered, or the HTTP client
-//     has sent it twice, the machine's token is raised instead (UncertainToken), and the launch can't be
-//     executed once the agent has reported the newer token.
-//   - A launch by a former owner carries a token below this owner's, which the agent refuses once it has
-//     executed a command of this owner.
+// Once an agent has forgotten an attempt, a launch of the attempt starts it again. A launch in a direct call
+// may arrive at any time and any number of times, even after the call has been answered; a launch in the reply
+// to a heartbeat may be executed late. Only the agent's fencing token ends this: once the agent has reported a
+// token above that of a launch, it refuses the launch. So an attempt is reaped, or recorded as never started,
+// only when the agent has reported a token above that of every launch of the attempt:
+//   - The owner records the highest token of its own launches (Machine.LaunchTokens).
+//   - A launch by a former owner carries a token below MinToken. An owner gives no commands before the agent
+//     has reported MinToken.
+//   - A launch of a former epoch is refused in the new one.
 
 package agent
 
 import (
-	"context"
 	"log/slog"
-	"slices"
+	"maps"
 
 	"basaltwall/api"
 	"basaltwall/controller/core"
 )
 
-// mayStillLaunch reports whether a launch of an attempt may still be executed by a machine's agent.
+// mayStillLaunch reports whether a launch of an attempt by this owner may still be executed by a machine's
+// agent.
 func mayStillLaunch(m *core.Machine, attempt core.AttemptKey) bool {
-	return m.CallInFlight || m.UncertainToken != 0 || m.RepliedLaunches[attempt]
+	_, pending := m.LaunchTokens[attempt]
+	return pending
 }
 
-// recordReply records the launches in the reply to a heartbeat.
-func recordReply(m *core.Machine, batch api.CommandBatch) {
+// recordLaunches records the launches in commands that are about to be sent.
+func recordLaunches(m *core.Machine, batch api.CommandBatch) {
 	for _, command := range batch.Commands {
 		id, err := api.ParseTaskID(command.Task)
 		if command.Op == api.OpStart && err == nil {
-			m.RepliedLaunches[core.AttemptKey{Task: id, Attempt: command.Attempt}] = true
+			attempt := core.AttemptKey{Task: id, Attempt: command.Attempt}
+			m.LaunchTokens[attempt] = max(m.LaunchTokens[attempt], batch.Token)
 		}
 	}
 }
 
-// recordUncertainCall records that the commands of a direct call may still arrive.
-func recordUncertainCall(m *core.Machine, batch api.CommandBatch) {
-	if slices.ContainsFunc(batch.Commands, func(command api.Command) bool { return command.Op == api.OpStart }) {
-		m.UncertainToken = max(m.UncertainToken, batch.Token)
+// discardRefusedLaunches removes the launches that the agent refuses from a heartbeat on, because of its epoch
+// or its token.
+func discardRefusedLaunches(m *core.Machine, heartbeat *api.Heartbeat) {
+	maps.DeleteFunc(m.LaunchTokens, func(_ core.AttemptKey, token api.FencingToken) bool {
+		return heartbeat.Epoch > m.Epoch || heartbeat.Token > token
+	})
+}
+
+// raiseTokenForReaps raises a machine's command token if an exited attempt could be reaped under a higher one.
+// The revision of the round that recorded the attempt's end is higher than the token of every launch of it. It
+// may be called only for the reply to a new heartbeat: the agent has one heartbeat in flight, so no reply under
+// the former token is lost, and with it a renewal of the agent's lease.
+func (am *Manager) raiseTokenForReaps(m *core.Machine, owned *core.OwnedPartition) {
+	latest := api.FencingToken(owned.LastRevision)
+	if latest <= m.CommandToken {
+		return
+	}
+	for attempt, taskReport := range m.ReportedTasks {
+		launchToken, pending := m.LaunchTokens[attempt]
+		if taskReport.State == api.TaskExited && pending && launchToken < latest && am.placementOf(m.ID, attempt) == nil {
+			m.CommandToken = latest
+			return
+		}
 	}
 }
 
@@ -49,12 +70,13 @@
 	viaDirectCall     = "direct call"
 )
 
-// logCommands logs the commands that are sent to a machine. Commands that are sent in different ways may
-// arrive in either order.
-func logCommands(m *core.Machine, via string, batch api.CommandBatch) {
-	if len(batch.Commands) == 0 || !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
-		return
+// composeCommands returns the commands to send to a machine, and records their launches.
+func (am *Manager) composeCommands(m *core.Machine, owned *core.OwnedPartition, via string) api.CommandBatch {
+	batch := api.CommandBatch{Token: m.CommandToken, Commands: am.CommandsFor(m, owned)}
+	recordLaunches(m, batch)
+	if len(batch.Commands) > 0 {
+		slog.Info("commands sent", "machine", m.ID, "via", via, "epoch", m.Epoch, "token", batch.Token,
+			"reported_token", m.ReportedToken, "commands", batch.Commands)
 	}
-	slog.Debug("commands sent", "machine", m.ID, "via", via, "token", batch.Token, "reported_token", m.ReportedToken,
-		"call_in_flight", m.CallInFlight, "uncertain_token", m.UncertainToken, "commands", batch.Commands)
+	return batch
 }
--- a/controller/agent/launch_model_test.go
+++ b/controller/agent/launch_model_test.go
@@ -8,16 +8,15 @@
 
 // The model has one machine, one attempt and its partition's owner, which may be replaced. Launches and
 // reaps are sent in replies to heartbeats and in direct calls. A reply is executed or dropped at any time
-// before the agent's next heartbeat. A direct call is answered or not; a copy of it may arrive at any later
-// time, also if it is answered, when the HTTP client has sent it twice.
+// before the agent's next heartbeat. A direct call is answered or not; in both cases copies of it arrive at
+// any later time, any number of times and in any order.
 
 // launchGuards are the conditions under which an attempt is reaped or recorded as never started.
 type launchGuards struct {
-	replySettled bool // not while a reply with the launch may be executed
-	callSettled  bool // not while a direct call with the launch is in flight
-	unanswered   bool // not before the token is raised after an unanswered call
-	repeated     bool // not before the token is raised after a call that was sent twice
-	aboveLaunch  bool // a missing attempt has never started only under a token above its launches
+	calls        bool // a reap needs a reported token above that of the launches in direct calls
+	replies      bool // a reap needs a reported token above that of the launches in replies
+	missing      bool // a missing attempt has never started only under a reported token above its launches
+	termReported bool // an owner gives commands and draws conclusions only when its term has been reported
 }
 
 // modelMaxToken bounds the tokens: terms of owners and revisions that they obtain.
@@ -44,19 +43,20 @@
 	attempt  attemptState
 	waiting  bool // a heartbeat is in flight: its reply has been neither executed nor dropped
 	reply    reply
-	launches [modelMaxToken + 1]bool // copies of launches that may arrive, by token
+	launches [modelMaxToken + 1]bool // copies of direct calls with a launch that may arrive, by token
+	reaps    [modelMaxToken + 1]bool // the same with a reap
 
 	// The cluster state and its owner's knowledge.
+	unwanted      bool // the attempt is to end, because its job is cancelled
 	ended         bool // the end of the attempt is durable
 	term          int8
 	commandToken  int8
-	launchToken   int8 // highest token of a launch by this owner
+	calledToken   int8 // highest token of this owner's direct calls with a launch
+	repliedToken  int8 // highest token of this owner's replies with a launch
 	seen          attemptState
 	heard         bool // the owner has received a heartbeat
 	reportedToken int8
 	callInFlight  bool
-	uncertain     int8 // as Machine.UncertainToken
-	replied       bool // as Machine.RepliedLaunches
 	violated      bool
 }
 
@@ -103,23 +103,20 @@
 // receive updates the owner's knowledge by a heartbeat or the answer to a direct call.
 func (w *launchWorld) receive() {
 	w.heard, w.seen, w.reportedToken = true, w.attempt, w.token
-	if w.reportedToken > w.uncertain {
-		w.uncertain = 0
-	}
 }
 
 // maySend reports whether the owner may give commands.
-func (w launchWorld) maySend() bool {
-	return w.heard && w.reportedToken >= w.term
+func (w launchWorld) maySend(g launchGuards) bool {
+	return w.heard && (w.reportedToken >= w.term || !g.termReported)
 }
 
 // commands returns the commands that the owner gives the machine.
 func (w launchWorld) commands(g launchGuards) (launch, reap bool) {
-	if !w.maySend() {
+	if !w.maySend(g) {
 		return false, false
 	}
-	unsettled := w.callInFlight && g.callSettled || w.uncertain != 0 || w.replied && g.replySettled
-	return !w.ended && w.seen == attemptAbsent, w.ended && w.seen == attemptExited && !unsettled
+	mayStillLaunch := g.calls && w.reportedToken <= w.calledToken || g.replies && w.reportedToken <= w.repliedToken
+	return !w.ended && !w.unwanted && w.seen == attemptAbsent, w.ended && w.seen == attemptExited && !mayStillLaunch
 }
 
 // machineSteps are the steps of the machine, and late copies that reach it.
@@ -127,10 +124,13 @@
 	if t.from.attempt == attemptLive {
 		t.step(func(n *launchWorld) { n.attempt = attemptExited })
 	}
-	for token, sent := range t.from.launches {
-		if sent {
+	for token := range t.from.launches {
+		if t.from.launches[token] {
 			t.step(func(n *launchWorld) { n.execute(int8(token), true, false) })
 		}
+		if t.from.reaps[token] {
+			t.step(func(n *launchWorld) { n.execute(int8(token), false, true) })
+		}
 	}
 }
 
@@ -150,96 +150,85 @@
 	}
 	t.step(func(n *launchWorld) {
 		n.receive()
-		n.replied = false
 		launch, reap := n.commands(g)
-		n.waiting, n.reply, n.replied = true, reply{token: n.commandToken, launch: launch, reap: reap}, launch
+		n.waiting, n.reply = true, reply{token: n.commandToken, launch: launch, reap: reap}
 		if launch {
-			n.launchToken = n.commandToken
+			n.repliedToken = n.commandToken
 		}
 	})
 }
 
-// callSteps are the steps in which the owner makes a direct call, and the call is answered or not.
+// callSteps are the steps in which the owner makes a direct call, and the call is answered or not. The first
+// copy that arrives is the call itself.
 func (t launchTransition) callSteps() {
 	w, g := t.from, t.guards
 	if w.callInFlight {
-		token := w.launchToken
-		t.step(func(n *launchWorld) { // answered: the only copy has arrived
-			n.callInFlight, n.launches[token] = false, false
-			n.execute(token, true, false)
-			n.receive()
-		})
-		t.step(func(n *launchWorld) { // answered, but a first copy may still arrive
+		t.step(func(n *launchWorld) { // answered
 			n.callInFlight = false
-			n.execute(token, true, false)
-			if g.repeated {
-				n.uncertain = token
-			}
+			n.execute(w.calledToken, true, false)
 			n.receive()
 		})
-		t.step(func(n *launchWorld) { // not answered
-			n.callInFlight = false
-			if g.unanswered {
-				n.uncertain = token
-			}
-		})
+		t.step(func(n *launchWorld) { n.callInFlight = false }) // not answered
 		return
 	}
+	t.step(func(n *launchWorld) { // without commands
+		n.execute(n.commandToken, false, false)
+		n.receive()
+	})
 	launch, reap := w.commands(g)
 	if launch {
 		t.step(func(n *launchWorld) {
-			n.callInFlight, n.launchToken, n.launches[n.commandToken] = true, n.commandToken, true
+			n.callInFlight, n.calledToken, n.launches[n.commandToken] = true, n.commandToken, true
 		})
 	}
 	if reap {
-		t.step(func(n *launchWorld) { n.execute(n.commandToken, false, true) })
+		t.step(func(n *launchWorld) { n.reaps[n.commandToken] = true })
 	}
 }
 
-// recordSteps are the steps in which the owner records the end of the attempt: it has exited or, if it is
-// no longer wanted, has never started. The latter may begin with a wish for a newer token.
+// recordSteps are the steps in which the job is cancelled, and in which the owner records the end of the
+// attempt: it has exited or, if it is no longer wanted, has never started.
 func (t launchTransition) recordSteps() {
 	w, g := t.from, t.guards
-	if w.ended || !w.maySend() {
+	if !w.unwanted {
+		t.step(func(n *launchWorld) { n.unwanted = true })
+	}
+	if w.ended || !w.maySend(g) {
 		return
 	}
 	if w.seen == attemptExited {
 		t.step(func(n *launchWorld) { n.ended = true })
 	}
-	latest := max(w.launchToken, w.term-1)
-	if w.seen == attemptAbsent && (w.reportedToken > latest || !g.aboveLaunch) {
+	refused := w.reportedToken > max(w.calledToken, w.repliedToken)
+	if w.unwanted && w.seen == attemptAbsent && (refused || !g.missing) {
 		t.step(func(n *launchWorld) { n.ended = true })
 	}
-	if w.seen == attemptAbsent && w.reportedToken <= latest {
-		t.step(func(n *launchWorld) { n.uncertain = max(n.uncertain, latest) })
-	}
 }
 
-// tokenSteps are the steps in which the owner raises the token after an uncertain call, and in which
-// another controller takes the partition over.
+// tokenSteps are the steps in which the owner raises the token, and in which another controller takes the
+// partition over.
 func (t launchTransition) tokenSteps() {
 	w := t.from
-	if w.uncertain != 0 && w.commandToken <= w.uncertain && w.commandToken < modelMaxToken {
-		t.step(func(n *launchWorld) { n.commandToken++ })
-	}
-	if w.term < modelMaxToken && w.commandToken < modelMaxToken {
-		t.step(func(n *launchWorld) {
-			n.term = n.commandToken + 1
-			n.commandToken, n.launchToken, n.uncertain = n.term, 0, 0
-			n.heard, n.seen, n.reportedToken, n.callInFlight, n.replied = false, attemptAbsent, 0, false, false
-		})
+	if w.commandToken == modelMaxToken {
+		return
 	}
+	t.step(func(n *launchWorld) { n.commandToken++ })
+	t.step(func(n *launchWorld) {
+		n.term = n.commandToken + 1
+		n.commandToken, n.calledToken, n.repliedToken = n.term, 0, 0
+		n.heard, n.seen, n.reportedToken, n.callInFlight = false, attemptAbsent, 0, false
+	})
 }
 
-// Once the end of an attempt is recorded, no machine starts the attempt, whichever way its launches take
-// and however late they arrive: in a reply to a heartbeat, in a direct call that is answered, not answered
-// or sent twice, or from a former owner. Each condition is necessary.
+// Once the end of an attempt is recorded, no machine starts the attempt, whichever way its launches take and
+// however late and often they arrive: in a reply to a heartbeat, in a direct call that is answered or not, or
+// from a former owner. Each condition is necessary.
 func TestLateLaunchInterleavings(t *testing.T) {
-	all := launchGuards{replySettled: true, callSettled: true, unanswered: true, repeated: true, aboveLaunch: true}
+	every := launchGuards{calls: true, replies: true, missing: true, termReported: true}
 	search := func(g launchGuards) (int, bool) {
 		return modelcheck.Explore(launchWorld{term: 1, commandToken: 1}, 0, func(w launchWorld, visit func(launchWorld)) bool { return w.next(g, visit) })
 	}
-	states, violated := search(all)
+	states, violated := search(every)
 	t.Logf("%d states", states)
 	if violated {
 		t.Error("an attempt starts again after its end was recorded")
@@ -248,13 +237,12 @@
 		t.Errorf("only %d states explored", states)
 	}
 	for what, without := range map[string]func(*launchGuards){
-		"the wait for the reply's end":        func(g *launchGuards) { g.replySettled = false },
-		"the wait for the call's end":         func(g *launchGuards) { g.callSettled = false },
-		"the new token after no answer":       func(g *launchGuards) { g.unanswered = false },
-		"the new token after a repeat":        func(g *launchGuards) { g.repeated = false },
-		"the launch's token of a missing one": func(g *launchGuards) { g.aboveLaunch = false },
+		"the token above launches in direct calls": func(g *launchGuards) { g.calls = false },
+		"the token above launches in replies":      func(g *launchGuards) { g.replies = false },
+		"the token above a missing attempt's":      func(g *launchGuards) { g.missing = false },
+		"the report of the term":                   func(g *launchGuards) { g.termReported = false },
 	} {
-		g := all
+		g := every
 		without(&g)
 		if _, violated := search(g); !violated {
 			t.Errorf("without %s the search finds no violation", what)
--- a/controller/agent/manager.go
+++ b/controller/agent/manager.go
@@ -74,9 +74,9 @@
 			ID:           id,
 			DiscoveredAt: am.core.Now,
 			HeartbeatState: core.HeartbeatState{
-				ReportedTasks:   map[core.AttemptKey]api.TaskStatus{},
-				RepliedLaunches: map[core.AttemptKey]bool{},
+				ReportedTasks: map[core.AttemptKey]api.TaskStatus{},
 			},
+			TokenState:   core.TokenState{LaunchTokens: map[core.AttemptKey]api.FencingToken{}},
 			ScaleInState: core.ScaleInState{IdleSince: am.core.Now},
 			TaskHistory: core.TaskHistory{
 				CachedImages:   map[api.Image]sched.CachedImage{},
--- a/controller/agent/reconcile.go
+++ b/controller/agent/reconcile.go
@@ -3,6 +3,8 @@
 package agent
 
 import (
+	"log/slog"
+
 	"basaltwall/api"
 	"basaltwall/controller/core"
 )
@@ -10,8 +12,8 @@
 // LatestLaunchToken returns the highest fencing token under which a launch of the placement may still
 // arrive. Launches by former owners carry a token below this owner's term or, if the machine was lent
 // to the partition later, below the loan's revision.
-func (am *Manager) LatestLaunchToken(p *core.Placement, owned *core.OwnedPartition) api.FencingToken {
-	return max(p.OwnerState.LaunchToken, am.core.MinToken(owned, p.Machine)-1)
+func (am *Manager) LatestLaunchToken(m *core.Machine, p *core.Placement, owned *core.OwnedPartition) api.FencingToken {
+	return max(m.LaunchTokens[core.AttemptKey{Task: p.Task, Attempt: p.Attempt}], am.core.MinToken(owned, m.ID)-1)
 }
 
 // applyHeartbeat applies a heartbeat if it is newer than the last one, and reports whether it was. A
@@ -56,13 +58,14 @@
 
 // updateMachine updates a machine and its reported tasks from a heartbeat.
 func (am *Manager) updateMachine(m *core.Machine, heartbeat *api.Heartbeat) {
+	discardRefusedLaunches(m, heartbeat)
 	m.Epoch, m.Sequence = heartbeat.Epoch, heartbeat.Seq
 	m.ReportedToken = heartbeat.Token
 	m.LastHeartbeat = am.core.Now
 	m.Address, m.MachineType, m.Zone, m.Spot = heartbeat.Address, heartbeat.Type, heartbeat.Zone, heartbeat.Spot
 	m.ReclaimNotice = heartbeat.PreemptionNotice != nil
-	if heartbeat.Token > m.UncertainToken {
-		m.UncertainToken = 0
+	if heartbeat.Token > m.SupersededToken {
+		m.SupersededToken = 0
 	}
 	clear(m.ReportedTasks)
 	for _, taskReport := range heartbeat.Tasks {
@@ -98,11 +101,11 @@
 	if !p.Job.Terminal() && !p.OwnerState.StopRequested {
 		return
 	}
-	launchToken := am.LatestLaunchToken(p, owned)
+	launchToken := am.LatestLaunchToken(m, p, owned)
 	if m.ReportedToken > launchToken {
 		am.deps.Scheduler.RecordTaskEnd(owned, p, false, "never started")
 	} else {
-		m.UncertainToken = max(m.UncertainToken, launchToken)
+		m.SupersededToken = max(m.SupersededToken, launchToken)
 	}
 }
 
@@ -142,10 +145,13 @@
 // cluster state. These tasks are being stopped but occupy capacity until they exit.
 func (am *Manager) countUntrackedUsage(m *core.Machine) {
 	m.UntrackedUsage, m.HasUnknownTasks = api.Resources{}, false
+	known := m.UnplacedTasks
+	m.UnplacedTasks = nil
 	for k, taskReport := range m.ReportedTasks {
 		if taskReport.State == api.TaskExited || am.placementOf(m.ID, k) != nil {
 			continue
 		}
+		am.recordUnplacedTask(m, k, taskReport, known[k])
 		if j := am.core.State.Jobs[k.Task.Job]; j != nil {
 			m.UntrackedUsage = m.UntrackedUsage.Plus(j.Demand)
 		} else {
@@ -154,6 +160,21 @@
 	}
 }
 
+// recordUnplacedTask records a task that has not exited and has no placement, and reports it unless it was
+// known before. It shows that a command was executed late or more than once.
+func (am *Manager) recordUnplacedTask(m *core.Machine, k core.AttemptKey, taskReport api.TaskStatus, known bool) {
+	if m.UnplacedTasks == nil {
+		m.UnplacedTasks = map[core.AttemptKey]bool{}
+	}
+	m.UnplacedTasks[k] = true
+	if known {
+		return
+	}
+	am.core.Metrics.UnplacedTasks++
+	slog.Warn("task without a placement reported", "machine", m.ID, "task", taskReport.Task, "attempt", taskReport.Attempt,
+		"state", taskReport.State, "epoch", m.Epoch, "reported_token", m.ReportedToken)
+}
+
 // placementOf returns the placement of an attempt on a machine; nil if there is none.
 func (am *Manager) placementOf(id api.MachineID, k core.AttemptKey) *core.Placement {
 	for _, p := range am.core.State.PlacementsOn(id) {
--- a/controller/balance/transfer.go
+++ b/controller/balance/transfer.go
@@ -47,7 +47,7 @@
 // IsTransferable reports whether all tasks of a machine can be transferred with it: each is known and
 // transferable, and their jobs are few enough for the conditions of one transaction.
 func (b *Balancer) IsTransferable(m *core.Machine, owned *core.OwnedPartition) bool {
-	if !hasOnlyKnownTasks(m) || m.UncertainToken != 0 {
+	if !hasOnlyKnownTasks(m) || m.SupersededToken != 0 {
 		return false
 	}
 	jobs := map[api.JobID]bool{}
--- a/controller/core/machine.go
+++ b/controller/core/machine.go
@@ -46,20 +46,24 @@
 	SuspectSince       api.Time // when a heartbeat arrived after a gap, so that it may be stale; 0 if none is suspect
 	ReclaimNotice      bool     // the cloud is about to reclaim the machine
 	ReportedTasks      map[AttemptKey]api.TaskStatus
-	UntrackedUsage     api.Resources // of reported tasks that are not in the cluster state
-	HasUnknownTasks    bool          // a task of an unknown job runs on the machine
-
-	// RepliedLaunches are the attempts with a launch in the reply to the newest heartbeat that this
-	// controller received from the agent itself, or to an older one received later.
-	RepliedLaunches map[AttemptKey]bool
+	UntrackedUsage     api.Resources       // of reported tasks that are not in the cluster state
+	HasUnknownTasks    bool                // a task of an unknown job runs on the machine
+	UnplacedTasks      map[AttemptKey]bool // reported tasks that have not exited and have no placement
 }
 
 // TokenState contains a machine's fencing tokens. Agents refuse commands with a token lower than
 // the highest that they have seen.
 type TokenState struct {
-	ReportedToken  api.FencingToken // highest token reported by the agent
-	CommandToken   api.FencingToken // token of commands to the machine; 0 if there is none yet
-	UncertainToken api.FencingToken // direct commands with tokens up to this one may still arrive, though no call is in flight; 0 if there are none
+	ReportedToken api.FencingToken // highest token reported by the agent
+	CommandToken  api.FencingToken // token of commands to the machine; 0 if there is none yet
+
+	// LaunchTokens is the highest token under which this owner has launched each attempt, as long as the
+	// agent has not reported a higher one: until then it may execute a launch of the attempt.
+	LaunchTokens map[AttemptKey]api.FencingToken
+
+	// SupersededToken is the highest token of launches that must be refused before a missing placement can
+	// be recorded as never started; 0 if there is none.
+	SupersededToken api.FencingToken
 }
 
 // DirectCallState is the state of direct calls to a machine's agent, made without waiting for its
--- a/controller/core/metrics.go
+++ b/controller/core/metrics.go
@@ -35,6 +35,7 @@
 	CloudRequests, WorkerCalls                uint64
 	WorkerCallsRepeated                       uint64 // by the HTTP client
 	WorkerHeartbeats, MalformedMessages       uint64
+	UnplacedTasks                             uint64 // reported by machines without a placement
 	PollsDeferred                             uint64
 }
 
--- a/controller/core/tracking.go
+++ b/controller/core/tracking.go
@@ -25,12 +25,11 @@
 
 // PlacementOwnerState is the state of a placement that the owner of its partition keeps in memory.
 type PlacementOwnerState struct {
-	LaunchToken     api.FencingToken // highest token of a launch that may be in flight
-	Reported        bool             // a heartbeat has reported the task
-	State           api.TaskState    // as last reported
-	PlacedAt        api.Time         // when it became known to this process
-	RunningSince    api.Time         // when it was first reported as running
-	HaltRequested   bool             // a call to halt it was made, because its job is cancelled
+	Reported        bool          // a heartbeat has reported the task
+	State           api.TaskState // as last reported
+	PlacedAt        api.Time      // when it became known to this process
+	RunningSince    api.Time      // when it was first reported as running
+	HaltRequested   bool          // a call to halt it was made, because its job is cancelled
 	StopRequested   bool
 	StopRequestedAt api.Time
 	StopGrace       float64 // grace period for the task to stop, in seconds
--- a/controller/golden_test.go
+++ b/controller/golden_test.go
@@ -125,6 +125,8 @@
 	golden.JSON(f, "jobs", golden.Filled[jobs.Listing](t))
 	golden.JSON(f, "settings", golden.Filled[operations.VersionedSettings](t))
 	view := golden.Filled[metrics.View](t)
+	golden.JSON(f, "metrics with tasks without placement", view)
+	view.UnplacedTasks = 0
 	golden.JSON(f, "metrics with rejections", view)
 	view.StoreRejections = 0
 	golden.JSON(f, "metrics with repeated calls", view)
--- a/controller/metrics/reporter.go
+++ b/controller/metrics/reporter.go
@@ -135,6 +135,7 @@
 		WorkerCalls:            m.WorkerCalls,
 		WorkerCallsRepeated:    m.WorkerCallsRepeated,
 		StoreRejections:        m.StoreRejections,
+		UnplacedTasks:          m.UnplacedTasks,
 		WorkerHeartbeats:       m.WorkerHeartbeats,
 		FlowTasks:              m.FlowTasks,
 		FlowMachines:           m.FlowMachines,
--- a/controller/metrics/view.go
+++ b/controller/metrics/view.go
@@ -79,6 +79,9 @@
 	// good.
 	WorkerCallsRepeated uint64 `json:"worker_calls_repeated,omitempty"`
 	StoreRejections     uint64 `json:"state_rejections,omitempty"`
+
+	// Tasks that machines report although the cluster state has no placement for them.
+	UnplacedTasks uint64 `json:"tasks_without_placement,omitempty"`
 }
 
 // ZoneView is an unhealthy zone as shown to operators.
--- a/controller/rounds/ownership.go
+++ b/controller/rounds/ownership.go
@@ -28,7 +28,7 @@
 	// Applies the latest machine list at once: the next one may take long.
 	s.deps.Autoscaler.ReconcileMachineList()
 	for _, m := range s.deps.Agents.MachinesOf(p) {
-		m.CommandToken, m.UncertainToken, m.UnansweredCalls, m.DiscoveredAt = s.core.MinToken(owned, m.ID), 0, 0, s.core.Now
+		m.CommandToken, m.SupersededToken, m.UnansweredCalls, m.DiscoveredAt = s.core.MinToken(owned, m.ID), 0, 0, s.core.Now
 	}
 	s.deps.Backfiller.RestoreReservations(owned)
 	s.deps.Priorities.ContactPriorityMachines(owned)
@@ -41,7 +41,7 @@
 func (s *Scheduler) adoptPlacement(owned *core.OwnedPartition, placement *core.Placement) {
 	s.core.State.SetFinishing(placement, false)
 	tracking := &placement.OwnerState
-	tracking.StopRequested, tracking.HaltRequested, tracking.LaunchToken, tracking.Reported = false, false, 0, false
+	tracking.StopRequested, tracking.HaltRequested, tracking.Reported = false, false, false
 	if tracking.PlacedAt == 0 {
 		tracking.PlacedAt = s.core.Now
 	}
--- a/controller/transfer_test.go
+++ b/controller/transfer_test.go
@@ -16,7 +16,7 @@
 	}{
 		"running tasks":                   {func(*core.Machine, *core.Job, *core.Placement) {}, true},
 		"an unknown task":                 {func(m *core.Machine, _ *core.Job, _ *core.Placement) { m.HasUnknownTasks = true }, false},
-		"a command that may still arrive": {func(m *core.Machine, _ *core.Job, _ *core.Placement) { m.UncertainToken = 3 }, false},
+		"a command that may still arrive": {func(m *core.Machine, _ *core.Job, _ *core.Placement) { m.SupersededToken = 3 }, false},
 		"a task that is being stopped":    {func(_ *core.Machine, _ *core.Job, p *core.Placement) { p.OwnerState.StopRequested = true }, false},
 		"a launch in flight":              {func(_ *core.Machine, _ *core.Job, p *core.Placement) { p.OwnerState.Reported = false }, false},
 		"a gang":                          {func(_ *core.Machine, j *core.Job, _ *core.Placement) { j.Spec.Kind = api.Gang }, false},
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -28,6 +28,7 @@
 	heartbeatPending     bool
 	nextHeartbeat        time.Duration
 	statusChanged        bool
+	nextTokenChange      time.Duration // a higher token is no reason for a heartbeat before
 	dead                 bool
 	hungUntil            time.Duration
 	heldCalls            []func() // direct commands that are held while the machine hangs
--- a/internal/emulator/worker_protocol.go
+++ b/internal/emulator/worker_protocol.go
@@ -115,9 +115,15 @@
 	wk.executeCommands(o.Commands)
 }
 
+// raiseToken records a higher token. It counts as a change at most once per half of the lease.
 func (wk *Worker) raiseToken(t api.FencingToken) {
-	if t > wk.fencingToken {
-		wk.fencingToken, wk.statusChanged = t, true
+	if t <= wk.fencingToken {
+		return
+	}
+	wk.fencingToken = t
+	if wk.sim.Now >= wk.nextTokenChange {
+		wk.nextTokenChange = wk.sim.Now + wk.sim.configs[wk.sim.controllerNames[0]].WorkerLease()/2
+		wk.statusChanged = true
 	}
 }
 
