--- a/server/copies_test.go
+++ b/server/copies_test.go
@@ -37,8 +37,9 @@
 		load.submit(t)
 		load.cancelSome(t, live)
 		live.InjectFaults(func(sim *emulator.Simulation) {
-			machines := sim.Machines()
-			sim.FailTasks(machines[load.rng.IntN(len(machines))], 300*time.Millisecond)
+			if machines := sim.Machines(); len(machines) > 0 { // all may have been replaced at once
+				sim.FailTasks(machines[load.rng.IntN(len(machines))], 300*time.Millisecond)
+			}
 		})
 	}
 	live.InjectFaults(func(sim *emulator.Simulation) {
