--- a/controller/agent/command_test.go
+++ b/controller/agent/command_test.go
@@ -141,8 +141,7 @@
 	}
 }
 
-// The token is raised in the reply to a heartbeat, so that no reply under the former token is lost, and only
-// if an exited attempt without a placement waits for it.
+// The token is raised only if an exited attempt without a placement waits for it.
 func TestTokenIsRaisedForReaps(t *testing.T) {
 	k := core.AttemptKey{Task: api.TaskID{Job: "run-9"}, Attempt: 3}
 	for what, c := range map[string]struct {
--- a/internal/emulator/controllers.go
+++ b/internal/emulator/controllers.go
@@ -171,7 +171,7 @@
 	sim.Checker.RecordFaultUntil(sim.Now + delay)
 	sim.After(delay, func() {
 		if wk := sim.workersByAddr[address]; wk != nil {
-			sim.transmitToZone(controllerName, wk.zone, func() { wk.handleCommands(body, func(int, []byte) {}) })
+			sim.transmitToZone(controllerName, wk.zone, func() { wk.handleCommands(body, discardResponse) })
 		}
 	})
 }
--- a/internal/emulator/copies.go
+++ b/internal/emulator/copies.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// This file delivers copies of requests: after a request has been executed and answered, the network delivers
-// it again, up to minutes later and to whatever has the receiver's address then. Nobody reads the responses.
+// This file delivers copies of requests: the network delivers a request again, up to minutes after it was sent,
+// usually executed and answered, to whatever has the receiver's address then. Nobody reads the responses.
 
 // Limits on the copies of one request. The copies of different requests overtake one another.
 const (
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -107,7 +107,7 @@
 	for i, body := range sim.heldHeartbeats {
 		for _, name := range sim.controllerNames {
 			sim.After(sim.latency()+time.Duration(i%3)*time.Millisecond, func() {
-				sim.Deliver(name, "POST", api.PathHeartbeat, message.Caller{}, body, func(int, []byte) {})
+				sim.Deliver(name, "POST", api.PathHeartbeat, message.Caller{}, body, discardResponse)
 			})
 		}
 	}
--- a/internal/emulator/worker_protocol.go
+++ b/internal/emulator/worker_protocol.go
@@ -55,7 +55,7 @@
 		// A random controller receives a duplicate, up to two leases late.
 		delay := 2*time.Second + time.Duration(sim.rand.Int64N(int64(2*sim.configs[name].WorkerLease())))
 		to := sim.controllerNames[sim.rand.IntN(len(sim.controllerNames))]
-		sim.After(delay, func() { sim.Deliver(to, "POST", api.PathHeartbeat, message.Caller{}, body, func(int, []byte) {}) })
+		sim.After(delay, func() { sim.Deliver(to, "POST", api.PathHeartbeat, message.Caller{}, body, discardResponse) })
 	}
 	transmit(func() {
 		sim.SendHeartbeat(wk, name, body, func(status int, answer []byte) {
