--- a/review/stand-ins-2/testdata/bench/excluded.go
+++ b/review/stand-ins-2/testdata/bench/excluded.go
@@ -11,7 +11,7 @@
 // machine is well again, the job must run.
 func excluded(dir, record string) int {
 	s := kippermulde()
-	s.Capacity = map[string]int{"hof-nord": 1, "hof-sued": 4, "muenchen": 4}
+	s.Capacity = map[string]int{"hof-nord": 1, "hof-sued": 12, "muenchen": 12}
 	w := newWorld(s, dir, record, 3)
 	var nord *machine
 	for _, zone := range s.Zones {
@@ -25,7 +25,7 @@
 	if !w.startAll() {
 		return w.finish("the controllers are not ready")
 	}
-	if !w.portals(18) {
+	if !w.portals(43) {
 		return w.finish("the portal's replicas do not run")
 	}
 	if w.trouble {
