--- a/review/stand-ins-2/testdata/bench/main.go
+++ b/review/stand-ins-2/testdata/bench/main.go
@@ -33,7 +33,11 @@
 	for _, c := range w.nodes {
 		w.launch(c)
 	}
-	return w.waitReady(15 * time.Second)
+	ready := w.waitReady(15 * time.Second)
+	w.mu.Lock()
+	w.ready = ready
+	w.mu.Unlock()
+	return ready
 }
 
 // portals submits services of one replica each, as the portal of the brief, and waits until all run. The
--- a/review/stand-ins-2/testdata/bench/worker.go
+++ b/review/stand-ins-2/testdata/bench/worker.go
@@ -124,10 +124,21 @@
 			continue
 		}
 		body, turno, node := m.report(), m.turno, m.node
+		cut := w.cutZone == m.zone
 		w.mu.Unlock()
 		sent := time.Now()
-		status, answer := m.send(node, body)
+		status, answer := 0, []byte(nil)
+		if cut {
+			m.client.CloseIdleConnections()
+			cut = m.hangs(4 * time.Second)
+		}
+		if !cut {
+			status, answer = m.send(node, body)
+		}
 		w.mu.Lock()
+		if w.cutZone == m.zone { // the answer does not get through
+			status = 0
+		}
 		if status == 413 || len(body) > maxBody {
 			m.refused++
 			w.note("%s: report of %d bytes to %s: %d", m.id, len(body), w.nodes[node].label, status)
@@ -160,6 +171,26 @@
 	}
 }
 
+// hangs reports whether a connection can't be opened within a time because of a cut. The attempt is repeated
+// after 1 s and 3 s, as TCP does. It runs without mu.
+func (m *machine) hangs(limit time.Duration) bool {
+	begin := time.Now()
+	for _, at := range []time.Duration{time.Second, 3 * time.Second, limit} {
+		select {
+		case <-time.After(time.Until(begin.Add(at))):
+		case <-m.stop:
+			return true
+		}
+		m.w.mu.Lock()
+		cut := m.w.cutZone == m.zone
+		m.w.mu.Unlock()
+		if !cut && at < limit {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *machine) send(node int, body []byte) (int, []byte) {
 	res, err := m.client.Post("http://"+m.w.nodes[node].api+"/checkin", "application/json", bytes.NewReader(body))
 	if err != nil {
@@ -233,6 +264,11 @@
 		return
 	}
 	m.w.mu.Lock()
+	if m.w.cutZone == m.zone { // the call is lost, and its connection hangs
+		m.w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	defer m.w.mu.Unlock()
 	if m.state != "running" {
 		return
--- a/review/stand-ins-2/testdata/bench/world.go
+++ b/review/stand-ins-2/testdata/bench/world.go
@@ -60,6 +60,8 @@
 	MemoryMB float64
 	CPU      float64
 	Capacity map[string]int // machines by zone, all types together
+
+	Controllers string // zone of all controllers; empty: one in each zone
 }
 
 // kippermulde returns the settings of the smaller deployment of the brief.
@@ -78,6 +80,21 @@
 	}
 }
 
+// lopresti returns the settings of the marketplace's larger deployment.
+func lopresti() site {
+	zones := []string{"palermo", "catania", "ragusa", "roma-nuvola"}
+	return site{
+		Zones: zones, Controllers: "palermo",
+		Types: []machineType{{Name: "visione24", Cores: 24, GPUs: 2, RAM: 96, Cache: 100, Fetch: 1, Price: 5.85, SpotPrice: 2.67, Ready: 50, Zones: zones}},
+		Teams: []object{{"name": "bottega-web", "cpus": 0.0, "cpus_max": 0.0, "gpus": 50.0, "gpus_max": 150.0},
+			{"name": "artigiani", "cpus": 0.0, "cpus_max": 0.0, "gpus": 100.0, "gpus_max": 600.0}},
+		Report: 8, Lease: 45, GangWait: 35, GangPeer: 6, Cancel: 65,
+		State:    settingsState{180, 70, 8, 48},
+		CloudRPS: 6, ListLag: 10, FDs: 2438, MemoryMB: 220, CPU: 0.288,
+		Capacity: map[string]int{},
+	}
+}
+
 type task struct {
 	name    string
 	job     string
@@ -151,6 +168,8 @@
 	trouble  bool
 	on       map[string]string // task name -> machine where it is
 	adminKey string            // file with the operators' first key; with it the controllers run hosted
+	ready    bool              // all controllers have served
+	cutZone  string            // a zone that is cut off from everything; its machines work on
 	anyJob   *job              // the description of jobs that workers know by no other id
 	auth     string            // the Authorization header of users' requests
 }
@@ -177,11 +196,15 @@
 	}
 }
 
+// freeAddr returns a free address below the ports that the system gives to connections.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
+	}
 }
 
 // serve serves a handler on a free port of loopback.
@@ -193,6 +216,14 @@
 	return l.Addr().String(), s
 }
 
+// zoneOf returns the zone of a controller.
+func (s *site) zoneOf(controller int) string {
+	if s.Controllers != "" {
+		return s.Controllers
+	}
+	return s.Zones[controller%len(s.Zones)]
+}
+
 func newWorld(s site, dir, record string, controllers int) *world {
 	f, err := os.Create(record)
 	must(err)
@@ -208,10 +239,10 @@
 		peers := []object{}
 		for j, o := range w.nodes {
 			if o != c {
-				peers = append(peers, object{"label": o.label, "domain": s.Zones[j%len(s.Zones)], "peer_addr": o.peer})
+				peers = append(peers, object{"label": o.label, "domain": s.zoneOf(j), "peer_addr": o.peer})
 			}
 		}
-		settings := object{"label": c.label, "domain": s.Zones[i%len(s.Zones)], "api_addr": c.api, "peer_listen": c.peer, "peers": peers,
+		settings := object{"label": c.label, "domain": s.zoneOf(i), "api_addr": c.api, "peer_listen": c.peer, "peers": peers,
 			"external": object{"cloud": cloudAddr, "state": storeAddr},
 			"deployment": object{"initial_size": controllers, "zones": s.Zones, "teams": s.Teams, "objectives": []object{},
 				"workers": object{"report_s": s.Report, "lease_s": s.Lease, "gang_wait_s": s.GangWait, "gang_peer_s": s.GangPeer, "cancel_s": s.Cancel},
@@ -241,7 +272,9 @@
 		err := cmd.Wait()
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !c.ended {
+		if !c.ended && !w.ready {
+			w.note("controller %s ended before all were ready: %v", c.label, err)
+		} else if !c.ended {
 			c.endedAt = time.Now()
 			w.breaks("controller %s ended by itself: %v: %s", c.label, err, lastPanic(c.log))
 		}
