Gangs: a gang of which some ends were recorded without a result is completed

Cause: when one task of a gang is done, all are, but a round applied this only to ends recorded after the completion. An end without a result (expired lease, deleted machine) that was recorded before, or stood at a higher index in the same round, left a task neither completed nor placed, and a gang starts only as a whole.

Change: the owner that starts a gang's tasks records the completion of those neither completed nor placed once one completion is recorded.

Checker: a job whose tasks have all completed violates left_waiting if it is not reported done within 90 s.

checker_test.go: a literal got its field names, since the struct has a third.

--- a/controller/rounds/plan.go
+++ b/controller/rounds/plan.go
@@ -70,6 +70,7 @@
 	for _, placement := range slices.SortedFunc(maps.Keys(owned.PendingEnds), comparePlacements) {
 		b.addEnd(placement)
 	}
+	s.completeGangs(b)
 	s.acknowledgeCancellations(b)
 	owned.PlannedTeams = map[api.Team]bool{}
 	owned.ReservedQuota = s.deps.Backfiller.QuotaReservedForOthers(owned)
@@ -103,25 +104,6 @@
 	}
 }
 
-// groupGangs groups the starts of each gang, which are recorded together or not at all; every other start
-// is a group of its own.
-func groupGangs(starts []*core.Placement) [][]*core.Placement {
-	var groups [][]*core.Placement
-	gangs := map[api.JobID]int{}
-	for _, start := range starts {
-		i, known := gangs[start.Job.ID]
-		if known {
-			groups[i] = append(groups[i], start)
-			continue
-		}
-		if start.Job.Spec.Kind == api.Gang {
-			gangs[start.Job.ID] = len(groups)
-		}
-		groups = append(groups, []*core.Placement{start})
-	}
-	return groups
-}
-
 func comparePlacements(a, b *core.Placement) int {
 	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
 }
@@ -189,28 +171,6 @@
 	delete(b.owned.PendingEnds, placement)
 }
 
-// isCompletion reports whether the end of a placement is recorded as a completion. No completion is
-// recorded after the cancellation of the job: otherwise a job reported as cancelled could be
-// reported as done later. When one task of a gang is done, all are.
-func (b *roundBuilder) isCompletion(placement *core.Placement) bool {
-	if placement.Job.Cancelled {
-		return false
-	}
-	return b.owned.PendingEnds[placement] || placement.Job.Spec.Kind == api.Gang && isGangDone(b.owned, placement.Job)
-}
-
-func isGangDone(owned *core.OwnedPartition, j *core.Job) bool {
-	if j.CompletedCount > 0 {
-		return true
-	}
-	for _, placement := range j.Placements {
-		if owned.PendingEnds[placement] {
-			return true
-		}
-	}
-	return false
-}
-
 // acknowledgeCancellations stops the tasks of cancelled jobs and acknowledges the cancellation of
 // those that can't start tasks in the partition any more.
 func (s *Scheduler) acknowledgeCancellations(b *roundBuilder) {
--- a/internal/emulator/starvation.go
+++ b/internal/emulator/starvation.go
@@ -31,7 +31,10 @@
 	usage := sim.clusterUsage()
 	feasible := map[invariant.FeasiblePlacement]bool{}
 	for _, ref := range slices.Sorted(maps.Keys(sim.Users.AcceptedAt)) {
-		if sim.waitsOnlyForCapacity(ref, usage) {
+		switch {
+		case sim.isUnreported(ref):
+			feasible[invariant.FeasiblePlacement{Job: ref, Completed: true}] = true
+		case sim.waitsOnlyForCapacity(ref, usage):
 			usage.addFeasible(sim.Now, ref, c.Spec(ref), feasible)
 		}
 	}
@@ -70,6 +73,14 @@
 	u.tasksByZone[t.id.Job][wk.zone]++
 }
 
+// isUnreported reports whether all tasks of a job have completed and its user, who still polls, has not been told.
+func (sim *Simulation) isUnreported(ref api.JobID) bool {
+	c := sim.Checker
+	s := c.Spec(ref)
+	return s != nil && !c.CancelWasRequested(ref) && invariant.StateRank(c.ReportedState(ref)) != invariant.RankFinal &&
+		c.CompletedTasks(ref) >= s.Tasks
+}
+
 // waitsOnlyForCapacity reports whether a job has pending tasks that lack nothing but free capacity. Jobs that need
 // units of a pool, and jobs of tenants, are left out because they may wait for other reasons.
 func (sim *Simulation) waitsOnlyForCapacity(ref api.JobID, usage *clusterUsage) bool {
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -83,7 +83,7 @@
 		}},
 		{RuleStarvation, func(c *Checker) {
 			for at := time.Second; at < 100*time.Second; at += StarvationCheckInterval {
-				c.RecordFeasible(at, map[FeasiblePlacement]bool{{"run-1", "i-1"}: true})
+				c.RecordFeasible(at, map[FeasiblePlacement]bool{{Job: "run-1", Machine: "i-1"}: true})
 			}
 		}},
 		{RuleJobLost, func(c *Checker) {
--- a/internal/invariant/starvation.go
+++ b/internal/invariant/starvation.go
@@ -13,16 +13,30 @@
 
 // starvationTimeout is the time after which a pending job violates the rule: without faults, at each check,
 // the same machine had free capacity for one of its tasks (for a gang: the cluster for all its tasks) and the
-// team was within its limit. Capacity and quota that controllers reserve count as free.
+// team was within its limit. Capacity and quota that controllers reserve count as free. A job whose tasks have
+// all completed violates it after the same time without being reported done.
 const starvationTimeout = 90 * time.Second
 
 // StarvationCheckInterval is the interval between calls of RecordFeasible.
 const StarvationCheckInterval = 3 * time.Second
 
-// FeasiblePlacement is a pending job and a machine with free capacity for it. Machine is empty for a gang.
+// FeasiblePlacement is a pending job and a machine with free capacity for it. Machine is empty for a gang, and
+// for a job that needs no machine because all its tasks have completed.
 type FeasiblePlacement struct {
-	Job     api.JobID
-	Machine api.MachineID
+	Job       api.JobID
+	Machine   api.MachineID
+	Completed bool
+}
+
+// reason describes why the job should have left its state.
+func (p FeasiblePlacement) reason() string {
+	switch {
+	case p.Completed:
+		return "all its tasks had completed"
+	case p.Machine == "":
+		return "machines for all its tasks had free capacity"
+	}
+	return string(p.Machine) + " had free capacity"
 }
 
 // feasibleTimes holds the time since which each placement has been feasible.
@@ -55,11 +69,7 @@
 			c.feasibleSince[k] = at
 		} else if at >= since+starvationTimeout && !c.starvationReported[k.Job] {
 			c.starvationReported[k.Job] = true
-			where := "machines for all its tasks have"
-			if k.Machine != "" {
-				where = string(k.Machine) + " has"
-			}
-			c.RecordViolation(at, RuleStarvation, "job %s is pending though %s had free capacity since %.1f s", k.Job, where, since.Seconds())
+			c.RecordViolation(at, RuleStarvation, "job %s is pending though %s since %.1f s", k.Job, k.reason(), since.Seconds())
 		}
 	}
 }
