Failures: a machine is tried again after a delay, by one task as a probe

Cause: the owner kept the names of the machines where a job failed and removed none; the set was ignored only beyond half of the partition's machines, also those that the job can't use. The same class: a quarantine lasted ten minutes.

The reason that "admin job" gives now names the failures and the next retry.

Change: after a failure no task for 10 s, later 40 s at most; then one task at a time, after other machines, until one has completed or run for 15 s. The same for quarantines, reservations and relocations.

--- a/controller/agent/exit.go
+++ b/controller/agent/exit.go
@@ -20,7 +20,6 @@
 	maxBackoffDoublings  = 5
 
 	recentFailureWindow   = time.Minute
-	quarantineDuration    = 10 * time.Minute
 	quarantineFailedJobs  = 2 // distinct jobs with recent failures that quarantine a machine
 	backoffFailedMachines = 2 // distinct machines with failures that make a job back off
 
@@ -36,6 +35,7 @@
 	case api.ReasonDone:
 		am.cacheImage(m, j.Spec)
 		delete(m.RecentFailures, j.ID)
+		am.core.EndProbes(m, p)
 		j.OwnerState.Failures = 0
 		if p.OwnerState.RunningSince != 0 {
 			am.updateRelativeRuntime(m, j, am.core.Now.Sub(p.OwnerState.RunningSince).Seconds())
@@ -44,12 +44,9 @@
 		return
 	case api.ReasonError:
 		j.OwnerState.Failures++
-		if j.OwnerState.FailedOn == nil {
-			j.OwnerState.FailedOn = map[api.MachineID]bool{}
-		}
-		j.OwnerState.FailedOn[m.ID] = true
+		j.OwnerState.FailedOn.Failed(m.ID, am.core.Now)
 		m.RecentFailures[j.ID] = am.core.Now
-		am.attributeFailure(m, j)
+		am.attributeFailure(m, p)
 	case api.ReasonNoCapacity:
 		m.FullUntil = am.core.Now.Add(noCapacityBackoff)
 	case api.ReasonUnknown:
@@ -77,7 +74,8 @@
 
 // attributeFailure attributes a task failure to the machine, which is quarantined, or to the job,
 // which backs off.
-func (am *Manager) attributeFailure(m *core.Machine, j *core.Job) {
+func (am *Manager) attributeFailure(m *core.Machine, p *core.Placement) {
+	j := p.Job
 	recent := 0
 	for ref, at := range m.RecentFailures {
 		if am.core.Now.Sub(at) > recentFailureWindow {
@@ -86,9 +84,8 @@
 		}
 		recent++
 	}
-	if recent >= quarantineFailedJobs && m.QuarantinedUntil < am.core.Now {
-		m.QuarantinedUntil = am.core.Now.Add(quarantineDuration)
-		slog.Info("machine quarantined: failures of different jobs", "machine", m.ID)
+	if recent >= quarantineFailedJobs || m.Quarantine.IsProbe(p) {
+		am.quarantine(m)
 	}
 	// A job that fails on several machines is probably faulty itself. The backoff prevents it from
 	// occupying the same machines every round and from having them quarantined.
@@ -98,6 +95,16 @@
 	}
 }
 
+// quarantine keeps tasks off a machine for some time, longer after each failed probe.
+func (am *Manager) quarantine(m *core.Machine) {
+	if am.core.Now < m.Quarantine.RetryAt {
+		return
+	}
+	m.Quarantine.Failed(am.core.Now)
+	slog.Info("machine quarantined: failures of different jobs", "machine", m.ID, "failed_probes", m.Quarantine.Failures-1,
+		"next_probe_s", m.Quarantine.RetryAt.Sub(am.core.Now).Seconds())
+}
+
 // cacheImage records that a machine has cached an image, and removes the images that the machine must
 // have evicted for it.
 func (am *Manager) cacheImage(m *core.Machine, s *api.JobSpec) {
--- a/controller/agent/reconcile.go
+++ b/controller/agent/reconcile.go
@@ -114,6 +114,9 @@
 	if state == api.TaskRunning && p.OwnerState.State != api.TaskRunning {
 		p.OwnerState.RunningSince = am.core.Now
 	}
+	if state == api.TaskRunning && am.core.Now.Sub(p.OwnerState.RunningSince) >= core.FailureTrustTime {
+		owned.NeedsRound = am.core.EndProbes(m, p) || owned.NeedsRound
+	}
 	if state != api.TaskFetching {
 		am.cacheImage(m, p.Job.Spec)
 	}
--- a/controller/autoscale/scalein.go
+++ b/controller/autoscale/scalein.go
@@ -72,7 +72,7 @@
 	switch {
 	case !listed && m.LastHeartbeat == 0 && as.core.Now.Sub(m.DiscoveredAt) > forgetAfter:
 		as.deps.Agents.ForgetMachine(m.ID)
-	case m.QuarantinedUntil > as.core.Now && m.LastHeartbeat != 0:
+	case m.Quarantine.Active() && m.LastHeartbeat != 0:
 		as.ScheduleDeletion(m, owned, core.DeletionReasonQuarantined)
 	case idle && owned.InFlight == nil && len(m.ReportedTasks) == 0 && as.deletions.failures == 0:
 		// Not while deletions fail: heartbeats of machines that are being deleted get no
--- a/controller/core/machine.go
+++ b/controller/core/machine.go
@@ -94,11 +94,11 @@
 
 // TaskHistory contains observations of tasks on a machine.
 type TaskHistory struct {
-	CachedImages     map[api.Image]sched.CachedImage
-	RecentFailures   map[api.JobID]api.Time // last failure of a job's tasks on the machine
-	QuarantinedUntil api.Time               // no new tasks before, because tasks of different jobs failed on it
-	FullUntil        api.Time               // no new tasks before, because it refused one for lack of free capacity
-	RelativeRuntime  float64                // smoothed ratio of its tasks' runtimes to the expected ones; 0 if unknown
+	CachedImages    map[api.Image]sched.CachedImage
+	RecentFailures  map[api.JobID]api.Time // last failure of a job's tasks on the machine
+	Quarantine      FailureBackoff         // because tasks of different jobs failed on it
+	FullUntil       api.Time               // no new tasks before, because it refused one for lack of free capacity
+	RelativeRuntime float64                // smoothed ratio of its tasks' runtimes to the expected ones; 0 if unknown
 }
 
 // MachineReservation reserves a machine's free capacity for a job for which tasks were preempted or
--- a/controller/core/tracking.go
+++ b/controller/core/tracking.go
@@ -39,7 +39,7 @@
 type JobOwnerState struct {
 	BackoffUntil      api.Time // no new starts before, because of failures
 	Failures          int
-	FailedOn          map[api.MachineID]bool
+	FailedOn          MachineFailures
 	RebalancedAt      api.Time
 	NextPreemptionAt  api.Time // earliest time of the next preemption for it
 	PreemptedForStart bool     // tasks were preempted so that it starts soon
--- a/controller/eligibility/eligibility.go
+++ b/controller/eligibility/eligibility.go
@@ -64,7 +64,7 @@
 		return core.ReasonReclaimed
 	case e.core.MachineTypes[m.MachineType] == nil:
 		return core.ReasonUnknownType
-	case m.QuarantinedUntil >= e.core.Now:
+	case e.core.IsQuarantined(m):
 		return core.ReasonQuarantined
 	case m.FullUntil >= e.core.Now:
 		return core.ReasonFull
--- a/controller/eligibility/eligibility_test.go
+++ b/controller/eligibility/eligibility_test.go
@@ -56,7 +56,7 @@
 		"no heartbeat yet": {func(_ *Checker, _ *fakeDependencies, m *core.Machine) { m.LastHeartbeat = 0 }, core.ReasonNoHeartbeatYet},
 		"reclaimed":        {func(_ *Checker, _ *fakeDependencies, m *core.Machine) { m.ReclaimNotice = true }, core.ReasonReclaimed},
 		"unknown type":     {func(_ *Checker, _ *fakeDependencies, m *core.Machine) { m.MachineType = "c5" }, core.ReasonUnknownType},
-		"quarantined":      {func(c *Checker, _ *fakeDependencies, m *core.Machine) { m.QuarantinedUntil = c.core.Now }, core.ReasonQuarantined},
+		"quarantined":      {func(c *Checker, _ *fakeDependencies, m *core.Machine) { m.Quarantine.Failed(c.core.Now) }, core.ReasonQuarantined},
 		"full":             {func(c *Checker, _ *fakeDependencies, m *core.Machine) { m.FullUntil = c.core.Now }, core.ReasonFull},
 		"heartbeat timeout": {func(c *Checker, _ *fakeDependencies, m *core.Machine) {
 			m.LastHeartbeat = c.core.Now.Add(-6 * time.Second)
--- a/controller/jobs/pendingreason.go
+++ b/controller/jobs/pendingreason.go
@@ -104,6 +104,9 @@
 		}
 	}
 	reason := fmt.Sprintf("%d machines allowed by the job, %d of them usable, with free capacity for %d tasks", allowed, usable, free)
+	if failedOn := j.OwnerState.FailedOn; len(failedOn) > 0 {
+		reason += fmt.Sprintf("; its tasks failed on %d machines, next retry there in %.0f s", len(failedOn), failedOn.RetryDelay(s.core.Now).Seconds())
+	}
 	if free == 0 {
 		return "no free capacity: " + reason
 	}
--- a/controller/rounds/flow.go
+++ b/controller/rounds/flow.go
@@ -67,6 +67,7 @@
 	owned.AgedQuotaDemand = map[api.Team]api.Resources{}
 	owned.QuotaStarvedDemand = map[api.Team]api.Resources{}
 	owned.UnmetDemands = nil
+	owned.RetryAt = 0
 	owned.PendingTaskCount = 0
 }
 
@@ -115,6 +116,7 @@
 func (s *Scheduler) addMachines(problem *flowProblem, smallestDemand api.Resources) {
 	for _, m := range s.deps.Agents.MachinesOf(problem.owned.ID) {
 		if !s.IsSchedulable(m, problem.owned) {
+			s.scheduleRetry(problem.owned, &m.Quarantine)
 			continue
 		}
 		problem.schedulableCPUs += s.core.MachineTypes[m.MachineType].CPUs
@@ -176,6 +178,7 @@
 	if !known && (j.Spec.OneZone || j.Spec.Spread) {
 		return sched.Job{}, false // the zones of its other tasks are not known yet
 	}
+	excluded, retried := s.failedMachines(problem.owned, j)
 	request = sched.Job{
 		Spec:                j.Spec,
 		Demand:              j.Demand,
@@ -189,18 +192,45 @@
 		WithinGuarantee:     s.core.IsWithinGuarantee(j, problem.teamUsage),
 		HoldsJobUnits:       j.LiveCount() > 0,
 		StartSLO:            s.core.StartObjective(j.Spec.Class),
-		ExcludedMachines:    j.OwnerState.FailedOn,
+		ExcludedMachines:    excluded,
+		RetriedMachines:     retried,
 		NewMachineSeconds:   s.bootingMachineDelay(j, problem.incomingMachines),
 		LatencySensitive:    s.deps.Autoscaler.IsLatencySensitive(j.Spec),
 		AcceleratorOptional: s.core.IsCPUOnly(j.Spec),
 		SpotRisk:            s.SpotRisk(j),
 	}
-	if len(j.OwnerState.FailedOn)*2 > problem.schedulableCount {
-		request.ExcludedMachines = nil // a job that fails on most machines is itself the cause
-	}
 	return request, true
 }
 
+// failedMachines returns the machines on which tasks of a job failed: those on which none may start in this
+// round, and those on which one may be tried again. It forgets failures on machines that no longer exist, and
+// notes when the partition needs a round for the next retry.
+func (s *Scheduler) failedMachines(owned *core.OwnedPartition, j *core.Job) (excluded, retried map[api.MachineID]bool) {
+	if len(j.OwnerState.FailedOn) == 0 {
+		return nil, nil
+	}
+	excluded, retried = map[api.MachineID]bool{}, map[api.MachineID]bool{}
+	for id, backoff := range j.OwnerState.FailedOn {
+		switch {
+		case s.core.Machines[id] == nil:
+			delete(j.OwnerState.FailedOn, id)
+		case s.core.Avoids(j, id):
+			excluded[id] = true
+			s.scheduleRetry(owned, backoff)
+		default:
+			retried[id] = true
+		}
+	}
+	return excluded, retried
+}
+
+// scheduleRetry schedules a round for the time when a task may be tried again after failures.
+func (s *Scheduler) scheduleRetry(owned *core.OwnedPartition, backoff *core.FailureBackoff) {
+	if backoff.RetryAt > s.core.Now && (owned.RetryAt == 0 || backoff.RetryAt < owned.RetryAt) {
+		owned.RetryAt = backoff.RetryAt
+	}
+}
+
 // limitStarts limits the pending tasks of a job that may start in this round: an aged array starts
 // at most one, and no task may use capacity in the floors of other classes and teams. A gang starts
 // as a whole or not at all.
--- a/controller/rounds/scheduler.go
+++ b/controller/rounds/scheduler.go
@@ -57,10 +57,10 @@
 }
 
 // isRecheckDue reports whether a round should retry jobs that the last round left out, or found no
-// free capacity for, although nothing has changed.
+// free capacity for, although nothing has changed, or whose retry on a machine is due.
 func (s *Scheduler) isRecheckDue(owned *core.OwnedPartition) bool {
 	sincePlanned := s.core.Now.Sub(owned.PlannedAt)
-	return owned.UnexaminedJobs > 0 && sincePlanned >= core.DeferredJobsInterval ||
+	return owned.RetryAt != 0 && s.core.Now >= owned.RetryAt || owned.UnexaminedJobs > 0 && sincePlanned >= core.DeferredJobsInterval ||
 		len(owned.UnmetDemands) > 0 && sincePlanned >= core.UnmetDemandRecheckInterval
 }
 
--- a/controller/starvation/relocation.go
+++ b/controller/starvation/relocation.go
@@ -146,7 +146,7 @@
 	var best *core.Machine
 	bestCost, cpuOnly := 0.0, g.core.IsCPUOnly(j.Spec)
 	for _, m := range capacity.machines {
-		if m == excluded || g.deps.Preemptor.ReservedFor(m) != "" || j.OwnerState.FailedOn[m.ID] ||
+		if m == excluded || g.deps.Preemptor.ReservedFor(m) != "" || g.core.Avoids(j, m.ID) ||
 			!g.core.IsEligible(j.Spec, cpuOnly, m.MachineType, m.Zone, m.Spot) {
 			continue
 		}
--- a/controller/starvation/reserve.go
+++ b/controller/starvation/reserve.go
@@ -82,7 +82,7 @@
 		}
 		relocation, releases = pass.relocationCapacity, pass.relocationReleases
 	}
-	machines, candidates := g.reservableMachines(owned, j.Spec, j.OwnerState.FailedOn, pass.schedulable, releases, relocation)
+	machines, candidates := g.reservableMachines(owned, j.Spec, func(id api.MachineID) bool { return g.core.Avoids(j, id) }, pass.schedulable, releases, relocation)
 	chosen, afterSeconds := g.selectMachines(j, candidates, tasksNeeded)
 	j.OwnerState.Unplaceable = chosen == nil
 	if afterSeconds == 0 && chosen != nil && !candidates[chosen[0]].Reserved {
@@ -119,19 +119,19 @@
 // ReservableMachines returns the candidates that may be reserved for a job, with their free
 // capacity and expected releases.
 func (g *Guard) ReservableMachines(owned *core.OwnedPartition, s *api.JobSpec, candidates []*core.Machine) ([]*core.Machine, []backfill.Machine) {
-	return g.reservableMachines(owned, s, nil, candidates, map[*core.Machine][]backfill.Release{}, nil)
+	return g.reservableMachines(owned, s, func(api.MachineID) bool { return false }, candidates, map[*core.Machine][]backfill.Release{}, nil)
 }
 
 // reservableMachines is ReservableMachines without the excluded machines. Releases are cached from
 // one call to the next. With a relocation capacity, services that have capacity elsewhere count as
 // tasks that end. A machine whose services have none is not reserved for a job that would never
 // start on it, while others could use the rest of the machine.
-func (g *Guard) reservableMachines(owned *core.OwnedPartition, s *api.JobSpec, excluded map[api.MachineID]bool, candidates []*core.Machine,
+func (g *Guard) reservableMachines(owned *core.OwnedPartition, s *api.JobSpec, excluded func(api.MachineID) bool, candidates []*core.Machine,
 	releases map[*core.Machine][]backfill.Release, capacity *relocationCapacity) (machines []*core.Machine, views []backfill.Machine) {
 	cpuOnly := g.core.IsCPUOnly(s)
 	for _, m := range candidates {
 		reservedFor := g.deps.Preemptor.ReservedFor(m)
-		if isReservedAgainst(m, reservedFor, s) || excluded[m.ID] || !g.core.IsEligible(s, cpuOnly, m.MachineType, m.Zone, m.Spot) {
+		if isReservedAgainst(m, reservedFor, s) || excluded(m.ID) || !g.core.IsEligible(s, cpuOnly, m.MachineType, m.Zone, m.Spot) {
 			continue
 		}
 		machineReleases, known := releases[m]
--- a/sched/cost.go
+++ b/sched/cost.go
@@ -13,7 +13,7 @@
 // and the number of resources. docs/design.md gives the reasons.
 const (
 	costScale           = 1e6  // converts a score to an integer cost
-	scheduledBonus      = 16.0 // placing a task always beats leaving it pending
+	scheduledBonus      = 20.0 // placing a task always beats leaving it pending
 	rankBonus           = 32.0 // a higher priority outweighs all other terms except agedAboveAllBonus
 	agedBonus           = 8.0  // first among equal priority: outweighs guarantee and urgency together
 	agedAboveAllBonus   = 5 * rankBonus
@@ -25,6 +25,7 @@
 	fastStartPenalty    = 0.7 // capacity for latency-sensitive jobs stays free while there is other capacity
 	fragmentationWeight = 4.0 // starting on an empty machine outweighs any dot product, and a fetch
 	surplusPenalty      = 2.0 // outweighs the usual differences of dot products
+	failurePenalty      = 4.0 // outweighs the usual differences between machines
 	slowdownThreshold   = 1.3 // machines of a type normally differ by up to a tenth; above this one is slow
 	imageFetchWeight    = 2.0 // multiplied by the share of the fetch in the task's total duration
 )
@@ -57,6 +58,9 @@
 	if m.Slowdown > slowdownThreshold {
 		score -= m.Slowdown - 1
 	}
+	if j.RetriedMachines[m.ID] {
+		score -= failurePenalty
+	}
 	if m.HasAccelerators && j.AcceleratorOptional {
 		score -= acceleratorPenalty
 	}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -36,8 +36,8 @@
 	return nil
 }
 
-// gangMachines returns the machines that can take a task of a gang: those with its image first, and
-// among these best-fit first, so that empty machines stay empty.
+// gangMachines returns the machines that can take a task of a gang: those on which it failed
+// last, those with its image first, and among these best-fit first, so that empty machines stay empty.
 func gangMachines(in *Input, j *Job, free []api.Resources) []int {
 	var order []int
 	for machineIndex := range in.Machines {
@@ -47,6 +47,9 @@
 		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
+		if ra, rb := j.RetriedMachines[in.Machines[a].ID], j.RetriedMachines[in.Machines[b].ID]; ra != rb {
+			return compareTrueFirst(rb, ra)
+		}
 		ia, ib := in.Machines[a].HasImage(j.Spec.Image), in.Machines[b].HasImage(j.Spec.Image)
 		if ia != ib {
 			if ia {
--- a/sched/job.go
+++ b/sched/job.go
@@ -24,9 +24,10 @@
 	StartSLO            float64          // objective for a start, in seconds; 0: none
 	NewMachineSeconds   float64          // seconds until a booting machine would have the image; 0: none boots
 	ExcludedMachines    map[api.MachineID]bool
-	LatencySensitive    bool    // should start sooner than a machine boots
-	AcceleratorOptional bool    // some type without accelerators can take its tasks
-	SpotRisk            float64 // probability that the reclaim of a spot machine makes it late, between 0 and 1
+	RetriedMachines     map[api.MachineID]bool // its tasks failed there: used after all others
+	LatencySensitive    bool                   // should start sooner than a machine boots
+	AcceleratorOptional bool                   // some type without accelerators can take its tasks
+	SpotRisk            float64                // probability that the reclaim of a spot machine makes it late, between 0 and 1
 }
 
 // AgingStage is the stage of a job's waiting time relative to the start deadline, see package
