Rounds: a gang is limited by the bytes of its starts, not by a number of tasks

Cause: a round planned at most as many starts as fit a record at 64 bytes each (120 with values of 8 KiB) and left out any gang with more tasks; this limit never grows.

Change: the planner no longer limits a gang by tasks. The round counts the bytes of its starts, all or none. A gang that does not fit beside other entries is first in the next round. A list that is too large is recorded as compressed runs, still one value of one write, once every controller supports FormatPackedStarts; an earlier version fails to load such a record instead of misreading it. A gang too large even so is left out for 10 s at a time and named in the log and by "admin job". A machine takes at most as many tasks as its heartbeat can report in 64 KiB.

--- a/clusterstate/checkpoint.go
+++ b/clusterstate/checkpoint.go
@@ -3,11 +3,8 @@
 package clusterstate
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"slices"
 
@@ -48,9 +45,10 @@
 // The last write is the head, which makes the chunks before it valid.
 func (s *State[J, P]) CheckpointWrites(partition api.PartitionID, maxBytes int) ([]api.Write, error) {
 	c := s.Checkpoint(partition)
-	blob, err := encodeCheckpoint(c)
+	// It is compressed, since the key-value store limits writes and IDs of jobs and machines occur many times.
+	blob, err := compressJSON(c)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("encoding checkpoint: %w", err)
 	}
 	chunkBytes := maxBytes / 4 * 3 // base64 turns three bytes into four
 	head := CheckpointHeadValue{Seq: c.Seq, Revision: c.Revision, Generation: s.Partitions[partition].CheckpointHead.Generation + 1}
@@ -71,33 +69,3 @@
 	}
 	return append(writes, api.Write{Put: PartitionKey(KeyCheckpointHead, partition), Value: v}), nil
 }
-
-// encodeCheckpoint encodes and compresses a checkpoint, since the key-value store limits writes and IDs of
-// jobs and machines occur many times.
-func encodeCheckpoint(c RoundRecord) ([]byte, error) {
-	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("encoding checkpoint: %w", err)
-	}
-	if err := json.NewEncoder(w).Encode(c); err != nil {
-		return nil, fmt.Errorf("encoding checkpoint: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("encoding checkpoint: %w", err)
-	}
-	return buf.Bytes(), nil
-}
-
-// decodeCheckpoint decodes the result of encodeCheckpoint.
-func decodeCheckpoint(blob []byte) (RoundRecord, error) {
-	var c RoundRecord
-	text, err := io.ReadAll(flate.NewReader(bytes.NewReader(blob)))
-	if err != nil {
-		return c, fmt.Errorf("decompressing: %w", err)
-	}
-	if err := json.Unmarshal(text, &c); err != nil {
-		return c, fmt.Errorf("decoding: %w", err)
-	}
-	return c, nil
-}
--- a/clusterstate/load.go
+++ b/clusterstate/load.go
@@ -82,8 +82,8 @@
 		}
 		blob = append(blob, chunk...)
 	}
-	c, err := decodeCheckpoint(blob)
-	if err != nil {
+	var c RoundRecord
+	if err := decompressJSON(blob, &c); err != nil {
 		return RoundRecord{}, fmt.Errorf("checkpoint of partition %d: %w", partition, err)
 	}
 	return c, nil
--- a/clusterstate/records.go
+++ b/clusterstate/records.go
@@ -49,7 +49,7 @@
 
 // Format is the newest record format that this version supports. Records of a newer format are written
 // only once every member supports it.
-const Format = FormatRelays
+const Format = FormatPackedStarts
 
 const (
 	// FormatTransfers is the format with loans that transfer the tasks on the machine.
@@ -57,6 +57,8 @@
 	// FormatRelays marks versions that can relay the log to other controllers. The records are the
 	// same as in FormatTransfers.
 	FormatRelays = 2
+	// FormatPackedStarts is the format with packed starts of gangs in rounds, see TaskStarts.
+	FormatPackedStarts = 3
 )
 
 // PartitionValue is the value of a partition's key. The key's revision is the owner's term.
@@ -82,12 +84,12 @@
 
 // JobDelta is the changes of a job in a round, or the job's whole state in a checkpoint.
 type JobDelta struct {
-	Job                      api.JobID   `json:"j"`
-	Starts                   []TaskStart `json:"+,omitempty"`
-	Completed                []int       `json:"d,omitempty"` // tasks that ended by completion
-	EndedIncomplete          []int       `json:"l,omitempty"` // tasks that ended otherwise
-	CancellationAcknowledged bool        `json:"x,omitempty"` // see Job.CancellationConfirmed
-	CompletedBits            []byte      `json:"b,omitempty"` // only in checkpoints: bit set of completed tasks
+	Job                      api.JobID  `json:"j"`
+	Starts                   TaskStarts `json:"+,omitempty"`
+	Completed                []int      `json:"d,omitempty"` // tasks that ended by completion
+	EndedIncomplete          []int      `json:"l,omitempty"` // tasks that ended otherwise
+	CancellationAcknowledged bool       `json:"x,omitempty"` // see Job.CancellationConfirmed
+	CompletedBits            []byte     `json:"b,omitempty"` // only in checkpoints: bit set of completed tasks
 }
 
 // QuotaTransfer transfers a part of a team's quota to another partition.
@@ -114,4 +116,6 @@
 	Jobs           []JobDelta      `json:"j,omitempty"`
 	QuotaTransfers []QuotaTransfer `json:"g,omitempty"`
 	Reservations   []Reservation   `json:"k,omitempty"`
+	// packed contains the packed form of the starts of jobs whose list would be too large, see SetPacked.
+	packed map[api.JobID]PackedStarts
 }
--- a/clusterstate/state_test.go
+++ b/clusterstate/state_test.go
@@ -93,12 +93,12 @@
 			recount(t, state)
 		}
 	}
-	blob, err := encodeCheckpoint(state.Checkpoint(1))
+	blob, err := compressJSON(state.Checkpoint(1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := decodeCheckpoint(blob)
-	if err != nil || !reflect.DeepEqual(c, state.Checkpoint(1)) {
+	var c RoundRecord
+	if err := decompressJSON(blob, &c); err != nil || !reflect.DeepEqual(c, state.Checkpoint(1)) {
 		t.Errorf("a decoded checkpoint differs: %v", err)
 	}
 }
--- a/controller/balance/transfer.go
+++ b/controller/balance/transfer.go
@@ -18,15 +18,15 @@
 	"basaltwall/controller/message"
 )
 
-// allSupportFormat reports whether every controller supports a record format.
-func (b *Balancer) allSupportFormat(format int) bool {
+// AllSupportFormat reports whether every controller supports a record format.
+func (b *Balancer) AllSupportFormat(format int) bool {
 	return !slices.ContainsFunc(b.core.Controllers, func(id api.ControllerID) bool { return b.deps.Membership.Format(id) < format })
 }
 
 // selectTransferMachine returns the machine of a partition with free capacity for the most tasks of a
 // job and, among equals, the fewest tasks of its own; nil if no machine can be lent with its tasks.
 func (b *Balancer) selectTransferMachine(owned *core.OwnedPartition, demand *message.UnmetDemand, cpuOnly bool) *core.Machine {
-	if !slices.Contains(demand.Lenders, owned.ID) || b.deps.Scheduler.IsRecordRingFull(owned) || !b.allSupportFormat(clusterstate.FormatTransfers) {
+	if !slices.Contains(demand.Lenders, owned.ID) || b.deps.Scheduler.IsRecordRingFull(owned) || !b.AllSupportFormat(clusterstate.FormatTransfers) {
 		return nil
 	}
 	var best *core.Machine
--- a/controller/core/partition.go
+++ b/controller/core/partition.go
@@ -40,9 +40,17 @@
 	PlannedTeams   map[api.Team]bool               // teams with starts in the last round
 	RoundReduction WriteReduction
 	UnexaminedJobs int // number of jobs that the last round left out
+	DeferredGang   DeferredGang
 	PoolCursor     int // position at which the next round continues with the pools, if there are more than MaxRoundPools
 }
 
+// DeferredGang is a gang whose starts did not fit beside the other entries of a round. The next round has space for
+// them. It is zero if there is none.
+type DeferredGang struct {
+	Job   api.JobID
+	Bytes int // size of its entry in the record
+}
+
 // OwnershipChange is the state of a handover of the partition to another controller.
 type OwnershipChange struct {
 	Releasing   bool // the preferred owner is live, so no new work is begun
--- a/controller/core/tracking.go
+++ b/controller/core/tracking.go
@@ -39,6 +39,7 @@
 type JobOwnerState struct {
 	BackoffUntil      api.Time // no new starts before, because of failures
 	Failures          int
+	OversizedUntil    api.Time // a gang whose starts exceed a record is not planned before
 	FailedOn          MachineFailures
 	RebalancedAt      api.Time
 	NextPreemptionAt  api.Time // earliest time of the next preemption for it
--- a/controller/jobs/pendingreason.go
+++ b/controller/jobs/pendingreason.go
@@ -57,6 +57,8 @@
 		return "the partition has no live owner"
 	case j.OwnerState.BackoffUntil > s.core.Now:
 		return fmt.Sprintf("retry backoff after task failures, %.0f s left", j.OwnerState.BackoffUntil.Sub(s.core.Now).Seconds())
+	case j.OwnerState.OversizedUntil > s.core.Now:
+		return "the gang's starts on the free machines exceed a round's record"
 	case j.Spec.Kind == api.Gang && len(j.Placements) > 0:
 		return "the gang's previous attempt has not ended on all machines"
 	}
--- a/controller/rounds/capacity.go
+++ b/controller/rounds/capacity.go
@@ -15,11 +15,32 @@
 	return s.deps.Eligibility.UnschedulableReason(m, owned) == core.Schedulable
 }
 
+const (
+	// maxReportBytes is the limit on a machine's heartbeat and on the commands in the reply, without their
+	// other fields.
+	maxReportBytes = 63 << 10
+	// maxTaskReportBytes is the size of a task in a heartbeat, with the longest job ID and reason.
+	maxTaskReportBytes = 160
+	// maxTasksPerMachine limits the tasks on a machine, or controllers would have to refuse its heartbeats.
+	maxTasksPerMachine = maxReportBytes / maxTaskReportBytes
+)
+
+// taskSlots returns the number of tasks that a machine may still take, whatever their demand.
+func (s *Scheduler) taskSlots(m *core.Machine) int {
+	unreported := 0
+	for _, placement := range s.core.State.PlacementsOn(m.ID) {
+		if !placement.OwnerState.Reported {
+			unreported++
+		}
+	}
+	return max(0, maxTasksPerMachine-len(m.ReportedTasks)-unreported)
+}
+
 // FreeCapacityOn returns the capacity of a machine less the demand of all tasks that are or may be
-// on it. It is zero for a machine with an unknown task, whose demand is unknown.
+// on it. It is zero for a machine with an unknown task, whose demand is unknown, and for one with too many tasks.
 func (s *Scheduler) FreeCapacityOn(m *core.Machine, owned *core.OwnedPartition) api.Resources {
 	machineType := s.core.MachineTypes[m.MachineType]
-	if machineType == nil || m.HasUnknownTasks {
+	if machineType == nil || m.HasUnknownTasks || s.taskSlots(m) == 0 {
 		return api.Resources{}
 	}
 	return machineType.Capacity().Minus(m.UntrackedUsage).Minus(owned.InFlightDemand[m.ID]).Minus(s.core.State.Allocated(m.ID))
--- a/controller/rounds/commit.go
+++ b/controller/rounds/commit.go
@@ -3,7 +3,6 @@
 // This file commits the record of a round and applies it once it is durable.
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -49,7 +48,7 @@
 // roundTxn returns the transaction that writes a round, with the conditions and writes that the round has
 // already. The record is the first write.
 func (s *Scheduler) roundTxn(owned *core.OwnedPartition, round *core.PendingRound) (api.Txn, error) {
-	body, err := json.Marshal(round.Record)
+	body, err := round.Record.Encode()
 	if err != nil {
 		return api.Txn{}, fmt.Errorf("round %d: %w", round.Record.Seq, err)
 	}
--- a/controller/rounds/dependencies.go
+++ b/controller/rounds/dependencies.go
@@ -81,6 +81,8 @@
 	RebalancePending(owned *core.OwnedPartition)
 	LendMachines(owned *core.OwnedPartition)
 	SpareQuotaTransfers(owned *core.OwnedPartition) []clusterstate.QuotaTransfer
+	// AllSupportFormat reports whether every controller supports a record format.
+	AllSupportFormat(format int) bool
 	UnmetDemandOf(owned *core.OwnedPartition, j *core.Job, request *sched.Job) message.UnmetDemand
 }
 
--- a/controller/rounds/flow.go
+++ b/controller/rounds/flow.go
@@ -17,7 +17,7 @@
 // flowProblem is a round's flow problem, with the machines and jobs that its indices refer to.
 type flowProblem struct {
 	owned            *core.OwnedPartition
-	round            *core.PendingRound // its recorded ends free capacity for starts
+	builder          *roundBuilder // the ends recorded in its round free capacity for starts
 	input            *sched.Input
 	machines         []*core.Machine // by their index in the input
 	jobs             []*core.Job     // by their index in the input
@@ -27,23 +27,25 @@
 	incomingMachines func() map[core.MachineOffer]int
 }
 
-// scheduleTasks assigns the partition's pending tasks to machines and records unmet demand.
-func (s *Scheduler) scheduleTasks(owned *core.OwnedPartition, round *core.PendingRound, maxStarts int) []*core.Placement {
+// scheduleTasks assigns the partition's pending tasks to machines, adds their starts to the round and records unmet
+// demand.
+func (s *Scheduler) scheduleTasks(b *roundBuilder) {
+	owned := b.owned
 	resetDemand(owned)
 	pendingJobs, smallestDemand := s.pendingJobs(owned)
 	units, jobs := s.deps.Pools.AllocatePoolUnits(owned, s.deps.Tenancy.LimitTenantJobs(owned, pendingJobs))
 	if len(jobs) == 0 {
-		return nil
+		return
 	}
 	problem := &flowProblem{
-		owned: owned,
-		round: round,
+		owned:   owned,
+		builder: b,
 		input: &sched.Input{
 			AvailableUnits:  units,
 			LargestCapacity: s.core.LargestMachine,
 			TypicalDemands:  s.deps.Backfiller.TypicalDemands(),
 			RemainingQuota:  s.unreservedQuota(owned),
-			MaxStarts:       maxStarts,
+			MaxStarts:       max(0, b.bytesLeft) / minStartBytes,
 		},
 	}
 	s.addMachines(problem, smallestDemand)
@@ -52,12 +54,11 @@
 		s.deps.Preemptor.PreemptForFastStart(owned, problem.input, &problem.input.Jobs[i], j)
 	}
 	s.recordFlowSize(problem)
-	starts, placed := s.solve(problem)
+	placed := s.solve(problem)
 	s.recordUnmetDemand(problem, placed)
-	if len(starts) > 0 {
+	if len(b.round.Starts) > 0 {
 		owned.NeedsRound = true // more may follow next round
 	}
-	return starts
 }
 
 // resetDemand clears the unmet demand of the previous round.
@@ -80,7 +81,7 @@
 		if s.deps.Tenancy.StartsBlocked(j) {
 			continue
 		}
-		if j.OwnerState.BackoffUntil > s.core.Now {
+		if max(j.OwnerState.BackoffUntil, j.OwnerState.OversizedUntil) > s.core.Now {
 			owned.NeedsRound = owned.NeedsRound || pending > 0
 			continue
 		}
@@ -122,7 +123,7 @@
 		problem.schedulableCPUs += s.core.MachineTypes[m.MachineType].CPUs
 		problem.schedulableCount++
 		free := s.FreeCapacityOn(m, problem.owned)
-		if !smallestDemand.Fits(free) {
+		if !smallestDemand.Fits(free) || s.taskSlots(m) == 0 {
 			continue
 		}
 		problem.input.Machines = append(problem.input.Machines, s.flowMachine(m, free))
@@ -139,6 +140,7 @@
 		Zone:                m.Zone,
 		Spot:                m.Spot,
 		Free:                free,
+		TaskSlots:           s.taskSlots(m),
 		HasAccelerators:     machineType.GPUs > 0,
 		AcceleratorOnly:     m.ScaleInCandidate,
 		ForLatencySensitive: s.deps.Autoscaler.SuitsLatencySensitive(m),
@@ -168,7 +170,7 @@
 
 // flowJob returns a job as input of the flow problem; ok is false if none of its tasks may start.
 func (s *Scheduler) flowJob(problem *flowProblem, j *core.Job) (request sched.Job, ok bool) {
-	pending := s.startableTasks(problem.owned, j, problem.round, max(problem.schedulableCount, 1))
+	pending := s.startableTasks(problem.owned, j, problem.builder.round, max(problem.schedulableCount, 1))
 	stage, waited := s.deps.Backfiller.RoundAgingStage(problem.owned, j)
 	pending = s.limitStarts(j, pending, stage)
 	if len(pending) == 0 {
@@ -307,16 +309,29 @@
 	}
 }
 
-// solve solves the flow problem. It returns the placements to start, and the number of placed tasks
-// of each job.
-func (s *Scheduler) solve(problem *flowProblem) (starts []*core.Placement, placed []int) {
+// solve solves the flow problem and adds the starts to the round. It returns the number of placed tasks of each job.
+func (s *Scheduler) solve(problem *flowProblem) (placed []int) {
 	placed = make([]int, len(problem.jobs))
-	for _, assignment := range sched.PlanRound(problem.input) {
+	for _, group := range problem.groupGangs(sched.PlanRound(problem.input)) {
+		placed[group[0].JobIndex] += len(group)
+		if !s.addStarts(problem.builder, problem.placements(group)) {
+			continue
+		}
+		for _, assignment := range group {
+			j := problem.jobs[assignment.JobIndex]
+			s.deps.Health.AdjustFloors(j.Spec, j.Demand.CPU.Float())
+			s.deps.Backfiller.ChargeAgedStartCredit(problem.owned, j, problem.input.Jobs[assignment.JobIndex].AgingStage)
+			s.logStart(problem, assignment)
+		}
+	}
+	return placed
+}
+
+// placements returns the placements of assignments.
+func (problem *flowProblem) placements(assignments []sched.Assignment) []*core.Placement {
+	var starts []*core.Placement
+	for _, assignment := range assignments {
 		m, j := problem.machines[assignment.MachineIndex], problem.jobs[assignment.JobIndex]
-		s.deps.Health.AdjustFloors(j.Spec, j.Demand.CPU.Float())
-		placed[assignment.JobIndex]++
-		s.deps.Backfiller.ChargeAgedStartCredit(problem.owned, j, problem.input.Jobs[assignment.JobIndex].AgingStage)
-		s.logStart(problem, assignment)
 		starts = append(starts, &core.Placement{
 			Task:      api.TaskID{Job: j.ID, Index: assignment.Task},
 			Partition: problem.owned.ID,
@@ -325,7 +340,7 @@
 			Job:       j,
 		})
 	}
-	return starts, placed
+	return starts
 }
 
 // logStart logs the first start of a job, and each start of a service that has lost replicas.
--- a/controller/rounds/gangs.go
+++ b/controller/rounds/gangs.go
@@ -9,25 +9,6 @@
 	"basaltwall/controller/core"
 )
 
-// groupGangs groups the starts of each gang, which are recorded together or not at all; every other start
-// is a group of its own.
-func groupGangs(starts []*core.Placement) [][]*core.Placement {
-	var groups [][]*core.Placement
-	gangs := map[api.JobID]int{}
-	for _, start := range starts {
-		i, known := gangs[start.Job.ID]
-		if known {
-			groups[i] = append(groups[i], start)
-			continue
-		}
-		if start.Job.Spec.Kind == api.Gang {
-			gangs[start.Job.ID] = len(groups)
-		}
-		groups = append(groups, []*core.Placement{start})
-	}
-	return groups
-}
-
 // isCompletion reports whether the end of a placement is recorded as a completion. No completion is
 // recorded after the cancellation of the job: otherwise a job reported as cancelled could be
 // reported as done later. When one task of a gang is done, all are.
--- a/controller/rounds/plan.go
+++ b/controller/rounds/plan.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"basaltwall/api"
@@ -38,9 +39,10 @@
 	deltas          map[api.JobID]*clusterstate.JobDelta
 	conditionalJobs map[api.JobID]bool // jobs on whose version the round is conditional
 	namedPools      map[api.PoolName]bool
-	bytesLeft       int // of the record
-	txnBytesLeft    int // of the record and the conditions
-	maxConditions   int // maximum size of conditionalJobs
+	bytesLeft       int               // of the record
+	txnBytesLeft    int               // of the record and the conditions
+	maxConditions   int               // maximum size of conditionalJobs
+	first           core.DeferredGang // the record has space for its starts, which are added before others
 }
 
 func (s *Scheduler) newRoundBuilder(owned *core.OwnedPartition) *roundBuilder {
@@ -53,10 +55,12 @@
 		deltas:          map[api.JobID]*clusterstate.JobDelta{},
 		conditionalJobs: map[api.JobID]bool{},
 		namedPools:      map[api.PoolName]bool{},
-		bytesLeft:       owned.RoundReduction.Apply(s.RoundByteBudget()),
+		bytesLeft:       s.roundBytes(owned),
 		txnBytesLeft:    api.MaxTxnBytes - core.TxnReserveBytes - recordReserveBytes,
 		maxConditions:   owned.RoundReduction.Apply(s.RoundConditionBudget()),
 	}
+	b.keepSpaceFor(owned.DeferredGang)
+	owned.DeferredGang = core.DeferredGang{}
 	if pools := s.deps.Pools.Count(); pools > 0 {
 		b.maxConditions -= min(core.MaxRoundPools, pools)
 	}
@@ -74,10 +78,8 @@
 	s.acknowledgeCancellations(b)
 	owned.PlannedTeams = map[api.Team]bool{}
 	owned.ReservedQuota = s.deps.Backfiller.QuotaReservedForOthers(owned)
-	maxStarts := max(0, b.bytesLeft) / minStartBytes
-	for _, starts := range groupGangs(s.scheduleTasks(owned, b.round, maxStarts)) {
-		b.addStarts(starts)
-	}
+	b.releaseSpace()
+	s.scheduleTasks(b)
 	s.finishJobDeltas(b)
 	for _, name := range slices.Sorted(maps.Keys(b.namedPools)) {
 		b.round.Txn.If = append(b.round.Txn.If, s.core.State.VersionCondition(core.KeyPool+string(name)))
@@ -87,6 +89,15 @@
 	return b.round
 }
 
+// recordBytes returns the size of a record as it is stored.
+func recordBytes(record *clusterstate.RoundRecord) int {
+	data, err := record.Encode()
+	if err != nil {
+		return math.MaxInt // it will not be written
+	}
+	return len(data)
+}
+
 // addQuotaTransfers adds as many quota transfers as fit into the record. The others follow when the next
 // transfers are due.
 func (s *Scheduler) addQuotaTransfers(b *roundBuilder, transfers []clusterstate.QuotaTransfer) {
@@ -94,7 +105,7 @@
 		return
 	}
 	record := &b.round.Record
-	left := min(s.core.MaxValueBytes()-core.EncodedBytes(record)-len(`,"g":[]`), b.txnBytesLeft)
+	left := min(s.core.MaxValueBytes()-recordBytes(record)-len(`,"g":[]`), b.txnBytesLeft)
 	for _, transfer := range transfers {
 		left -= core.EncodedBytes(transfer) + len(",")
 		if left < 0 {
@@ -188,28 +199,6 @@
 	}
 }
 
-// addStarts records starts of a job, all or none. They make the round conditional on the versions of the
-// job and of the pools from which it takes units.
-func (b *roundBuilder) addStarts(starts []*core.Placement) {
-	j := starts[0].Job
-	size := 0
-	var entries []clusterstate.TaskStart
-	for _, start := range starts {
-		entry := clusterstate.TaskStart{Task: start.Task.Index, Machine: start.Machine, Epoch: start.Epoch}
-		size += core.EncodedBytes(entry) + len(",")
-		entries = append(entries, entry)
-	}
-	if b.exceedsConditions(j.ID) || !core.AddRoundPools(b.namedPools, j.Spec.Needs) || !b.reserve(j.ID, size, true) {
-		b.owned.NeedsRound = true
-		return
-	}
-	b.conditionalJobs[j.ID] = true
-	b.owned.PlannedTeams[j.Spec.Team] = true
-	d := b.delta(j)
-	d.Starts = append(d.Starts, entries...)
-	b.round.Starts = append(b.round.Starts, starts...)
-}
-
 // finishJobDeltas adds the entries of jobs, and the conditions on their versions, to the round.
 func (s *Scheduler) finishJobDeltas(b *roundBuilder) {
 	for _, id := range slices.Sorted(maps.Keys(b.deltas)) {
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -22,7 +22,7 @@
 	}
 	order := gangMachines(in, j, left.free)
 	for _, zone := range gangZones(in, j, order) {
-		assignments := gangAssignments(in, jobIndex, left.free, order, zone)
+		assignments := gangAssignments(in, jobIndex, left, order, zone)
 		if len(assignments) == len(j.Pending) {
 			left.occupy(in, assignments)
 			left.chargeQuota(j, len(assignments))
@@ -79,7 +79,7 @@
 
 // gangAssignments assigns as many tasks of a gang as fit, first-fit, to machines of a zone; the empty
 // zone stands for any.
-func gangAssignments(in *Input, jobIndex int, free []api.Resources, order []int, zone api.Zone) []Assignment {
+func gangAssignments(in *Input, jobIndex int, left *remaining, order []int, zone api.Zone) []Assignment {
 	j := &in.Jobs[jobIndex]
 	counts := map[api.Zone]int{}
 	for z, n := range j.PlacedByZone {
@@ -91,10 +91,11 @@
 		if zone != "" && m.Zone != zone {
 			continue
 		}
-		available := free[machineIndex]
-		for len(assignments) < len(j.Pending) && j.Demand.Fits(available) && ZoneFeasible(j.Spec, counts, m.Zone) {
+		available, slots := left.free[machineIndex], left.slots[machineIndex]
+		for slots > 0 && len(assignments) < len(j.Pending) && j.Demand.Fits(available) && ZoneFeasible(j.Spec, counts, m.Zone) {
 			assignments = append(assignments, Assignment{JobIndex: jobIndex, Task: j.Pending[len(assignments)], MachineIndex: machineIndex})
 			available = available.Minus(j.Demand)
+			slots--
 			counts[m.Zone]++
 		}
 	}
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -3,6 +3,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 
 	"basaltwall/api"
@@ -15,6 +16,7 @@
 	Zone                api.Zone
 	Spot                bool
 	Free                api.Resources
+	TaskSlots           int     // number of tasks that it may still take; 0: no limit
 	HasAccelerators     bool    // the type has accelerators
 	AcceleratorOnly     bool    // only for jobs that need its accelerators
 	ForLatencySensitive bool    // of a type that latency-sensitive jobs need
@@ -41,6 +43,14 @@
 	LastUsed api.Time
 }
 
+// taskSlots returns the number of tasks that the machine may still take.
+func (m *Machine) taskSlots() int {
+	if m.TaskSlots > 0 {
+		return m.TaskSlots
+	}
+	return math.MaxInt
+}
+
 // Eligible reports whether a job may use the machine: its constraints allow the machine, it has not
 // failed there, and the machine is neither reserved for another job nor limited to jobs that need
 // its accelerators.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -19,7 +19,7 @@
 	LargestCapacity api.Resources              // maximum of each resource over all machine types
 	TypicalDemands  []fragmentation.Demand     // of jobs that need accelerators
 	AvailableUnits  map[api.PoolName]int       // units of pools that the partition may allocate
-	MaxStarts       int                        // limit on starts in the round
+	MaxStarts       int                        // limit on starts in the round; a gang may exceed it, the last one placed
 }
 
 // Assignment puts a task on a machine.
@@ -32,6 +32,7 @@
 // remaining is the free capacity, quota and pool units left to allocate in a round.
 type remaining struct {
 	free  []api.Resources // by machine index
+	slots []int           // number of tasks that a machine may still take, by its index
 	quota map[api.Team]api.Resources
 	units map[api.PoolName]int
 }
@@ -40,11 +41,12 @@
 func (in *Input) remaining() *remaining {
 	r := &remaining{
 		free:  make([]api.Resources, len(in.Machines)),
+		slots: make([]int, len(in.Machines)),
 		quota: make(map[api.Team]api.Resources, len(in.RemainingQuota)),
 		units: maps.Clone(in.AvailableUnits),
 	}
 	for i, m := range in.Machines {
-		r.free[i] = m.Free
+		r.free[i], r.slots[i] = m.Free, m.taskSlots()
 	}
 	maps.Copy(r.quota, in.RemainingQuota)
 	return r
@@ -55,15 +57,19 @@
 	r.quota[j.Spec.Team] = r.quota[j.Spec.Team].Minus(j.Demand.Times(tasks))
 }
 
-// occupy subtracts assigned tasks from the free capacity of their machines.
+// occupy subtracts assigned tasks from the free capacity of their machines. A machine without slots has none.
 func (r *remaining) occupy(in *Input, assignments []Assignment) {
 	for _, a := range assignments {
 		r.free[a.MachineIndex] = r.free[a.MachineIndex].Minus(in.Jobs[a.JobIndex].Demand)
+		if r.slots[a.MachineIndex]--; r.slots[a.MachineIndex] <= 0 {
+			r.free[a.MachineIndex] = api.Resources{}
+		}
 	}
 }
 
 // PlanRound plans a round. No task is assigned twice, and the assignments together stay within free
-// capacity, quotas, pool units and MaxStarts.
+// capacity, quotas and pool units, and within MaxStarts except for the last gang. The caller leaves out gangs that
+// are too large for the round, since how much a gang takes there depends on its machines.
 func PlanRound(in *Input) []Assignment {
 	var plan []Assignment
 	left := in.remaining()
@@ -78,7 +84,7 @@
 	}
 	for _, group := range groups {
 		for _, jobIndex := range group {
-			if j := &in.Jobs[jobIndex]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan)+len(j.Pending) <= in.MaxStarts {
+			if j := &in.Jobs[jobIndex]; j.Spec.Kind == api.Gang && len(j.Pending) > 0 && len(plan) < in.MaxStarts {
 				plan = append(plan, placeGang(in, jobIndex, left)...)
 			}
 		}
