Pools: a job that holds all units that it needs makes no request

Cause: "integer divide by zero" in newRequest. Once a task holds the units, the next needs 0; this demand was listed and the guarantee's rest divided by it.

Also: a gang too large for a record counts as delayed wherever a job's backoff does, so that it reserves no machines, and the count of a machine's places does not visit its tasks unless they are many. Test: the tasks of a completed gang are stopped and forgotten.

--- a/controller/autoscale/plan.go
+++ b/controller/autoscale/plan.go
@@ -114,7 +114,7 @@
 
 // addJob plans machines for a job's pending and replacement tasks.
 func (plan *scaleOutPlan) addJob(j *core.Job) {
-	if j.OwnerState.BackoffUntil > plan.manager.core.Now || plan.manager.deps.Tenancy.StartsBlocked(j) {
+	if j.OwnerState.StartsDelayed(plan.manager.core.Now) || plan.manager.deps.Tenancy.StartsBlocked(j) {
 		return
 	}
 	waiting := plan.takeStartable(j)
--- a/controller/core/tracking.go
+++ b/controller/core/tracking.go
@@ -56,3 +56,8 @@
 	CompletedSeconds  float64  // total runtime of the observed completed tasks
 	CompletedTasks    int      // number of observed completed tasks
 }
+
+// StartsDelayed reports whether no task of the job may start now, because of failures or of its size.
+func (s *JobOwnerState) StartsDelayed(now api.Time) bool {
+	return max(s.BackoffUntil, s.OversizedUntil) > now
+}
--- a/controller/gang_completion_test.go
+++ b/controller/gang_completion_test.go
@@ -68,6 +68,9 @@
 					}
 				}
 				recordRounds(t, n, owned)
+				if n.core.State.FinishedJobs[j.ID] == nil || n.core.State.PendingJobs[j.ID] != nil || n.core.State.Partitions[0].TeamUsage["red"] != (api.Resources{}) {
+					t.Errorf("one round %v, task %d done, done first %v: the gang is not archived or holds quota", oneRound, doneTask, doneFirst)
+				}
 				if j.State() != api.JobDone || len(j.Placements) != 0 {
 					t.Errorf("one round %v, task %d done, done first %v: the gang is %s with %d of 4 tasks completed", oneRound, doneTask, doneFirst, j.State(), j.CompletedCount)
 				}
@@ -154,3 +157,20 @@
 		t.Errorf("the gang is %s", j.State())
 	}
 }
+
+// A machine that has not heard of the end of a completed gang's task is told to stop it, and forgets it once it has exited.
+func TestTasksOfACompletedGangAreStopped(t *testing.T) {
+	n, owned, j := newRunningGang(t, 2)
+	m := n.core.Machines["i-000000"]
+	n.scheduler.RecordTaskEnd(owned, j.Placements[0], false, core.EndReasonEpochEnded)
+	n.scheduler.RecordTaskEnd(owned, j.Placements[1], true, "done")
+	recordRounds(t, n, owned)
+	for state, want := range map[api.TaskState]api.Op{api.TaskRunning: api.OpStop, api.TaskExited: api.OpReap} {
+		m.ReportedTasks = map[core.AttemptKey]api.TaskStatus{
+			{Task: api.TaskID{Job: j.ID, Index: 0}, Attempt: 1}: {Task: "run-1/0", Attempt: 1, State: state, Reason: api.ReasonDone},
+		}
+		if commands := n.agents.CommandsFor(m, owned); len(commands) != 1 || commands[0].Op != want {
+			t.Errorf("%s: commands %+v, expected %s", state, commands, want)
+		}
+	}
+}
--- a/controller/health/floors.go
+++ b/controller/health/floors.go
@@ -161,7 +161,7 @@
 // mayStart reports whether a job's pending tasks count as demand. While no zone has failed, the tasks
 // of a job that backs off or needs units of a pool do not count.
 func (u *floorUsage) mayStart(j *core.Job) bool {
-	return u.zoneFailed || j.OwnerState.BackoffUntil <= u.mon.core.Now && len(j.Spec.Needs) == 0
+	return u.zoneFailed || !j.OwnerState.StartsDelayed(u.mon.core.Now) && len(j.Spec.Needs) == 0
 }
 
 // reserveQuota subtracts a job's pending tasks from its team's remaining quota and returns the number
--- a/controller/pools/requests.go
+++ b/controller/pools/requests.go
@@ -22,7 +22,8 @@
 }
 
 // requests lists the requests for a pool in the order of allocation: by priority, then those within
-// their team's guarantee, then by age. It excludes jobs that may not start for another reason.
+// their team's guarantee, then by age. It excludes jobs that may not start for another reason, and those that hold
+// all units that they need.
 // Urgent, entitled and aged requests reserve released units; a request for several units at once
 // reserves them in alternate intervals.
 func (pm *Manager) requests(name api.PoolName) []request {
@@ -31,12 +32,13 @@
 	held := pm.heldByTeam(entry)
 	for _, j := range pm.core.State.PendingJobs {
 		need, ok := j.Spec.PoolRequest(name)
-		if !ok || pm.deps.Tenancy.StartsBlocked(j) || j.OwnerState.BackoffUntil > pm.core.Now {
+		if !ok || pm.deps.Tenancy.StartsBlocked(j) || j.OwnerState.StartsDelayed(pm.core.Now) {
 			continue
 		}
 		for p := range pm.core.State.Partitions {
-			if pendingTasks := j.PendingTasks(api.PartitionID(p)); pendingTasks > 0 {
-				out = append(out, pm.newRequest(entry, held, j, need, api.PartitionID(p), pendingTasks))
+			pendingTasks := j.PendingTasks(api.PartitionID(p))
+			if demand := newDemand(j, need, api.PartitionID(p), pendingTasks); demand.Units > 0 && pendingTasks > 0 {
+				out = append(out, pm.newRequest(entry, held, j, demand))
 			}
 		}
 	}
@@ -44,20 +46,25 @@
 	return out
 }
 
-// newRequest returns the request of a job with a number of pending tasks in a partition. held is the
-// number of units by team, nil if the pool has no guarantees.
-func (pm *Manager) newRequest(entry *pool.Entry, held map[api.Team]int, j *core.Job, need api.PoolRequest, partition api.PartitionID, pendingTasks int) request {
-	demand := pool.Demand{Partition: partition, Units: need.Units(1, j.LiveCount() > 0), Starts: pendingTasks}
+// newDemand returns the demand of a job with a number of pending tasks in a partition. It is for no units if the job
+// holds those that it takes as a whole and its tasks need none.
+func newDemand(j *core.Job, need api.PoolRequest, partition api.PartitionID, pendingTasks int) pool.Demand {
 	if j.Spec.Kind == api.Gang {
-		demand.Units, demand.Starts = need.Units(j.Spec.Tasks, false), 1
+		return pool.Demand{Partition: partition, Units: need.Units(j.Spec.Tasks, false), Starts: 1}
 	}
+	return pool.Demand{Partition: partition, Units: need.Units(1, j.LiveCount() > 0), Starts: pendingTasks}
+}
+
+// newRequest returns the request of a job for a demand of at least one unit. held is the number of units by team,
+// nil if the pool has no guarantees.
+func (pm *Manager) newRequest(entry *pool.Entry, held map[api.Team]int, j *core.Job, demand pool.Demand) request {
 	entitled := held != nil && held[j.Spec.Team]+demand.Units <= entry.Guaranteed[j.Spec.Team]
 	if entitled {
 		demand.Starts = min(demand.Starts, (entry.Guaranteed[j.Spec.Team]-held[j.Spec.Team])/demand.Units)
 	}
-	demand.Reserves = entitled || pm.deps.Backfiller.AgingStage(j, partition) != sched.NotAged || j.Spec.Priority.Rank() >= core.MinPreemptorRank ||
+	demand.Reserves = entitled || pm.deps.Backfiller.AgingStage(j, demand.Partition) != sched.NotAged || j.Spec.Priority.Rank() >= core.MinPreemptorRank ||
 		demand.Units > 1 && pool.ShouldReserve(time.Duration(pm.core.WallClock-j.AcceptedAt)*time.Millisecond)
-	return request{job: j, partition: partition, entitled: entitled, demand: demand}
+	return request{job: j, partition: demand.Partition, entitled: entitled, demand: demand}
 }
 
 // compareRequests orders requests, the first to be served first.
--- a/controller/rounds/capacity.go
+++ b/controller/rounds/capacity.go
@@ -36,11 +36,17 @@
 	return max(0, maxTasksPerMachine-len(m.ReportedTasks)-unreported)
 }
 
+// hasTaskSlot reports whether a machine may take another task, whatever its demand.
+func (s *Scheduler) hasTaskSlot(m *core.Machine) bool {
+	atMost := len(m.ReportedTasks) + len(s.core.State.PlacementsOn(m.ID)) // those reported may count twice
+	return atMost < maxTasksPerMachine || s.taskSlots(m) > 0
+}
+
 // FreeCapacityOn returns the capacity of a machine less the demand of all tasks that are or may be
 // on it. It is zero for a machine with an unknown task, whose demand is unknown, and for one with too many tasks.
 func (s *Scheduler) FreeCapacityOn(m *core.Machine, owned *core.OwnedPartition) api.Resources {
 	machineType := s.core.MachineTypes[m.MachineType]
-	if machineType == nil || m.HasUnknownTasks || s.taskSlots(m) == 0 {
+	if machineType == nil || m.HasUnknownTasks || !s.hasTaskSlot(m) {
 		return api.Resources{}
 	}
 	return machineType.Capacity().Minus(m.UntrackedUsage).Minus(owned.InFlightDemand[m.ID]).Minus(s.core.State.Allocated(m.ID))
--- a/controller/rounds/flow.go
+++ b/controller/rounds/flow.go
@@ -81,7 +81,7 @@
 		if s.deps.Tenancy.StartsBlocked(j) {
 			continue
 		}
-		if max(j.OwnerState.BackoffUntil, j.OwnerState.OversizedUntil) > s.core.Now {
+		if j.OwnerState.StartsDelayed(s.core.Now) {
 			owned.NeedsRound = owned.NeedsRound || pending > 0
 			continue
 		}
@@ -123,7 +123,7 @@
 		problem.schedulableCPUs += s.core.MachineTypes[m.MachineType].CPUs
 		problem.schedulableCount++
 		free := s.FreeCapacityOn(m, problem.owned)
-		if !smallestDemand.Fits(free) || s.taskSlots(m) == 0 {
+		if !smallestDemand.Fits(free) || !s.hasTaskSlot(m) {
 			continue
 		}
 		problem.input.Machines = append(problem.input.Machines, s.flowMachine(m, free))
--- a/controller/starvation/aging.go
+++ b/controller/starvation/aging.go
@@ -36,7 +36,7 @@
 	if p == core.AllPartitions {
 		running = j.LiveCount()
 	}
-	if running > 0 || j.OwnerState.BackoffUntil > g.core.Now || g.deps.Tenancy.StartsBlocked(j) {
+	if running > 0 || j.OwnerState.StartsDelayed(g.core.Now) || g.deps.Tenancy.StartsBlocked(j) {
 		return 0, false
 	}
 	waited = time.Duration(g.core.WallClock-j.AcceptedAt) * time.Millisecond
