State client: values of a query are escaped

Cause: the client undid the escaping of the whole encoded query, so a value could add parameters of its own. Now only slashes stay literal, and a page leaves out and logs records whose keys lack its prefix.

--- a/controller/core/partition.go
+++ b/controller/core/partition.go
@@ -33,7 +33,7 @@
 type RoundState struct {
 	NextRound      api.Time // earliest time of the next round
 	PlannedAt      api.Time // when the last round was planned
-	RetryAt        api.Time // when a job may be tried again on a machine where it failed; 0 if none waits for this
+	RetryAt        api.Time // when a job that was left out for a time may be tried again; 0 if there is none
 	PendingEnds    map[*Placement]bool
 	InFlight       *PendingRound                   // nil if no record is being written
 	InFlightDemand map[api.MachineID]api.Resources // of the tasks started by the round in flight
--- a/controller/core/timekey.go
+++ b/controller/core/timekey.go
@@ -19,7 +19,7 @@
 // ReadPage reads at most limit records whose keys begin with prefix. after is empty for the first
 // page, and otherwise the value that the previous page returned. ReadPage passes the records and
 // the value of after for the next page, empty at the end, to callback. If the state service does
-// not answer, it calls fail. Records that can't be decoded are logged and skipped.
+// not answer, it calls fail. Records that can't be decoded, or whose keys have another prefix, are logged and skipped.
 func ReadPage[T any](k *Core, prefix, after string, limit int, callback func(items []T, next string), fail func()) {
 	start := ""
 	if after != "" {
@@ -34,14 +34,18 @@
 		if pairs := response.Page.Pairs; response.Page.More && len(pairs) > 0 {
 			next = strings.TrimPrefix(pairs[len(pairs)-1].Key, prefix)
 		}
-		callback(decodeRecords[T](response.Page.Pairs), next)
+		callback(decodeRecords[T](prefix, response.Page.Pairs), next)
 	})
 }
 
-// decodeRecords decodes records; invalid ones are logged and skipped.
-func decodeRecords[T any](pairs []api.KeyValue) []T {
+// decodeRecords decodes records whose keys begin with prefix; others and invalid ones are logged and skipped.
+func decodeRecords[T any](prefix string, pairs []api.KeyValue) []T {
 	items := []T{}
 	for _, pair := range pairs {
+		if !strings.HasPrefix(pair.Key, prefix) {
+			slog.Error("record outside of the prefix of its page", "prefix", prefix, "key", pair.Key)
+			continue
+		}
 		var item T
 		if err := json.Unmarshal(pair.Value, &item); err != nil {
 			slog.Error("record could not be decoded", "key", pair.Key, "err", err)
--- a/controller/gang_size_test.go
+++ b/controller/gang_size_test.go
@@ -86,7 +86,6 @@
 	n, owned, _ := newGangOwner(t, 384, 1, 48, clusterstate.FormatRelays)
 	for range 30 {
 		nextSecond(n)
-		owned.NeedsRound = true
 		if n.scheduler.RunPartition(owned); owned.InFlight != nil {
 			t.Fatalf("%d of 384 tasks start", len(owned.InFlight.Starts))
 		}
@@ -101,7 +100,6 @@
 	n.membership.ReconcilePartitions()
 	for range 15 {
 		nextSecond(n)
-		owned.NeedsRound = true
 		if n.scheduler.RunPartition(owned); owned.InFlight != nil {
 			return
 		}
--- a/controller/rounds/flow.go
+++ b/controller/rounds/flow.go
@@ -82,7 +82,8 @@
 			continue
 		}
 		if j.OwnerState.StartsDelayed(s.core.Now) {
-			owned.NeedsRound = owned.NeedsRound || pending > 0
+			owned.NeedsRound = owned.NeedsRound || pending > 0 && j.OwnerState.BackoffUntil > s.core.Now
+			s.scheduleRetry(owned, j.OwnerState.OversizedUntil)
 			continue
 		}
 		if pending == 0 && j.FinishingCount == 0 {
@@ -117,7 +118,7 @@
 func (s *Scheduler) addMachines(problem *flowProblem, smallestDemand api.Resources) {
 	for _, m := range s.deps.Agents.MachinesOf(problem.owned.ID) {
 		if !s.IsSchedulable(m, problem.owned) {
-			s.scheduleRetry(problem.owned, &m.Quarantine)
+			s.scheduleRetry(problem.owned, m.Quarantine.RetryAt)
 			continue
 		}
 		problem.schedulableCPUs += s.core.MachineTypes[m.MachineType].CPUs
@@ -218,7 +219,7 @@
 			delete(j.OwnerState.FailedOn, id)
 		case s.core.Avoids(j, id):
 			excluded[id] = true
-			s.scheduleRetry(owned, backoff)
+			s.scheduleRetry(owned, backoff.RetryAt)
 		default:
 			retried[id] = true
 		}
@@ -226,10 +227,10 @@
 	return excluded, retried
 }
 
-// scheduleRetry schedules a round for the time when a task may be tried again after failures.
-func (s *Scheduler) scheduleRetry(owned *core.OwnedPartition, backoff *core.FailureBackoff) {
-	if backoff.RetryAt > s.core.Now && (owned.RetryAt == 0 || backoff.RetryAt < owned.RetryAt) {
-		owned.RetryAt = backoff.RetryAt
+// scheduleRetry schedules a round for the time when tasks may be tried again. A time in the past has no effect.
+func (s *Scheduler) scheduleRetry(owned *core.OwnedPartition, at api.Time) {
+	if at > s.core.Now && (owned.RetryAt == 0 || at < owned.RetryAt) {
+		owned.RetryAt = at
 	}
 }
 
--- a/controller/rounds/starts.go
+++ b/controller/rounds/starts.go
@@ -113,7 +113,8 @@
 	}
 }
 
-// keepSpaceFor keeps space for the starts of a gang during the recording of ends, if the round can have so much.
+// keepSpaceFor keeps space and a condition for the starts of a gang during the recording of ends, if the round can have so
+// much.
 func (b *roundBuilder) keepSpaceFor(gang core.DeferredGang) {
 	if gang.Bytes > b.bytesLeft {
 		return
@@ -121,6 +122,9 @@
 	b.first = gang
 	b.bytesLeft -= gang.Bytes
 	b.txnBytesLeft -= gang.Bytes
+	if gang.Job != "" {
+		b.maxConditions--
+	}
 }
 
 // roundBytes returns the size of the starts and ends that a round of a partition may have now.
@@ -132,4 +136,7 @@
 func (b *roundBuilder) releaseSpace() {
 	b.bytesLeft += b.first.Bytes
 	b.txnBytesLeft += b.first.Bytes
+	if b.first.Job != "" {
+		b.maxConditions++
+	}
 }
--- a/state/state.go
+++ b/state/state.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"basaltwall/api"
 	"basaltwall/controller/message"
@@ -67,13 +68,9 @@
 	return "", "", nil, fmt.Errorf("key-value store call %d: %w", c.ID, ErrEmptyCall)
 }
 
-// query encodes query parameters without escaping, so that slashes in keys stay as they are.
+// query encodes query parameters. Only the slashes in keys stay as they are.
 func query(v url.Values) string {
-	s, err := url.PathUnescape(v.Encode())
-	if err != nil {
-		return v.Encode()
-	}
-	return s
+	return strings.ReplaceAll(v.Encode(), "%2F", "/")
 }
 
 // ParseResponse returns the command for the outcome of a call. Its status is 0 if callErr is not nil or the
