--- a/controller/cancel_test.go
+++ b/controller/cancel_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -22,13 +21,7 @@
 	}
 	v := j.JobValue
 	v.Cancelled = true
-	data, err := json.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := n.core.State.Put(clusterstate.KeyJob+string(j.ID), data, 9); err != nil {
-		t.Fatal(err)
-	}
+	putJobValue(t, n, v, 9)
 	return n, owned, m, j
 }
 
--- a/controller/gang_completion_test.go
+++ b/controller/gang_completion_test.go
@@ -125,13 +125,7 @@
 	n.core.State.ApplyRecord(owned.ID, &clusterstate.RoundRecord{Seq: n.core.State.Partitions[0].RoundSeq + 1, Jobs: []clusterstate.JobDelta{{Job: j.ID, Completed: []int{1}}}})
 	value := j.JobValue
 	value.Cancelled = true
-	data, err := json.Marshal(value)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := n.core.State.Put(clusterstate.KeyJob+string(j.ID), data, 9); err != nil {
-		t.Fatal(err)
-	}
+	putJobValue(t, n, value, 9)
 	for _, task := range []int{2, 3} {
 		n.scheduler.RecordTaskEnd(owned, j.Placements[task], task == 3, "test")
 	}
--- a/controller/gang_size_test.go
+++ b/controller/gang_size_test.go
@@ -113,21 +113,15 @@
 	n, owned, j := newGangOwner(t, tasks, 4, tasks, clusterstate.FormatRelays)
 	other := *testSpec(jobs)
 	other.Ref, other.CPUs = "run-2", 0.001
-	value, err := json.Marshal(clusterstate.JobValue{Spec: &other, Split: []clusterstate.TaskRange{{From: 0, To: jobs}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := n.core.State.Put(clusterstate.KeyJob+"run-2", value, 9); err != nil {
-		t.Fatal(err)
-	}
+	otherJob := putJob(t, n, &other, "", 0)
 	for i := range jobs {
-		p := &core.Placement{Task: api.TaskID{Job: "run-2", Index: i}, Machine: api.MachineID(fmt.Sprintf("i-%06d", i%tasks)), Epoch: 1, Attempt: 1, Job: n.core.State.Jobs["run-2"]}
+		p := &core.Placement{Task: api.TaskID{Job: "run-2", Index: i}, Machine: api.MachineID(fmt.Sprintf("i-%06d", i%tasks)), Epoch: 1, Attempt: 1, Job: otherJob}
 		n.core.State.AddPlacement(p)
 	}
 	nextTask := 0
 	for range 5 {
 		for ; nextTask < jobs && len(owned.PendingEnds) < 900; nextTask++ { // as many as leave no space for the gang
-			n.scheduler.RecordTaskEnd(owned, n.core.State.Jobs["run-2"].Placements[nextTask], false, "test")
+			n.scheduler.RecordTaskEnd(owned, otherJob.Placements[nextTask], false, "test")
 		}
 		nextSecond(n)
 		n.scheduler.RunPartition(owned)
@@ -150,13 +144,7 @@
 	n, owned, j := newGangOwner(t, 300, 8, 300, clusterstate.FormatRelays)
 	other := *testSpec(40)
 	other.Ref, other.Priority = "run-2", api.Low
-	value, err := json.Marshal(clusterstate.JobValue{Spec: &other, Split: []clusterstate.TaskRange{{From: 0, To: 40}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := n.core.State.Put(clusterstate.KeyJob+"run-2", value, 9); err != nil {
-		t.Fatal(err)
-	}
+	otherJob := putJob(t, n, &other, "", 0)
 	for range 5 {
 		nextSecond(n)
 		owned.NeedsRound = true
@@ -164,8 +152,8 @@
 			n.scheduler.ApplyCommittedRound(owned, owned.LastRevision+1)
 		}
 	}
-	if len(j.Placements) != 0 || len(n.core.State.Jobs["run-2"].Placements) != 40 {
-		t.Errorf("%d tasks of the gang and %d of the other job have started, expected 0 and 40", len(j.Placements), len(n.core.State.Jobs["run-2"].Placements))
+	if len(j.Placements) != 0 || len(otherJob.Placements) != 40 {
+		t.Errorf("%d tasks of the gang and %d of the other job have started, expected 0 and 40", len(j.Placements), len(otherJob.Placements))
 	}
 }
 
@@ -176,13 +164,7 @@
 	for i := range 15 {
 		spec := *j.Spec
 		spec.Ref = api.JobID(fmt.Sprintf("run-%036d", i))
-		value, err := json.Marshal(clusterstate.JobValue{Spec: &spec, Split: []clusterstate.TaskRange{{From: 0, To: 100}}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := n.core.State.Put(clusterstate.KeyJob+string(spec.Ref), value, 9); err != nil {
-			t.Fatal(err)
-		}
+		putJob(t, n, &spec, "", 0)
 	}
 	for range 20 {
 		nextSecond(n)
--- a/controller/hosted_test.go
+++ b/controller/hosted_test.go
@@ -57,14 +57,7 @@
 // putJob stores an accepted job of a tenant, with all tasks in partition 0.
 func putJob(t testing.TB, n *Controller, spec *api.JobSpec, name string, accepted api.WallTime) *core.Job {
 	t.Helper()
-	data, err := json.Marshal(clusterstate.JobValue{Spec: spec, Split: []clusterstate.TaskRange{{From: 0, To: spec.Tasks}}, AcceptedAt: accepted, Tenant: name, TenantJobID: spec.Ref})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := n.core.State.Put(clusterstate.KeyJob+string(spec.Ref), data, 9); err != nil {
-		t.Fatal(err)
-	}
-	return n.core.State.Jobs[spec.Ref]
+	return putJobValue(t, n, clusterstate.JobValue{Spec: spec, Split: []clusterstate.TaskRange{{From: 0, To: spec.Tasks}}, AcceptedAt: accepted, Tenant: name, TenantJobID: spec.Ref}, 9)
 }
 
 // takeStoreCalls removes the pending effects and returns the calls to the state service among them.
--- a/controller/support_test.go
+++ b/controller/support_test.go
@@ -1,11 +1,15 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 
+	"basaltwall/api"
+	"basaltwall/clusterstate"
 	"basaltwall/config"
+	"basaltwall/controller/core"
 )
 
 // newControllerInCluster returns one controller of a cluster with the given number of controllers
@@ -27,3 +31,16 @@
 	n.core.Now = 1
 	return n
 }
+
+// putJobValue applies the record of a job at a revision, and returns the job.
+func putJobValue(t testing.TB, n *Controller, value clusterstate.JobValue, revision api.Revision) *core.Job {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.core.State.Put(clusterstate.KeyJob+string(value.Spec.Ref), data, revision); err != nil {
+		t.Fatal(err)
+	}
+	return n.core.State.Jobs[value.Spec.Ref]
+}
