--- a/clusterstate/starts.go
+++ b/clusterstate/starts.go
@@ -12,9 +12,9 @@
 	"basaltwall/api"
 )
 
-// TaskStarts is a list of starts. It is stored as a list or, if the record says so, in a packed form: the runs of
-// consecutive tasks on a machine, compressed. A packed list is a string, so that versions without support for
-// FormatPackedStarts fail to read the record instead of misinterpreting it.
+// TaskStarts is a list of starts. It is stored as a list or, see RoundRecord.SetPacked, in a packed form: the
+// compressed runs of consecutive tasks on a machine. The packed form is a string, so that versions without support
+// for FormatPackedStarts fail to read the record instead of misinterpreting it.
 type TaskStarts []TaskStart
 
 // startRun is the starts of consecutive tasks on a machine.
--- a/controller/core/failures.go
+++ b/controller/core/failures.go
@@ -19,8 +19,8 @@
 )
 
 // FailureBackoff is the state of a machine on which tasks failed. No task is started there before RetryAt. From
-// then on one task at a time is a probe, until one has succeeded or run for FailureTrustTime. Each failed probe doubles
-// the delay of the next one, up to a maximum. The zero value is the state of a machine without failures.
+// then on one task at a time is a probe, until one has succeeded or run for FailureTrustTime. Each failed probe
+// doubles the delay of the next one, up to a maximum. The zero value is the state of a machine without failures.
 type FailureBackoff struct {
 	Failures int // failed probes, and the failure before the first one
 	RetryAt  api.Time
@@ -101,8 +101,8 @@
 	return false
 }
 
-// EndProbes ends the effects of failures on a machine if the placement is a probe. It is called when its task has
-// succeeded, and reports whether tasks may start there that could not before.
+// EndProbes ends the effects of failures on a machine if the placement is a probe. It is called when its task
+// has succeeded, and reports whether tasks may start there that could not before.
 func (k *Core) EndProbes(m *Machine, p *Placement) (ended bool) {
 	if backoff := p.Job.OwnerState.FailedOn[m.ID]; backoff != nil && backoff.IsProbe(p) {
 		delete(p.Job.OwnerState.FailedOn, m.ID)
--- a/controller/rounds/gangs.go
+++ b/controller/rounds/gangs.go
@@ -1,6 +1,6 @@
 package rounds
 
-// This file records the starts and completions of gangs, whose tasks start together and complete together.
+// This file records the completion of gangs, whose tasks complete together.
 
 import (
 	"slices"
--- a/controller/rounds/starts.go
+++ b/controller/rounds/starts.go
@@ -96,8 +96,9 @@
 	return nil, listSize
 }
 
-// deferGang leaves the starts of a gang that take too many bytes to the next round, which keeps space for them. A gang too large for
-// an empty round is not planned for some time, so that it does not take the capacity of other jobs in each round.
+// deferGang leaves the starts of a gang that take too many bytes to the next round, which keeps space for them. A
+// gang too large for an empty round is not planned for some time, so that it does not take the capacity of other
+// jobs in each round.
 func (s *Scheduler) deferGang(b *roundBuilder, j *core.Job, size int) {
 	if j.Spec.Kind != api.Gang {
 		return
@@ -113,8 +114,8 @@
 	}
 }
 
-// keepSpaceFor keeps space and a condition for the starts of a gang during the recording of ends, if the round can have so
-// much.
+// keepSpaceFor keeps space and a condition for the starts of a gang during the recording of ends, if the round can have
+// so much.
 func (b *roundBuilder) keepSpaceFor(gang core.DeferredGang) {
 	if gang.Bytes > b.bytesLeft {
 		return
