Tests: guards of the review's fixes that were not seen failing

TestGangUsesFailedMachinesLast looked at a machine that was still excluded; it now looks at one where a probe is due.

--- a/controller/failures_test.go
+++ b/controller/failures_test.go
@@ -6,6 +6,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/core"
+	"basaltwall/controller/message"
 )
 
 // recordStarts runs a partition's next round a number of seconds later, records it and returns its number of starts.
@@ -79,11 +80,8 @@
 			m := n.agents.EnsureMachine(machineName(i))
 			m.MachineType, m.Zone, m.LastHeartbeat, m.Epoch, m.ReportedToken = "c8", "a", n.core.Now, 1, 7
 		}
-		j.OwnerState.FailedOn.Failed(failed.ID, n.core.Now)
+		j.OwnerState.FailedOn.Failed(failed.ID, n.core.Now.Add(-time.Minute)) // a probe is due
 		starts := recordStarts(n, owned, 1)
-		if machines == 2 && starts == 0 {
-			starts = recordStarts(n, owned, 11)
-		}
 		if starts != spec.Tasks {
 			t.Fatalf("%d machines: %d tasks start", machines, starts)
 		}
@@ -94,3 +92,28 @@
 		}
 	}
 }
+
+// A probe that runs for FailureTrustTime ends the effects of failures, since a long task shows enough by then.
+func TestRunningProbeEndsFailures(t *testing.T) {
+	n, owned, m, j := newTestOwner(t, testSpec(2))
+	j.OwnerState.FailedOn.Failed(m.ID, n.core.Now.Add(-time.Minute))
+	m.Quarantine.Failed(n.core.Now.Add(-time.Minute))
+	if starts := recordStarts(n, owned, 1); starts != 1 {
+		t.Fatalf("%d starts, expected a probe", starts)
+	}
+	report := api.Heartbeat{Machine: m.ID, Address: "10.0.1.1:1", Type: "c8", Zone: "a", Epoch: 1, Token: 7}
+	for _, p := range j.Placements {
+		report.Tasks = []api.TaskStatus{{Task: p.Task.String(), Attempt: p.Attempt, State: api.TaskRunning}}
+	}
+	for _, c := range []struct {
+		after time.Duration
+		ended bool
+	}{{0, false}, {core.FailureTrustTime - time.Second, false}, {time.Second, true}} {
+		n.core.Now = n.core.Now.Add(c.after)
+		report.Seq++
+		n.agents.HandleHeartbeat(message.WorkerHeartbeat{Heartbeat: &report})
+		if ended := !m.Quarantine.Active() && j.OwnerState.FailedOn[m.ID] == nil; ended != c.ended {
+			t.Errorf("heartbeat %d: the effects have ended: %v, expected %v", report.Seq, ended, c.ended)
+		}
+	}
+}
--- a/controller/gang_completion_test.go
+++ b/controller/gang_completion_test.go
@@ -67,7 +67,12 @@
 						n.core.State.ApplyRecord(owned.ID, &round.Record)
 					}
 				}
-				recordRounds(t, n, owned)
+				if oneRound { // one record suffices
+					round := n.scheduler.PlanRound(owned)
+					n.core.State.ApplyRecord(owned.ID, &round.Record)
+				} else {
+					recordRounds(t, n, owned)
+				}
 				if n.core.State.FinishedJobs[j.ID] == nil || n.core.State.PendingJobs[j.ID] != nil || n.core.State.Partitions[0].TeamUsage["red"] != (api.Resources{}) {
 					t.Errorf("one round %v, task %d done, done first %v: the gang is not archived or holds quota", oneRound, doneTask, doneFirst)
 				}
--- a/controller/gang_size_test.go
+++ b/controller/gang_size_test.go
@@ -75,6 +75,11 @@
 		}
 		follower := followRecord(t, j, round)
 		n.scheduler.ApplyCommittedRound(owned, 20)
+		for id := range n.core.Machines {
+			if body := largestHeartbeat(t, n, id); len(body) > heartbeatLimit {
+				t.Fatalf("%+v: the tasks on %s make a heartbeat of %d bytes", size, id, len(body))
+			}
+		}
 		if got, want := follower.Checkpoint(0).Jobs, n.core.State.Checkpoint(0).Jobs; !reflect.DeepEqual(got, want) {
 			t.Errorf("%+v: a follower reads other placements", size)
 		}
@@ -159,7 +164,6 @@
 
 // No machine gets more tasks than its heartbeat can report within the limit on requests, whatever their size.
 func TestTasksOnAMachineFitItsHeartbeat(t *testing.T) {
-	const requestLimit = 64 << 10
 	n, owned, j := newGangOwner(t, 100, 0.01, 1, clusterstate.FormatPackedStarts)
 	for i := range 15 {
 		spec := *j.Spec
@@ -173,12 +177,25 @@
 			n.scheduler.ApplyCommittedRound(owned, owned.LastRevision+1)
 		}
 	}
-	report := api.Heartbeat{Machine: "i-000000", Address: "10.100.100.100:65535", Type: "c8", Zone: "a", Epoch: 1 << 40, Seq: 1 << 40, Token: 1 << 40}
-	for _, p := range n.core.State.PlacementsOn("i-000000") {
+	tasks := len(n.core.State.PlacementsOn("i-000000"))
+	if body := largestHeartbeat(t, n, "i-000000"); len(body) > heartbeatLimit || tasks < 300 {
+		t.Errorf("a heartbeat of %d bytes with %d tasks", len(body), tasks)
+	}
+}
+
+// heartbeatLimit is the limit on the size of a request.
+const heartbeatLimit = 64 << 10
+
+// largestHeartbeat returns the largest heartbeat that a machine may send about the tasks placed on it.
+func largestHeartbeat(t *testing.T, n *Controller, id api.MachineID) []byte {
+	t.Helper()
+	report := api.Heartbeat{Machine: id, Address: "10.100.100.100:65535", Type: "c8", Zone: "a", Epoch: 1 << 40, Seq: 1 << 40, Token: 1 << 40}
+	for _, p := range n.core.State.PlacementsOn(id) {
 		report.Tasks = append(report.Tasks, api.TaskStatus{Task: p.Task.String(), Attempt: 1 << 40, State: api.TaskExited, Reason: api.ReasonGangIncomplete})
 	}
 	body, err := json.Marshal(report)
-	if err != nil || len(body) > requestLimit || len(report.Tasks) < 300 {
-		t.Errorf("a heartbeat of %d bytes with %d tasks, %v", len(body), len(report.Tasks), err)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return body
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -230,3 +230,21 @@
 		t.Errorf("placed %v on a machine reserved for job 1", plan)
 	}
 }
+
+// A machine on which a job failed before is used after the others, but is used.
+func TestRetriedMachineGoesLast(t *testing.T) {
+	for failed := range 2 {
+		for _, pending := range []int{1, 2} {
+			in := loadedInput(2, 1)
+			for i := range in.Machines {
+				in.Machines[i].Free = api.Resources{CPU: 16e6, Mem: 64e6}
+			}
+			in.Jobs[0].Pending = in.Jobs[0].Pending[:pending]
+			in.Jobs[0].RetriedMachines = map[api.MachineID]bool{in.Machines[failed].ID: true}
+			plan := PlanRound(in)
+			if len(plan) != pending || pending == 1 && plan[0].MachineIndex == failed {
+				t.Errorf("%d tasks pending, failed on machine %d: placed %v", pending, failed, plan)
+			}
+		}
+	}
+}
