JSON: names are matched exactly, in all that is received or stored

Cause: encoding/json takes any capitalization of a name, and letters that Unicode folds to it, for the name, at every depth, in every message and record.

Types with an UnmarshalJSON decode with it inside too. The emulators and tools decode alike.

--- a/admin/client.go
+++ b/admin/client.go
@@ -14,6 +14,7 @@
 
 	"basaltwall/api"
 	"basaltwall/httpx"
+	"basaltwall/internal/exactjson"
 )
 
 const (
@@ -72,7 +73,7 @@
 	if err != nil {
 		return value, err
 	}
-	if err := json.Unmarshal(data, &value); err != nil {
+	if err := exactjson.Decode(data, &value); err != nil {
 		return value, fmt.Errorf("%s: %w", path, err)
 	}
 	return value, nil
@@ -104,7 +105,7 @@
 	}
 	if r.Status != api.StatusOK && r.Status != api.StatusCreated {
 		var refusal api.ErrorBody
-		if json.Unmarshal(r.Body, &refusal) != nil {
+		if exactjson.Decode(r.Body, &refusal) != nil {
 			refusal.Error = string(bytes.TrimSpace(r.Body))
 		}
 		return nil, &RequestError{Path: path, Status: r.Status, Reason: refusal.Error, RetryAfter: r.RetryAfter}
--- a/admin/tables.go
+++ b/admin/tables.go
@@ -16,6 +16,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/tenancy"
+	"basaltwall/internal/exactjson"
 	"basaltwall/tenant"
 )
 
@@ -35,7 +36,7 @@
 		return printJSON(body)
 	}
 	var v T
-	if err := json.Unmarshal(body, &v); err != nil {
+	if err := exactjson.Decode(body, &v); err != nil {
 		return fmt.Errorf("decoding response: %w", err)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
--- a/api/submission.go
+++ b/api/submission.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"basaltwall/internal/exactjson"
 )
 
 // Limits of a submission; lengths are in bytes.
@@ -52,7 +54,7 @@
 // ParseJob decodes and validates a submission. The error names the first invalid field.
 func ParseJob(body []byte) (*JobSpec, error) {
 	var r rawSpec
-	if err := json.Unmarshal(body, &r); err != nil {
+	if err := exactjson.Decode(body, &r); err != nil {
 		var typeError *json.UnmarshalTypeError
 		if errors.As(err, &typeError) && typeError.Field != "" {
 			return nil, fmt.Errorf("%s: wrong type", typeError.Field)
--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -10,6 +10,7 @@
 	"basaltwall/api"
 	"basaltwall/controller/message"
 	"basaltwall/httpx"
+	"basaltwall/internal/exactjson"
 )
 
 // pageSize is the number of machines requested per page of a list.
@@ -49,20 +50,20 @@
 	response.Status = r.Status
 	if r.Status != api.StatusOK {
 		var refusal api.ErrorBody
-		response.NoCapacity = json.Unmarshal(r.Body, &refusal) == nil && refusal.Error == api.NoCapacity
+		response.NoCapacity = exactjson.Decode(r.Body, &refusal) == nil && refusal.Error == api.NoCapacity
 		return response
 	}
 	var err error
 	switch {
 	case c.Types:
 		var offered api.MachineTypes
-		err = json.Unmarshal(r.Body, &offered)
+		err = exactjson.Decode(r.Body, &offered)
 		response.Types = offered.Types
 	case c.List != nil:
-		err = json.Unmarshal(r.Body, &response.MachineList)
+		err = exactjson.Decode(r.Body, &response.MachineList)
 	case c.Create != nil:
 		var created api.MachineIDList
-		err = json.Unmarshal(r.Body, &created)
+		err = exactjson.Decode(r.Body, &created)
 		response.Machines = created.Machines
 	}
 	if err != nil {
--- a/clusterstate/job.go
+++ b/clusterstate/job.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Job is an accepted job that is not yet archived. J is the type of the state that owners of partitions
@@ -107,7 +108,7 @@
 // putJob applies the value of a job's key.
 func (s *State[J, P]) putJob(name string, value json.RawMessage, version api.Revision) error {
 	var v JobValue
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := exactjson.Decode(value, &v); err != nil {
 		return err
 	}
 	if v.Spec == nil {
--- a/clusterstate/keys.go
+++ b/clusterstate/keys.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Keys in the key-value store. Controllers follow all keys under Root. Results of finished jobs are
@@ -65,7 +66,7 @@
 func SingleKey[T any](key string, target *T) RecordKind {
 	return RecordKind{Prefix: key, Put: func(_ string, value json.RawMessage, _ api.Revision) error {
 		var v T
-		if err := json.Unmarshal(value, &v); err != nil {
+		if err := exactjson.Decode(value, &v); err != nil {
 			return err
 		}
 		*target = v
--- a/clusterstate/load.go
+++ b/clusterstate/load.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // BeginLoad begins a load. Until FinishLoad, Put only collects values, since the rounds of a partition
@@ -62,7 +63,7 @@
 		return 0, loadedRound{}, err
 	}
 	r := loadedRound{revision: revision}
-	if err := json.Unmarshal(value, &r.RoundRecord); err != nil {
+	if err := exactjson.Decode(value, &r.RoundRecord); err != nil {
 		return 0, loadedRound{}, err
 	}
 	return partition, r, nil
@@ -77,7 +78,7 @@
 	var blob []byte
 	for k := range head.Chunks {
 		var chunk []byte
-		if err := json.Unmarshal(raw[CheckpointChunkKey(partition, head.Generation, k)], &chunk); err != nil {
+		if err := exactjson.Decode(raw[CheckpointChunkKey(partition, head.Generation, k)], &chunk); err != nil {
 			return RoundRecord{}, fmt.Errorf("checkpoint of partition %d, chunk %d: %w", partition, k, err)
 		}
 		blob = append(blob, chunk...)
--- a/clusterstate/loan.go
+++ b/clusterstate/loan.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // A loan of a machine with running tasks transfers their placements to the borrowing partition at the
@@ -58,7 +59,7 @@
 // UnmarshalJSON decodes a loan, see loanJSON.
 func (v *LoanValue) UnmarshalJSON(data []byte) error {
 	var w loanJSON
-	if err := json.Unmarshal(data, &w); err != nil {
+	if err := exactjson.Decode(data, &w); err != nil {
 		return err
 	}
 	partition, err := strconv.Atoi(strings.Trim(string(w.Partition), `"`))
@@ -72,7 +73,7 @@
 // putLoan applies the value of a loan's key and transfers the placements on the machine.
 func (s *State[J, P]) putLoan(name string, value json.RawMessage, version api.Revision) error {
 	var v LoanValue
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := exactjson.Decode(value, &v); err != nil {
 		return err
 	}
 	if v.Partition < 0 || int(v.Partition) >= len(s.Partitions) {
--- a/clusterstate/partition.go
+++ b/clusterstate/partition.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // priorityRanks is the number of priority ranks (api.Priority.Rank).
@@ -31,7 +32,7 @@
 		return err
 	}
 	var v PartitionValue
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := exactjson.Decode(value, &v); err != nil {
 		return err
 	}
 	s.Partitions[partition].Owner, s.Partitions[partition].Term = v.Owner, version
@@ -45,7 +46,7 @@
 		return err
 	}
 	var v CheckpointHeadValue
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := exactjson.Decode(value, &v); err != nil {
 		return err
 	}
 	s.Partitions[partition].CheckpointHead = v
--- a/clusterstate/records.go
+++ b/clusterstate/records.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // TaskRange is the range [From, To) of a job's task indexes that a partition starts.
@@ -22,7 +23,7 @@
 // UnmarshalJSON decodes a range from a list of three numbers.
 func (r *TaskRange) UnmarshalJSON(data []byte) error {
 	var v [3]int
-	if err := json.Unmarshal(data, &v); err != nil {
+	if err := exactjson.Decode(data, &v); err != nil {
 		return err
 	}
 	*r = TaskRange{From: v[0], To: v[1], Partition: api.PartitionID(v[2])}
--- a/clusterstate/round.go
+++ b/clusterstate/round.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // putRound applies the value of a round's key.
@@ -16,7 +17,7 @@
 		return err
 	}
 	var r RoundRecord
-	if err := json.Unmarshal(value, &r); err != nil {
+	if err := exactjson.Decode(value, &r); err != nil {
 		return err
 	}
 	s.ApplyRecord(partition, &r)
--- a/clusterstate/starts.go
+++ b/clusterstate/starts.go
@@ -10,6 +10,7 @@
 	"io"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // TaskStarts is a list of starts. It is stored as a list or, see RoundRecord.SetPacked, in a packed form: the
@@ -49,10 +50,10 @@
 // UnmarshalJSON decodes starts in either form.
 func (s *TaskStarts) UnmarshalJSON(data []byte) error {
 	if len(data) == 0 || data[0] != '"' {
-		return json.Unmarshal(data, (*[]TaskStart)(s))
+		return exactjson.Decode(data, (*[]TaskStart)(s))
 	}
 	var packed PackedStarts
-	if err := json.Unmarshal(data, &packed); err != nil {
+	if err := exactjson.Decode(data, &packed); err != nil {
 		return err
 	}
 	var runs []startRun
@@ -128,7 +129,7 @@
 	if err != nil {
 		return fmt.Errorf("decompressing: %w", err)
 	}
-	if err := json.Unmarshal(text, target); err != nil {
+	if err := exactjson.Decode(text, target); err != nil {
 		return fmt.Errorf("decoding: %w", err)
 	}
 	return nil
--- a/clusterstate/state.go
+++ b/clusterstate/state.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // State is the replicated state up to a revision. Exported fields are read-only for other packages, except
@@ -144,7 +145,7 @@
 // putMember applies the value of a live controller's member key.
 func (s *State[J, P]) putMember(name string, value json.RawMessage, _ api.Revision) error {
 	var m MemberValue
-	if err := json.Unmarshal(value, &m); err != nil {
+	if err := exactjson.Decode(value, &m); err != nil {
 		return err
 	}
 	s.Members[api.ControllerID(name)] = m
--- a/config/config.go
+++ b/config/config.go
@@ -3,12 +3,12 @@
 package config
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 	"basaltwall/tenant"
 )
 
@@ -107,7 +107,7 @@
 // Parse decodes and validates settings. The error for an invalid value is a *FieldError.
 func Parse(data []byte) (*Config, error) {
 	cfg := &Config{}
-	if err := json.Unmarshal(data, cfg); err != nil {
+	if err := exactjson.Decode(data, cfg); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if cfg.Label == "" {
--- a/controller/core/adminrequest.go
+++ b/controller/core/adminrequest.go
@@ -10,6 +10,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/tenant"
 )
 
@@ -19,9 +20,7 @@
 	if len(body) == 0 {
 		return nil
 	}
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(target)
+	err := exactjson.DecodeStrict(body, target)
 	if err == nil {
 		return nil
 	}
--- a/controller/core/timekey.go
+++ b/controller/core/timekey.go
@@ -3,7 +3,6 @@
 // This file lists and expires records whose keys begin with a time.
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 )
 
 // TimeKey formats a time as the first part of a key, so that keys sort by time.
@@ -47,7 +47,7 @@
 			continue
 		}
 		var item T
-		if err := json.Unmarshal(pair.Value, &item); err != nil {
+		if err := exactjson.Decode(pair.Value, &item); err != nil {
 			slog.Error("record could not be decoded", "key", pair.Key, "err", err)
 			continue
 		}
--- a/controller/health/record.go
+++ b/controller/health/record.go
@@ -14,6 +14,7 @@
 	"basaltwall/config"
 	"basaltwall/controller/core"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/zonehealth"
 )
 
@@ -27,7 +28,7 @@
 		Prefix: RecordKeyPrefix,
 		Put: func(name string, value json.RawMessage, _ api.Revision) error {
 			var r zonehealth.Record
-			if err := json.Unmarshal(value, &r); err != nil {
+			if err := exactjson.Decode(value, &r); err != nil {
 				return err
 			}
 			mon.records[api.Zone(name)] = r
--- a/controller/jobs/resultlookup.go
+++ b/controller/jobs/resultlookup.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"strings"
@@ -10,6 +9,7 @@
 	"basaltwall/clusterstate"
 	"basaltwall/controller/core"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/jobresult"
 )
 
@@ -112,7 +112,7 @@
 
 func (s *Service) handleSingleResult(query jobresult.Request, response message.StoreResponse) {
 	var state api.JobState
-	if response.Status == api.StatusOK && json.Unmarshal(response.Pair.Value, &state) != nil {
+	if response.Status == api.StatusOK && exactjson.Decode(response.Pair.Value, &state) != nil {
 		return
 	}
 	if result, ok := s.lookups.queue.HandleSingle(query, state); ok {
@@ -124,7 +124,7 @@
 	var states []jobresult.Result
 	for _, pair := range response.Page.Pairs {
 		result := jobresult.Result{JobID: api.JobID(strings.TrimPrefix(pair.Key, clusterstate.KeyJobResult))}
-		if err := json.Unmarshal(pair.Value, &result.State); err != nil {
+		if err := exactjson.Decode(pair.Value, &result.State); err != nil {
 			slog.Error("final job state could not be decoded", "key", pair.Key, "err", err)
 		}
 		states = append(states, result)
--- a/controller/operations/settings.go
+++ b/controller/operations/settings.go
@@ -7,11 +7,11 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 
 	"basaltwall/api"
 	"basaltwall/controller/core"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 )
 
 // VersionedSettings are settings with the revision that a change must name.
@@ -30,9 +30,7 @@
 // ParseSettings parses and validates settings; the error names the field.
 func ParseSettings(body []byte) (VersionedSettings, error) {
 	var s VersionedSettings
-	d := json.NewDecoder(strings.NewReader(string(body)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
+	if err := exactjson.DecodeStrict(body, &s); err != nil {
 		var typeErr *json.UnmarshalTypeError
 		if errors.As(err, &typeErr) {
 			return s, fmt.Errorf("%s: wrong type", typeErr.Field)
--- a/controller/rounds/checkpoint.go
+++ b/controller/rounds/checkpoint.go
@@ -3,13 +3,13 @@
 // This file writes the checkpoints of partitions.
 
 import (
-	"encoding/json"
 	"log/slog"
 
 	"basaltwall/api"
 	"basaltwall/clusterstate"
 	"basaltwall/controller/core"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 )
 
 const (
@@ -77,7 +77,7 @@
 // finishCheckpoint makes a completely written checkpoint the current one.
 func (s *Scheduler) finishCheckpoint(owned *core.OwnedPartition, headWrite api.Write) {
 	var head clusterstate.CheckpointHeadValue
-	if json.Unmarshal(headWrite.Value, &head) == nil {
+	if exactjson.Decode(headWrite.Value, &head) == nil {
 		s.core.State.Partitions[owned.ID].CheckpointHead = head
 	}
 	owned.Checkpointing, owned.NeedsRound = false, true
--- a/controller/submit_test.go
+++ b/controller/submit_test.go
@@ -141,3 +141,29 @@
 		t.Errorf("the second poll is answered %d %s", second, body)
 	}
 }
+
+// Guards against a field that is taken for another one: a job submitted with "pezzi":2 and the unknown field
+// "PEZZI":5 was accepted with five tasks, three of which no worker knows, and was never done.
+func TestSubmissionWithFieldInAnotherSpelling(t *testing.T) {
+	n, _, _, _ := newTestOwner(t, testSpec(1))
+	n.core.StoreHealthy = true
+	body := submission(t, func(m map[string]any) { m["pezzi"] = 2 })
+	body = append(body[:len(body)-1], `,"PEZZI":5}`...)
+	n.jobs.Submit(message.Submit{Req: 1, Body: body})
+	for _, e := range n.core.Effects {
+		c, ok := e.(message.StoreCall)
+		if !ok || c.Txn == nil || len(c.Txn.Writes) == 0 || c.Txn.Writes[0].Put != clusterstate.KeyJob+"run-9" {
+			continue
+		}
+		var written clusterstate.JobValue
+		if err := json.Unmarshal(c.Txn.Writes[0].Value, &written); err != nil {
+			t.Fatal(err)
+		}
+		if written.Spec.Tasks != 2 {
+			t.Errorf("the job was written with %d tasks, expected 2", written.Spec.Tasks)
+		}
+		return
+	}
+	status, text := replyTo(n, 1)
+	t.Fatalf("the job was not written: answered %d %s", status, text)
+}
--- a/controller/tenancy/keyuse.go
+++ b/controller/tenancy/keyuse.go
@@ -12,6 +12,7 @@
 	"basaltwall/clusterstate"
 	"basaltwall/controller/core"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/tenant"
 )
 
@@ -95,7 +96,7 @@
 		lastUsed := map[tenant.KeyID]api.WallTime{}
 		for _, pair := range response.Page.Pairs {
 			var at api.WallTime
-			if json.Unmarshal(pair.Value, &at) == nil {
+			if exactjson.Decode(pair.Value, &at) == nil {
 				lastUsed[tenant.KeyID(strings.TrimPrefix(pair.Key, prefix))] = at
 			}
 		}
--- a/controller/tenancy/teams.go
+++ b/controller/tenancy/teams.go
@@ -9,6 +9,7 @@
 	"basaltwall/config"
 	"basaltwall/controller/core"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/tenant"
 )
 
@@ -25,7 +26,7 @@
 // applyTeam applies the record of an operator-defined team. A removed team is deleted from the teams.
 func (ts *Service) applyTeam(name string, value json.RawMessage, version api.Revision) error {
 	var team tenant.Team
-	if err := json.Unmarshal(value, &team); err != nil {
+	if err := exactjson.Decode(value, &team); err != nil {
 		return err
 	}
 	if err := team.Check(); err != nil {
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 type instance struct {
@@ -163,7 +164,7 @@
 // identified by its name, returns the machines of the first one.
 func (c *Cloud) scaleOut(body []byte) (any, error) {
 	var request api.ScaleOutRequest
-	if json.Unmarshal(body, &request) != nil || request.Count < 1 || request.Count > maxLaunchCount {
+	if exactjson.Decode(body, &request) != nil || request.Count < 1 || request.Count > maxLaunchCount {
 		return nil, errBadCloudRequest
 	}
 	launched, repeated := c.launchesByName[request.Name]
@@ -195,7 +196,7 @@
 // deleteInstances deletes machines and ignores unknown ids.
 func (c *Cloud) deleteInstances(body []byte) (any, error) {
 	var request api.MachineIDList
-	if json.Unmarshal(body, &request) != nil || len(request.Machines) > maxDeletionCount {
+	if exactjson.Decode(body, &request) != nil || len(request.Machines) > maxDeletionCount {
 		return nil, errBadCloudRequest
 	}
 	for _, id := range request.Machines {
--- a/internal/emulator/pools.go
+++ b/internal/emulator/pools.go
@@ -1,11 +1,11 @@
 package emulator
 
 import (
-	"encoding/json"
 	"time"
 
 	"basaltwall/api"
 	"basaltwall/controller/pools"
+	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 	"basaltwall/tenant"
 )
@@ -92,7 +92,7 @@
 		}
 		e, known := t.sim.Store.entries["b/pool/"+string(name)]
 		if known {
-			t.sim.must(json.Unmarshal(e.value, &p))
+			t.sim.must(exactjson.Decode(e.value, &p))
 		}
 		held := t.countHeldUnits(name)
 		t.poolLedger.MaxHeld[name] = max(t.poolLedger.MaxHeld[name], held)
@@ -114,7 +114,7 @@
 		var at pools.View
 		switch status {
 		case 200:
-			t.sim.must(json.Unmarshal(b, &at))
+			t.sim.must(exactjson.Decode(b, &at))
 		case 404:
 		default:
 			retry()
@@ -141,7 +141,7 @@
 		var p struct {
 			Size int `json:"size"`
 		}
-		t.sim.must(json.Unmarshal(t.sim.Store.entries["b/pool/"+string(name)].value, &p))
+		t.sim.must(exactjson.Decode(t.sim.Store.entries["b/pool/"+string(name)].value, &p))
 		sum += float64(t.countHeldUnits(name)) / float64(max(1, p.Size))
 		if samples++; t.sim.Now+time.Second <= to {
 			t.sim.After(time.Second, sample)
--- a/internal/emulator/skipclients.go
+++ b/internal/emulator/skipclients.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 )
 
@@ -82,7 +83,7 @@
 	}, func(status int, b []byte) {
 		var a bookingResponse
 		if status == 200 {
-			o.sim.must(json.Unmarshal(b, &a))
+			o.sim.must(exactjson.Decode(b, &a))
 		}
 		if status == 0 || status == 503 {
 			o.Unanswered++
@@ -263,7 +264,7 @@
 			} `json:"skips"`
 			After string `json:"after"`
 		}
-		o.sim.must(json.Unmarshal(b, &v))
+		o.sim.must(exactjson.Decode(b, &v))
 		for _, s := range v.Skips {
 			for _, x := range s.Items {
 				listed[x.Number] = s.Skip + "/" + x.Site
@@ -304,7 +305,7 @@
 				To    int    `json:"t"`
 			} `json:"ops"`
 		}
-		o.sim.must(json.Unmarshal(c.Value, &r))
+		o.sim.must(exactjson.Decode(c.Value, &r))
 		for i, op := range r.Ops {
 			key := fmt.Sprintf("%s/%d", shard, op.Num)
 			switch {
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 )
 
@@ -182,7 +183,7 @@
 	writes := 0.0
 	if method == "POST" && target == api.PathTxn {
 		var t api.Txn
-		_ = json.Unmarshal(body, &t) // a malformed transaction is refused later
+		_ = exactjson.Decode(body, &t) // a malformed transaction is refused later
 		writes = float64(len(t.Writes))
 	}
 	if s.requestTokens < 1 || s.writeTokens < writes {
@@ -253,7 +254,7 @@
 // grantLease grants a lease.
 func (s *Store) grantLease(body []byte, answer func(int, []byte)) {
 	var request api.LeaseRequest
-	if json.Unmarshal(body, &request) != nil || request.TTL < minLeaseMillis || request.TTL > maxLeaseMillis {
+	if exactjson.Decode(body, &request) != nil || request.TTL < minLeaseMillis || request.TTL > maxLeaseMillis {
 		answer(400, nil)
 		return
 	}
--- a/internal/emulator/store_limits.go
+++ b/internal/emulator/store_limits.go
@@ -1,11 +1,11 @@
 package emulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // This file checks requests to the key-value store against the limits of its protocol.
@@ -34,7 +34,7 @@
 	switch {
 	case len(body) > api.MaxTxnBytes:
 		return "transaction too large"
-	case json.Unmarshal(body, t) != nil:
+	case exactjson.Decode(body, t) != nil:
 		return "malformed"
 	case len(t.Writes) > limits.txnOps:
 		return "too many writes"
--- a/internal/emulator/tenants.go
+++ b/internal/emulator/tenants.go
@@ -11,6 +11,7 @@
 	"basaltwall/config"
 	"basaltwall/controller/message"
 	"basaltwall/controller/tenancy"
+	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 	"basaltwall/tenant"
 )
@@ -86,7 +87,7 @@
 		var at tenancy.TenantView
 		switch {
 		case status == 200:
-			t.sim.must(json.Unmarshal(b, &at))
+			t.sim.must(exactjson.Decode(b, &at))
 		case status == 404 && operation == "tenant-put":
 		default:
 			retry()
@@ -128,7 +129,7 @@
 			return map[string]any{"revision": r, "name": fmt.Sprint("k", t.keyCount)}
 		}, func(b []byte) {
 			var k tenancy.NewKeyView
-			t.sim.must(json.Unmarshal(b, &k))
+			t.sim.must(exactjson.Decode(b, &k))
 			t.secrets[name] = k.Secret
 		})
 	})
@@ -191,7 +192,7 @@
 func (t *Tenants) State(name string) tenant.State {
 	var v tenant.Tenant
 	if e, ok := t.sim.Store.entries["b/tenant/"+name]; ok {
-		t.sim.must(json.Unmarshal(e.value, &v))
+		t.sim.must(exactjson.Decode(e.value, &v))
 	}
 	return v.State
 }
@@ -226,7 +227,7 @@
 			Lost []int `json:"l"`
 		} `json:"j"`
 	}
-	t.sim.must(json.Unmarshal(value, &r))
+	t.sim.must(exactjson.Decode(value, &r))
 	started := map[api.JobID]bool{}
 	for _, j := range r.Jobs {
 		if o := t.jobs[j.Job]; len(j.Starts) > 0 && t.suspended[o.name] {
--- a/internal/emulator/traffic_kinds.go
+++ b/internal/emulator/traffic_kinds.go
@@ -1,10 +1,10 @@
 package emulator
 
 import (
-	"encoding/json"
 	"strings"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 	"basaltwall/peer"
 )
 
@@ -33,7 +33,7 @@
 	switch {
 	case method == "POST" && path == api.PathTxn:
 		var t api.Txn
-		if json.Unmarshal(body, &t) != nil || len(t.Writes) == 0 {
+		if exactjson.Decode(body, &t) != nil || len(t.Writes) == 0 {
 			return "compare"
 		}
 		key := strings.TrimPrefix(t.Writes[0].Put+t.Writes[0].Drop, "b/")
--- a/internal/emulator/user_behavior.go
+++ b/internal/emulator/user_behavior.go
@@ -9,6 +9,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 )
 
@@ -191,7 +192,7 @@
 	sim.Users.Request(sim.Users.anyController(), "POST", api.PathJobs, message.Caller{}, body, 5*time.Second, func(status int, answer []byte) {
 		var e api.ErrorBody
 		if status == 400 || status == 422 {
-			sim.must(json.Unmarshal(answer, &e))
+			sim.must(exactjson.Decode(answer, &e))
 		}
 		if !sim.Checker.InvalidJobResponse(sim.Now, ref, h.invalidJobs[ref], status, field, e.Error) {
 			sim.After(time.Second, func() { h.retryInvalidJob(ref, field, body) })
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -8,6 +8,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 	"basaltwall/worker"
 )
@@ -121,7 +122,7 @@
 func (u *Users) recordResponse(ref api.JobID, status int, body []byte, previous api.JobState) api.JobState {
 	var s api.JobStatus
 	if status == 200 || status == 201 {
-		u.sim.must(json.Unmarshal(body, &s))
+		u.sim.must(exactjson.Decode(body, &s))
 	}
 	known := u.sim.Checker.ReportedState(ref)
 	u.sim.Checker.ResponseReceived(u.sim.Now, ref, status, s.State, previous)
@@ -259,7 +260,7 @@
 	var v struct {
 		Spec *api.JobSpec `json:"s"`
 	}
-	if e, ok := sim.Store.entries["b/job/"+string(id)]; !ok || json.Unmarshal(e.value, &v) != nil || v.Spec == nil {
+	if e, ok := sim.Store.entries["b/job/"+string(id)]; !ok || exactjson.Decode(e.value, &v) != nil || v.Spec == nil {
 		return nil
 	}
 	sim.Users.specs[id], sim.Users.runTimes[id] = v.Spec, api.Seconds(v.Spec.Estimate)
@@ -298,7 +299,7 @@
 	retry := func() { sim.After(time.Second, func() { sim.SetPriorityRules(rules) }) }
 	request("settings", nil, func(status int, b []byte) {
 		var settings map[string]json.RawMessage
-		if status != 200 || json.Unmarshal(b, &settings) != nil {
+		if status != 200 || exactjson.Decode(b, &settings) != nil {
 			retry()
 			return
 		}
--- a/internal/emulator/worker_faults.go
+++ b/internal/emulator/worker_faults.go
@@ -1,10 +1,10 @@
 package emulator
 
 import (
-	"encoding/json"
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // This file injects faults into machines.
@@ -79,7 +79,7 @@
 // FailLateLaunches one on each machine, of a job of which none has failed.
 func (wk *Worker) failLateLaunch(reply []byte) {
 	var batch api.CommandBatch
-	if !wk.sim.FailLateLaunches || wk.lateLaunchFailed || json.Unmarshal(reply, &batch) != nil {
+	if !wk.sim.FailLateLaunches || wk.lateLaunchFailed || exactjson.Decode(reply, &batch) != nil {
 		return
 	}
 	for _, command := range batch.Commands {
--- a/internal/emulator/worker_protocol.go
+++ b/internal/emulator/worker_protocol.go
@@ -6,6 +6,7 @@
 
 	"basaltwall/api"
 	"basaltwall/controller/message"
+	"basaltwall/internal/exactjson"
 )
 
 // This file implements the worker's side of the protocol: heartbeats, their responses and direct commands.
@@ -92,7 +93,7 @@
 // followRedirect switches to the controller that a redirect names, and reports whether it is another one.
 func (wk *Worker) followRedirect(answer []byte) bool {
 	var r api.Redirect
-	wk.sim.must(json.Unmarshal(answer, &r))
+	wk.sim.must(exactjson.Decode(answer, &r))
 	for i, name := range wk.sim.controllerNames {
 		if name == string(r.Owner) && i != wk.controllerIndex {
 			wk.controllerIndex, wk.heartbeatPending, wk.nextHeartbeat = i, false, 0
@@ -106,7 +107,7 @@
 // stale.
 func (wk *Worker) applyHeartbeatReply(body []byte, sent time.Duration, incarnation api.Epoch) {
 	var o api.CommandBatch
-	wk.sim.must(json.Unmarshal(body, &o))
+	wk.sim.must(exactjson.Decode(body, &o))
 	if incarnation != wk.incarnation || o.Token < wk.fencingToken {
 		return
 	}
@@ -141,7 +142,7 @@
 		return
 	}
 	var o api.CommandBatch
-	if json.Unmarshal(body, &o) != nil {
+	if exactjson.Decode(body, &o) != nil {
 		answer(400, nil)
 		return
 	}
--- a/internal/emulator/write_guards.go
+++ b/internal/emulator/write_guards.go
@@ -1,13 +1,13 @@
 package emulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 
 	"basaltwall/api"
 	"basaltwall/clusterstate"
+	"basaltwall/internal/exactjson"
 )
 
 // writeGuard is the compare-and-swap condition that a transaction with a write must have, so that a late
@@ -93,7 +93,7 @@
 // conditional on the job's version, or "" if there is none.
 func missingJobGuard(t *api.Txn, w api.Write) api.JobID {
 	var loan clusterstate.LoanValue
-	if !strings.HasPrefix(w.Put, clusterstate.KeyLoan) || json.Unmarshal(w.Value, &loan) != nil {
+	if !strings.HasPrefix(w.Put, clusterstate.KeyLoan) || exactjson.Decode(w.Value, &loan) != nil {
 		return ""
 	}
 	for _, d := range loan.Tasks {
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -23,6 +23,8 @@
 	"testing"
 
 	"golang.org/x/tools/txtar"
+
+	"basaltwall/internal/exactjson"
 )
 
 // Variable is the environment variable that makes tests add missing sections to golden files if it is
@@ -114,7 +116,7 @@
 		f.t.Errorf("%s: encoding is\n%s\nexpected\n%s", name, current, golden)
 	}
 	var got T
-	if err := json.Unmarshal([]byte(golden), &got); err != nil {
+	if err := exactjson.Decode([]byte(golden), &got); err != nil {
 		f.t.Errorf("%s: %v", name, err)
 	}
 	Same(f.t, name, got, want)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -4,10 +4,10 @@
 
 import (
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 
 	"bytes"
 	"encoding/gob"
-	"encoding/json"
 	"fmt"
 
 	"basaltwall/controller/message"
@@ -107,7 +107,7 @@
 		return parseHeartbeat(f.Body)
 	case message.ForwardSkips:
 		var request message.AdminRequest
-		if json.Unmarshal(f.Body, &request) != nil {
+		if exactjson.Decode(f.Body, &request) != nil {
 			return nil
 		}
 		request.Req, request.Forwarded = req, true
--- a/pool/table.go
+++ b/pool/table.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Entry is the record of a pool with its revision, on which a compare-and-swap is conditional.
@@ -31,7 +32,7 @@
 // Put applies a changed record. On error the table is unchanged.
 func (t *Table) Put(name string, value json.RawMessage, version api.Revision) error {
 	e := &Entry{Revision: version}
-	if err := json.Unmarshal(value, &e.Pool); err != nil {
+	if err := exactjson.Decode(value, &e.Pool); err != nil {
 		return err
 	}
 	if err := e.Validate(t.partitions); err != nil {
--- a/skipledger/replica.go
+++ b/skipledger/replica.go
@@ -3,10 +3,10 @@
 package skipledger
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Load replaces the replica with all keys of the ledger as of a revision. On error the replica is
@@ -21,13 +21,13 @@
 		versions[p.Key] = p.Version
 		if shard, blockID, ok := g.parseShardKey(p.Key, blockPrefix); ok {
 			b := &Block{}
-			if err := json.Unmarshal(p.Value, b); err != nil {
+			if err := exactjson.Decode(p.Value, b); err != nil {
 				return fmt.Errorf("key %s: %w", p.Key, err)
 			}
 			blocks[shard][BlockID(blockID)] = b
 		} else if shard, _, ok := g.parseShardKey(p.Key, ringPrefix); ok {
 			r := &Record{}
-			if err := json.Unmarshal(p.Value, r); err != nil {
+			if err := exactjson.Decode(p.Value, r); err != nil {
 				return fmt.Errorf("key %s: %w", p.Key, err)
 			}
 			records[shard] = append(records[shard], r)
@@ -59,13 +59,13 @@
 		g.versions[ch.Put] = ch.Version
 		if shard, blockID, ok := g.parseShardKey(ch.Put, blockPrefix); ok {
 			var header blockHeader
-			if err := json.Unmarshal(ch.Value, &header); err != nil {
+			if err := exactjson.Decode(ch.Value, &header); err != nil {
 				return fmt.Errorf("key %s: %w", ch.Put, err)
 			}
 			g.shards[shard].BlockWritten(BlockID(blockID), header.LastSeq)
 		} else if shard, _, ok := g.parseShardKey(ch.Put, ringPrefix); ok {
 			var r Record
-			if err := json.Unmarshal(ch.Value, &r); err != nil {
+			if err := exactjson.Decode(ch.Value, &r); err != nil {
 				return fmt.Errorf("key %s: %w", ch.Put, err)
 			}
 			if err := g.applyRecord(shard, &r); err != nil {
--- a/state/state.go
+++ b/state/state.go
@@ -13,6 +13,7 @@
 	"basaltwall/api"
 	"basaltwall/controller/message"
 	"basaltwall/httpx"
+	"basaltwall/internal/exactjson"
 )
 
 const (
@@ -95,7 +96,7 @@
 		target = &response.Pair
 	case c.GrantLease > 0:
 		var granted api.LeaseResponse
-		if json.Unmarshal(r.Body, &granted) != nil || granted.Lease == 0 {
+		if exactjson.Decode(r.Body, &granted) != nil || granted.Lease == 0 {
 			response.Status = 0
 		}
 		response.Lease = granted.Lease
@@ -103,7 +104,7 @@
 	default:
 		return response
 	}
-	if json.Unmarshal(r.Body, target) != nil {
+	if exactjson.Decode(r.Body, target) != nil {
 		response.Status = 0
 	}
 	return response
--- a/tenant/networks.go
+++ b/tenant/networks.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/gaissmai/bart"
+
+	"basaltwall/internal/exactjson"
 )
 
 // maxNetworks is the maximum number of networks in a list.
@@ -114,7 +116,7 @@
 // UnmarshalJSON decodes a list of strings.
 func (n *Networks) UnmarshalJSON(b []byte) error {
 	var texts []string
-	if err := json.Unmarshal(b, &texts); err != nil {
+	if err := exactjson.Decode(b, &texts); err != nil {
 		return fmt.Errorf("networks: %w", err)
 	}
 	read, err := ParseNetworks(texts)
--- a/tenant/table.go
+++ b/tenant/table.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Entry is the record of a tenant with its revision, on which a compare-and-swap is conditional.
@@ -30,7 +31,7 @@
 // Put applies a changed record. On error the table is unchanged.
 func (t *Table) Put(name string, value json.RawMessage, version api.Revision) error {
 	e := &Entry{Revision: version}
-	if err := json.Unmarshal(value, &e.Tenant); err != nil {
+	if err := exactjson.Decode(value, &e.Tenant); err != nil {
 		return err
 	}
 	if err := e.Check(); err != nil {
--- a/tools/regress/journal.go
+++ b/tools/regress/journal.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -9,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+
+	"basaltwall/internal/exactjson"
 )
 
 // Names of the bench's subcommands in the journal.
@@ -86,7 +87,7 @@
 			return nil, fmt.Errorf("journal: %w", err)
 		}
 		e := &journalEntry{}
-		if err := json.Unmarshal(data, e); err != nil {
+		if err := exactjson.Decode(data, e); err != nil {
 			return nil, fmt.Errorf("journal: %s: %w", filepath.Base(name), err)
 		}
 		out = append(out, e)
--- a/tools/regress/served.go
+++ b/tools/regress/served.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+
+	"basaltwall/internal/exactjson"
 )
 
 // minServedShare is the least share to which each class and team must be served on each day.
@@ -102,7 +103,7 @@
 	var report dayReport
 	data, err := os.ReadFile(reportFile)
 	if err == nil {
-		err = json.Unmarshal(data, &report)
+		err = exactjson.Decode(data, &report)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w: %w", d, errNoReport, err)
--- a/tools/scale/hosted.go
+++ b/tools/scale/hosted.go
@@ -14,6 +14,7 @@
 	"basaltwall/api"
 	"basaltwall/controller/tenancy"
 	"basaltwall/internal/emulator"
+	"basaltwall/internal/exactjson"
 	"basaltwall/tenant"
 )
 
@@ -137,7 +138,7 @@
 	if status != http.StatusOK {
 		return &statusError{status, response}
 	}
-	return json.Unmarshal(response, into)
+	return exactjson.Decode(response, into)
 }
 
 // cpuSeconds returns the processor time of all controllers, in seconds.
--- a/tools/scale/request.go
+++ b/tools/scale/request.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Paths of the administration API.
@@ -54,7 +54,7 @@
 	if status != http.StatusOK {
 		return &statusError{status, body}
 	}
-	return json.Unmarshal(body, into)
+	return exactjson.Decode(body, into)
 }
 
 // awaitReady waits until all controllers are ready.
--- a/tools/scale/result.go
+++ b/tools/scale/result.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"basaltwall/internal/emulator"
+	"basaltwall/internal/exactjson"
 )
 
 type result struct {
@@ -180,7 +181,7 @@
 			return nil, err
 		}
 		r := &result{}
-		if err := json.Unmarshal(data, r); err != nil {
+		if err := exactjson.Decode(data, r); err != nil {
 			return nil, fmt.Errorf("%s: %w", f, err)
 		}
 		out = append(out, r)
--- a/tools/scale/settings.go
+++ b/tools/scale/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basaltwall/internal/emulator"
+	"basaltwall/internal/exactjson"
 )
 
 const (
@@ -56,7 +57,7 @@
 	begun := time.Now()
 	status, body, err := r.cluster().request(ctx, at, http.MethodPut, pathSettings, "", body)
 	var changed settingsRevision
-	if err != nil || status != http.StatusOK || json.Unmarshal(body, &changed) != nil {
+	if err != nil || status != http.StatusOK || exactjson.Decode(body, &changed) != nil {
 		return
 	}
 	for i := range r.processes {
--- a/tools/scale/stub_controller.go
+++ b/tools/scale/stub_controller.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // stubController responds to a worker's heartbeats with commands that keep targetTasks tasks running.
@@ -35,7 +36,7 @@
 func (s *stubController) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	var heartbeat api.Heartbeat
-	if err != nil || json.Unmarshal(body, &heartbeat) != nil {
+	if err != nil || exactjson.Decode(body, &heartbeat) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/tools/scale/submission.go
+++ b/tools/scale/submission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -11,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"basaltwall/api"
+	"basaltwall/internal/exactjson"
 )
 
 // Limits and intervals of a phase of submissions.
@@ -118,7 +118,7 @@
 	for range startPolls {
 		_, body, err := d.request(ctx, int(number)+1, http.MethodGet, jobPath(number), key, nil)
 		var job api.JobStatus
-		if err == nil && json.Unmarshal(body, &job) == nil && (job.State == api.JobRunning || job.State == api.JobDone) {
+		if err == nil && exactjson.Decode(body, &job) == nil && (job.State == api.JobRunning || job.State == api.JobDone) {
 			stats.mu.Lock()
 			defer stats.mu.Unlock()
 			recordSince(stats.startLatency, begun)
--- a/tools/scale/tables.go
+++ b/tools/scale/tables.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+
+	"basaltwall/internal/exactjson"
 )
 
 // runLabels returns the labels of the measured versions, oldest first.
@@ -113,7 +114,7 @@
 func agentTable(dir string) string {
 	var r agentResult
 	data, err := os.ReadFile(filepath.Join(dir, agentFile))
-	if err != nil || json.Unmarshal(data, &r) != nil {
+	if err != nil || exactjson.Decode(data, &r) != nil {
 		return "Not measured.\n"
 	}
 	return fmt.Sprintf("| single worker, %d tasks, %s task starts per second, %.0f s | measured | budget |\n| --- | --- | --- |\n| CPU usage, cores | %s | 0.026 |\n| peak resident memory, MB | %s | 32 |\n| heartbeats per second | %s | - |\n| bytes per second, bodies and estimated headers | %s | 3000 |\n",
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -10,6 +10,7 @@
 	"basaltwall/api"
 	"basaltwall/controller/message"
 	"basaltwall/httpx"
+	"basaltwall/internal/exactjson"
 )
 
 // ErrIncompleteHeartbeat is returned for a heartbeat without the JSON field tornio or turno, which identify
@@ -20,7 +21,7 @@
 // missing.
 func ParseHeartbeat(body []byte) (*api.Heartbeat, error) {
 	heartbeat := &api.Heartbeat{}
-	if err := json.Unmarshal(body, heartbeat); err != nil {
+	if err := exactjson.Decode(body, heartbeat); err != nil {
 		return nil, fmt.Errorf("heartbeat: %w", err)
 	}
 	if heartbeat.Machine == "" || heartbeat.Epoch == 0 {
