Jobs: one with more tasks than the workers know is reduced to those

A job that an earlier version accepted with five tasks instead of the two that its user submitted was never done, with this version too: the tasks 2 to 4 were launched once a second and refused with no_such for ever.

Cause: the number of tasks in a job's record was never in doubt, and no_such only delayed the next launch. The workers read the job's description themselves; once one of them has accepted a task of the job, the refusal of another means that it does not exist ("no such job or task, or the job has not been submitted").

Applying such a record removes the placements of the other tasks, as a load does.

--- a/clusterstate/job.go
+++ b/clusterstate/job.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"basaltwall/api"
 	"basaltwall/internal/exactjson"
@@ -126,7 +128,11 @@
 		}
 		s.Jobs[jobID] = j
 	}
+	reduced := j.Spec != nil && v.Spec.Tasks < j.Spec.Tasks
 	j.JobValue, j.Demand, j.Version = v, v.Spec.Demand(), version
+	if reduced {
+		s.removeExcessPlacements(j)
+	}
 	if v.Tenant != "" {
 		if s.JobsByTenant[v.Tenant] == nil {
 			s.JobsByTenant[v.Tenant] = map[api.JobID]*Job[J, P]{}
@@ -137,6 +143,16 @@
 	return nil
 }
 
+// removeExcessPlacements removes the placements of tasks that the job does not have any more. A controller that
+// loads the state ignores their starts, see applyDeltas.
+func (s *State[J, P]) removeExcessPlacements(j *Job[J, P]) {
+	for _, i := range slices.Sorted(maps.Keys(j.Placements)) {
+		if i >= j.Spec.Tasks {
+			s.removePlacement(j.Placements[i])
+		}
+	}
+}
+
 // deleteJob applies the deletion of an archived job's key.
 func (s *State[J, P]) deleteJob(name string) {
 	jobID := api.JobID(name)
--- a/controller/agent/dependencies.go
+++ b/controller/agent/dependencies.go
@@ -14,6 +14,7 @@
 	Follower   Follower
 	Gossiper   Gossiper
 	Health     Health
+	Jobs       Jobs
 	Preemptor  Preemptor
 	Scheduler  Scheduler
 }
@@ -56,6 +57,12 @@
 	CheckLiveness(*core.Machine, *core.OwnedPartition)
 }
 
+// Jobs is the component that accepts jobs.
+type Jobs interface {
+	// ReduceTasks records that a job has fewer tasks than its record says.
+	ReduceTasks(owned *core.OwnedPartition, j *core.Job, tasks int)
+}
+
 // Preemptor is the component that reserves machines for jobs.
 type Preemptor interface {
 	// ReserveExclusively reserves a machine for one job.
--- a/controller/agent/exit.go
+++ b/controller/agent/exit.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	noCapacityBackoff    = 2 * time.Second // for a machine that rejected a task for lack of capacity
-	unknownReasonBackoff = time.Second     // for a job whose task ended for a reason unknown to the agent
-	maxFailureBackoff    = 30 * time.Second
-	maxBackoffDoublings  = 5
+	noCapacityBackoff   = 2 * time.Second // for a machine that rejected a task for lack of capacity
+	unknownTaskBackoff  = time.Second     // for a job whose task was unknown to the worker
+	maxFailureBackoff   = 30 * time.Second
+	maxBackoffDoublings = 5
 
 	recentFailureWindow   = time.Minute
 	quarantineFailedJobs  = 2 // distinct jobs with recent failures that quarantine a machine
@@ -50,11 +50,25 @@
 	case api.ReasonNoCapacity:
 		m.FullUntil = am.core.Now.Add(noCapacityBackoff)
 	case api.ReasonUnknown:
-		j.OwnerState.BackoffUntil = am.core.Now.Add(unknownReasonBackoff)
+		j.OwnerState.BackoffUntil = am.core.Now.Add(unknownTaskBackoff)
+		am.handleUnknownTask(owned, p)
 	}
 	am.deps.Scheduler.RecordTaskEnd(owned, p, false, string(taskReport.Reason))
 }
 
+// handleUnknownTask processes the refusal of a task that a worker does not know. An accepted job was
+// submitted, so its record has too many tasks once enough refusals confirm it: the job could never be done.
+func (am *Manager) handleUnknownTask(owned *core.OwnedPartition, p *core.Placement) {
+	j := p.Job
+	refusals := &j.OwnerState.UnknownTasks
+	if !refusals.AcceptedTask && j.CompletedCount == 0 {
+		return // the workers may not have the job's description yet
+	}
+	if refusals.Refused(p.Task.Index, p.Machine) {
+		am.deps.Jobs.ReduceTasks(owned, j, refusals.Task)
+	}
+}
+
 // updateRelativeRuntime updates a machine's relative runtime by comparing a task's runtime, in seconds,
 // with the mean of its job array. Tasks of an array are alike, so a difference is due to the machine.
 func (am *Manager) updateRelativeRuntime(m *core.Machine, j *core.Job, seconds float64) {
--- a/controller/agent/reconcile.go
+++ b/controller/agent/reconcile.go
@@ -120,6 +120,7 @@
 	if state != api.TaskFetching {
 		am.cacheImage(m, p.Job.Spec)
 	}
+	p.Job.OwnerState.UnknownTasks.Accepted(p.Task.Index)
 	startWasKnown := p.OwnerState.Reported && core.TaskStarted(p.OwnerState.State)
 	if p.Job.Cancelled && !startWasKnown {
 		owned.NeedsRound = true // the owner may now be able to acknowledge the job's cancellation
--- a/controller/core/tracking.go
+++ b/controller/core/tracking.go
@@ -41,6 +41,7 @@
 	Failures          int
 	OversizedUntil    api.Time // a gang whose starts exceed a record is not planned before
 	FailedOn          MachineFailures
+	UnknownTasks      UnknownTaskRefusals
 	RebalancedAt      api.Time
 	NextPreemptionAt  api.Time // earliest time of the next preemption for it
 	PreemptedForStart bool     // tasks were preempted so that it starts soon
--- a/controller/wiring.go
+++ b/controller/wiring.go
@@ -57,6 +57,7 @@
 		Follower:   n.follower,
 		Gossiper:   n.gossiper,
 		Health:     n.health,
+		Jobs:       n.jobs,
 		Preemptor:  n.preemptor,
 		Scheduler:  n.scheduler,
 	})
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"basaltwall/api"
+	"basaltwall/clusterstate"
 	"basaltwall/internal/exactjson"
 	"basaltwall/internal/invariant"
 )
@@ -107,6 +108,21 @@
 	})
 }
 
+// RecordTasks changes the number of tasks in a job's record, as if a version that misread a submission had
+// accepted the job.
+func (s *Store) RecordTasks(id api.JobID, tasks int) {
+	key := clusterstate.KeyJob + string(id)
+	var value clusterstate.JobValue
+	s.sim.must(exactjson.Decode(s.entries[key].value, &value))
+	value.Spec.Tasks = tasks
+	value.Split[len(value.Split)-1].To = tasks
+	data, err := json.Marshal(value)
+	s.sim.must(err)
+	s.revision++
+	s.appendChange(api.Change{Put: key, Value: data, Version: s.revision}, 0)
+	s.notifyWatches()
+}
+
 // RefuseController refuses one controller's requests for the given time.
 func (s *Store) RefuseController(controllerName string, length time.Duration) {
 	s.refusedControllers[controllerName] = true
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -23,6 +23,7 @@
 //	boot-time SECONDS                   Boot time of new machines; the default is 20 s.
 //	state-limits VALUE_KB TXN_OPS       Limits of the key-value store on the size of a value and the number
 //	                                    of writes of a transaction; the default is 8 and 12.
+//	record-tasks AT REF N               The record of an accepted job says N tasks instead of the user's.
 //	store-limits                        The key-value store enforces its rate limits: excess requests get
 //	                                    429.
 //	submit AT REF KIND key=value...     A user submits a job; see parseSubmission for the keys.
--- a/internal/scenario/steps_work.go
+++ b/internal/scenario/steps_work.go
@@ -24,6 +24,9 @@
 			r.sim.Cloud.Types[i].BootSeconds = a.durations[0].Seconds()
 		}
 	}},
+	"record-tasks": {form: "dsn", schedule: func(r *runner, a arguments) {
+		r.sim.After(a.durations[0], func() { r.sim.Store.RecordTasks(r.jobID(a.names[0]), int(a.numbers[0])) })
+	}},
 	"store-limits":   {schedule: func(r *runner, _ arguments) { r.sim.Store.RateLimited = true }},
 	"priority-rules": {parse: (*runner).replaceRules},
 	"end":            {form: "d", schedule: func(r *runner, a arguments) { r.end = a.durations[0] }},
