--- a/controller/core/unknowntask.go
+++ b/controller/core/unknowntask.go
@@ -5,9 +5,10 @@
 import "basaltwall/api"
 
 const (
-	// confirmingRefusals is the number of refusals by several machines that confirm that a task does not exist.
+	// confirmingRefusals is the number of refusals that confirm that a task does not exist, if several
+	// machines have refused it or a higher task.
 	confirmingRefusals = 10
-	// confirmingRefusalsByOne is the number of refusals by a single machine that confirm it.
+	// confirmingRefusalsByOne is the number of refusals that confirm it if only one machine has refused tasks.
 	confirmingRefusalsByOne = 20
 )
 
@@ -16,10 +17,10 @@
 // description. Only refusals after a worker has accepted a task of the job are evidence. The zero value is
 // the state without refusals.
 type UnknownTaskRefusals struct {
-	AcceptedTask bool // a worker has accepted a task of the job
-	Task         int  // the lowest refused task
-	Count        int  // refusals of it
-	machines     map[api.MachineID]bool
+	AcceptedTask bool                   // a worker has accepted a task of the job
+	Task         int                    // the lowest refused task
+	Count        int                    // refusals of it
+	machines     map[api.MachineID]bool // that refused it or a higher task
 }
 
 // Accepted records that a worker has accepted a task. Tasks are numbered consecutively, so it refutes the
@@ -38,14 +39,14 @@
 		r.reset()
 		r.Task = task
 	}
-	if task != r.Task {
-		return false
-	}
-	r.Count++
 	if r.machines == nil {
 		r.machines = map[api.MachineID]bool{}
 	}
 	r.machines[machine] = true
+	if task != r.Task {
+		return false
+	}
+	r.Count++
 	confirmed := r.Count >= confirmingRefusalsByOne || r.Count >= confirmingRefusals && len(r.machines) > 1
 	if confirmed {
 		r.reset()
--- a/controller/core/unknowntask_test.go
+++ b/controller/core/unknowntask_test.go
@@ -24,6 +24,11 @@
 		{"several machines, one too few", func(r *UnknownTaskRefusals) bool { return refusals(r, 2, confirmingRefusals-1, "i-1", "i-2") }, false},
 		{"one machine", func(r *UnknownTaskRefusals) bool { return refusals(r, 2, confirmingRefusalsByOne, "i-1") }, true},
 		{"one machine, one too few", func(r *UnknownTaskRefusals) bool { return refusals(r, 2, confirmingRefusalsByOne-1, "i-1") }, false},
+		{"one machine, another refuses a higher task", func(r *UnknownTaskRefusals) bool {
+			refusals(r, 2, 1, "i-1")
+			refusals(r, 3, 1, "i-2")
+			return refusals(r, 2, confirmingRefusals-1, "i-1")
+		}, true},
 		{"higher tasks don't count", func(r *UnknownTaskRefusals) bool {
 			refusals(r, 2, 1, "i-1")
 			return refusals(r, 3, 100, "i-1", "i-2")
